--- /dev/null
+++ b/internal/process/parser/rules.go
@@ -0,0 +1,221 @@
+// Package parser reads and checks the rules: a text file with one rule a line, each
+// with a comment that says who asked for it.
+package parser
+
+import "time"
+
+// Kind is the kind of a service: what its endpoints are.
+type Kind string
+
+// The kinds of services.
+const (
+	// KindModel is a service of model engines that stream tokens.
+	KindModel Kind = "model"
+	// KindPlain is a service that answers ordinary HTTP calls.
+	KindPlain Kind = "plain"
+)
+
+// Rules is one checked set of rules. It does not change after Parse.
+type Rules struct {
+	text      string
+	hash      uint64
+	customers []Customer
+	services  []Service
+	routes    []Route
+	moves     []Move
+	sizes     []Size
+	endpoints []Endpoint
+}
+
+// Text returns the rules as they were written.
+func (r *Rules) Text() string { return r.text }
+
+// Hash returns the xxhash of the text.
+func (r *Rules) Hash() uint64 { return r.hash }
+
+// Customers returns the customers in the order of the file.
+func (r *Rules) Customers() []Customer { return r.customers }
+
+// Services returns the services in the order of the file.
+func (r *Rules) Services() []Service { return r.services }
+
+// Routes returns the routes in the order of the file.
+func (r *Rules) Routes() []Route { return r.routes }
+
+// Moves returns the version moves in the order of the file.
+func (r *Rules) Moves() []Move { return r.moves }
+
+// Sizes returns the capacity choices in the order of the file.
+func (r *Rules) Sizes() []Size { return r.sizes }
+
+// Endpoints returns the endpoints that the file names itself.
+func (r *Rules) Endpoints() []Endpoint { return r.endpoints }
+
+// Service returns the service of that name.
+func (r *Rules) Service(name string) (Service, bool) {
+	for _, s := range r.services {
+		if s.name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Customer is one caller of the firm, with its limits.
+type Customer struct {
+	name  string
+	worth float64
+	rate  float64
+	burst int
+	token string
+}
+
+// Name returns the name of the customer.
+func (c Customer) Name() string { return c.name }
+
+// Worth returns the weight of the customer when capacity is short; 1 is usual.
+func (c Customer) Worth() float64 { return c.worth }
+
+// Rate returns the requests per second over all entries; 0 means no limit.
+func (c Customer) Rate() float64 { return c.rate }
+
+// Burst returns how many requests may come at once.
+func (c Customer) Burst() int { return c.burst }
+
+// Token returns the SHA-256 of the customer's bearer token in hexadecimal.
+func (c Customer) Token() string { return c.token }
+
+// Service is a group of endpoints that answer the same calls.
+type Service struct {
+	name    string
+	kind    Kind
+	first   time.Duration
+	next    time.Duration
+	timeout time.Duration
+	status  string
+	fence   bool
+}
+
+// Name returns the name of the service.
+func (s Service) Name() string { return s.name }
+
+// Kind returns what the endpoints of the service are.
+func (s Service) Kind() Kind { return s.kind }
+
+// First returns the target for the time to the first token.
+func (s Service) First() time.Duration { return s.first }
+
+// Next returns the target for the time between two tokens.
+func (s Service) Next() time.Duration { return s.next }
+
+// Timeout returns the deadline of a call that states none.
+func (s Service) Timeout() time.Duration { return s.timeout }
+
+// Status returns the path that tells whether the call with a key has run,
+// with "{key}" in place of the key, or an empty string.
+func (s Service) Status() string { return s.status }
+
+// Fence reports whether the endpoints refuse orders with an old fencing number.
+func (s Service) Fence() bool { return s.fence }
+
+// Route leads calls below a path to a service.
+type Route struct {
+	name     string
+	path     string
+	service  string
+	once     bool
+	priority int
+	worth    float64
+}
+
+// Name returns the name of the route.
+func (r Route) Name() string { return r.name }
+
+// Path returns the path prefix of the route.
+func (r Route) Path() string { return r.path }
+
+// Service returns the name of the service that answers.
+func (r Route) Service() string { return r.service }
+
+// Once reports whether a call may run at most once.
+func (r Route) Once() bool { return r.once }
+
+// Priority returns the priority of the route; 0 is the most urgent.
+func (r Route) Priority() int { return r.priority }
+
+// Worth returns the weight of one answer in time; 1 is usual.
+func (r Route) Worth() float64 { return r.worth }
+
+// Move asks that a service changes its version by a deadline.
+type Move struct {
+	service string
+	from    string
+	to      string
+	by      time.Time
+	share   float64
+}
+
+// Service returns the name of the service that moves.
+func (m Move) Service() string { return m.service }
+
+// From returns the version that serves now.
+func (m Move) From() string { return m.from }
+
+// To returns the version that is to serve.
+func (m Move) To() string { return m.to }
+
+// By returns the deadline.
+func (m Move) By() time.Time { return m.by }
+
+// Share returns the percentage of traffic that the first stage sends to the
+// new version.
+func (m Move) Share() float64 { return m.share }
+
+// Size is a capacity choice for one service.
+type Size struct {
+	service string
+	min     int
+	max     int
+	spare   bool
+	price   float64
+}
+
+// Service returns the name of the service.
+func (s Size) Service() string { return s.service }
+
+// Min returns the number of endpoints that must always remain.
+func (s Size) Min() int { return s.min }
+
+// Max returns the number of endpoints that may run.
+func (s Size) Max() int { return s.max }
+
+// Spare reports whether the minimum must survive the loss of any one domain.
+func (s Size) Spare() bool { return s.spare }
+
+// Price returns the highest price per instance and hour; 0 means no limit.
+func (s Size) Price() float64 { return s.price }
+
+// Endpoint is an endpoint that the rules name, for sites whose platform
+// publishes no list.
+type Endpoint struct {
+	name    string
+	service string
+	address string
+	domain  string
+	version string
+}
+
+// Name returns the name of the endpoint.
+func (e Endpoint) Name() string { return e.name }
+
+// Service returns the name of the service that it belongs to.
+func (e Endpoint) Service() string { return e.service }
+
+// Address returns the IP address and port.
+func (e Endpoint) Address() string { return e.address }
+
+// Domain returns the failure domain.
+func (e Endpoint) Domain() string { return e.domain }
+
+// Version returns the version that it serves.
+func (e Endpoint) Version() string { return e.version }
