Carry calls and datagrams between nodes on one gnet engine

Cause: nodes need one authenticated port for gossip and for calls.

Ruled out: binding port 0 twice and letting SO_REUSEPORT, which gnet sets as soon as UDP is served, hide a port that another process holds; the port is held by a bound socket until the engine has it. One pool of workers for all services: calls that wait for another node could take the workers that this node's answers need, so each service has its own.

Change: internal/connection/messenger. Frames carry one net/rpc call or answer, msgpack bodies, under a key for each direction that both nonces and identities derive; datagrams are bound to their receiver, numbered, and refused when older than 30 s or seen before. Errors say whether a call was not sent, not run, or of unknown result.

Conclusion: usable; nothing measured about throughput yet.

--- /dev/null
+++ b/internal/connection/messenger/engine.go
@@ -0,0 +1,85 @@
+package messenger
+
+import (
+	"crypto/rand"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// tickInterval is long because the tick only tells that the engine has begun.
+const tickInterval = time.Hour
+
+// engine receives the events of gnet. Its methods run on the event loop and
+// never block.
+type engine struct {
+	gnet.BuiltinEventEngine
+	messenger *Messenger
+}
+
+// OnBoot keeps the handle of the engine, whose sockets are bound by now.
+func (e *engine) OnBoot(eng gnet.Engine) gnet.Action {
+	e.messenger.engine = eng
+	return gnet.None
+}
+
+// OnTick tells that the event loop runs.
+func (e *engine) OnTick() (time.Duration, gnet.Action) {
+	e.messenger.bootOnce.Do(e.messenger.markBooted)
+	return tickInterval, gnet.None
+}
+
+// OnOpen greets a connection that was accepted.
+func (e *engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if s, ok := c.Context().(*stream); ok {
+		if !s.setConn(c) {
+			return nil, gnet.Close
+		}
+		return nil, gnet.None
+	}
+	m := e.messenger
+	nonce := make([]byte, nonceSize)
+	_, _ = rand.Read(nonce)
+	s := &stream{messenger: m, session: newAccepted(m.keys, m.self, nonce), opened: m.clock.Now(), conn: c}
+	if !m.streams.add(s, maxUnauthenticated) {
+		m.drop(dropOverflow, Sender{})
+		return nil, gnet.Close
+	}
+	c.SetContext(s)
+	return s.session.greeting(), gnet.None
+}
+
+// OnClose ends the stream of a connection.
+func (e *engine) OnClose(c gnet.Conn, _ error) gnet.Action {
+	s, ok := c.Context().(*stream)
+	if !ok {
+		return gnet.None
+	}
+	s.setClosed()
+	if s.link != nil {
+		s.link.fail()
+	} else {
+		e.messenger.streams.remove(s)
+	}
+	return gnet.None
+}
+
+// OnTraffic reads a datagram or the records of a connection.
+func (e *engine) OnTraffic(c gnet.Conn) gnet.Action {
+	if s, ok := c.Context().(*stream); ok {
+		return s.read(c)
+	}
+	remote, ok := c.RemoteAddr().(*net.UDPAddr)
+	if !ok {
+		return gnet.Close
+	}
+	b, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	from := remote.AddrPort()
+	e.messenger.acceptDatagram(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), b)
+	return gnet.None
+}
--- /dev/null
+++ b/internal/connection/messenger/meter.go
@@ -0,0 +1,58 @@
+package messenger
+
+import (
+	"fmt"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	transportTCP = "tcp"
+	transportUDP = "udp"
+)
+
+// meter counts traffic, calls and dropped inputs.
+type meter struct {
+	sentBytes     *prometheus.CounterVec
+	receivedBytes *prometheus.CounterVec
+	calls         *prometheus.CounterVec
+	dropped       *prometheus.CounterVec
+}
+
+func newMeter(r prometheus.Registerer) (*meter, error) {
+	m := &meter{
+		sentBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_sent_bytes_total",
+			Help: "Bytes sent to other nodes, without IP headers.",
+		}, []string{"transport"}),
+		receivedBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_received_bytes_total",
+			Help: "Bytes received from other nodes, without IP headers.",
+		}, []string{"transport"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_calls_total",
+			Help: "Calls to other nodes by outcome.",
+		}, []string{"outcome"}),
+		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_dropped_total",
+			Help: "Inputs dropped by reason.",
+		}, []string{"reason"}),
+	}
+	if r == nil {
+		return m, nil
+	}
+	for _, c := range []prometheus.Collector{m.sentBytes, m.receivedBytes, m.calls, m.dropped} {
+		if err := r.Register(c); err != nil {
+			return nil, fmt.Errorf("register metric: %w", err)
+		}
+	}
+	return m, nil
+}
+
+func (m *meter) sent(transport string, n int) {
+	m.sentBytes.WithLabelValues(transport).Add(float64(n))
+}
+
+func (m *meter) received(transport string, n int) {
+	m.receivedBytes.WithLabelValues(transport).Add(float64(n))
+}
--- /dev/null
+++ b/internal/connection/messenger/session.go
@@ -0,0 +1,219 @@
+package messenger
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// A connection carries records: a length of four bytes, a kind, and the
+// content. The accepting side greets with a nonce, the dialing side answers
+// with its own nonce and identity, and the accepting side with its identity,
+// each signed over both nonces. From then on each direction has its own key,
+// derived from both nonces and identities, and numbers its frames.
+const (
+	recordGreeting = 1
+	recordHello    = 2
+	recordWelcome  = 3
+	recordFrame    = 4
+)
+
+const (
+	recordHeaderSize = 4 + 1
+	frameOverhead    = 8 + macSize
+	// maxHandshakeSize bounds what an unauthenticated peer can make us hold.
+	maxHandshakeSize = 700 // bytes
+	// maxFrameSize bounds one call or answer.
+	maxFrameSize = 4 << 20 // bytes
+)
+
+var (
+	helloLabel   = []byte("hyssoprudder hello")
+	welcomeLabel = []byte("hyssoprudder welcome")
+	dialedLabel  = []byte("hyssoprudder dialed to accepted")
+	answerLabel  = []byte("hyssoprudder accepted to dialed")
+)
+
+// session is the state of one side of a connection: the handshake, then the
+// sealing and opening of frames. It is not safe for concurrent use, but one
+// goroutine may seal while another opens once it is established.
+type session struct {
+	keys        keyring
+	self        Sender
+	peer        Sender
+	target      netip.AddrPort // of the dialing side
+	dialed      bool
+	established bool
+	greeted     bool
+	own         []byte
+	other       []byte
+	key         []byte
+	sealing     *signer
+	opening     *signer
+	sealed      uint64
+	opened      uint64
+}
+
+// newAccepted returns the accepting side with its nonce.
+func newAccepted(keys keyring, self Sender, nonce []byte) *session {
+	return &session{keys: keys, self: self, own: nonce}
+}
+
+// newDialed returns the dialing side with its nonce.
+func newDialed(keys keyring, self Sender, target netip.AddrPort, nonce []byte) *session {
+	return &session{keys: keys, self: self, target: target, dialed: true, own: nonce}
+}
+
+// greeting returns the first record of the accepting side.
+func (s *session) greeting() []byte {
+	return record(recordGreeting, s.own)
+}
+
+func record(kind byte, parts ...[]byte) []byte {
+	size := 1
+	for _, p := range parts {
+		size += len(p)
+	}
+	b := make([]byte, 4, 4+size)
+	binary.BigEndian.PutUint32(b, uint32(size))
+	b = append(b, kind)
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	return b
+}
+
+// recordSize returns the size of the record whose first four bytes are given,
+// without them. The error is a dropError.
+func (s *session) recordSize(header []byte) (int, error) {
+	size := int(binary.BigEndian.Uint32(header))
+	limit := maxHandshakeSize
+	if s.established {
+		limit = 1 + frameOverhead + maxFrameSize
+	}
+	if size < 1 {
+		return 0, dropMalformed
+	}
+	if size > limit {
+		return 0, dropOversized
+	}
+	return size, nil
+}
+
+// accept takes one record without its length. It returns a record to send
+// during the handshake, or the content of a frame. The error is a dropError,
+// after which the connection must be closed.
+func (s *session) accept(b []byte) (reply, content []byte, err error) {
+	if len(b) == 0 {
+		return nil, nil, dropMalformed
+	}
+	kind, b := b[0], b[1:]
+	switch {
+	case kind == recordFrame && s.established:
+		content, err = s.open(b)
+		return nil, content, err
+	case kind == recordGreeting && s.dialed && !s.greeted:
+		reply, err = s.acceptGreeting(b)
+	case kind == recordHello && !s.dialed && !s.established:
+		reply, err = s.acceptHello(b)
+	case kind == recordWelcome && s.dialed && s.greeted && !s.established:
+		err = s.acceptWelcome(b)
+	default:
+		err = dropUnexpected
+	}
+	return reply, nil, err
+}
+
+func (s *session) acceptGreeting(b []byte) ([]byte, error) {
+	if len(b) != nonceSize {
+		return nil, dropMalformed
+	}
+	s.greeted = true
+	s.other = append([]byte(nil), b...)
+	message := appendSender(append([]byte(nil), s.own...), s.self)
+	s.key = s.keys[0]
+	code := newSigner(s.key).sign(helloLabel, addressBytes(s.target), s.other, message)
+	return record(recordHello, message, code), nil
+}
+
+func (s *session) acceptHello(b []byte) ([]byte, error) {
+	if len(b) < nonceSize+macSize {
+		return nil, dropMalformed
+	}
+	message, code := b[:len(b)-macSize], b[len(b)-macSize:]
+	key, ok := s.keys.find(code, helloLabel, addressBytes(s.self.address), s.own, message)
+	if !ok {
+		return nil, dropUnauthenticated
+	}
+	peer, rest, err := readSender(message[nonceSize:])
+	if err != nil || len(rest) != 0 {
+		return nil, dropMalformed
+	}
+	s.key, s.peer = key, peer
+	s.other = append([]byte(nil), message[:nonceSize]...)
+	own := appendSender(nil, s.self)
+	s.establish()
+	return record(recordWelcome, own, newSigner(key).sign(welcomeLabel, s.other, s.own, own)), nil
+}
+
+func (s *session) acceptWelcome(b []byte) error {
+	if len(b) < macSize {
+		return dropMalformed
+	}
+	message, code := b[:len(b)-macSize], b[len(b)-macSize:]
+	if !newSigner(s.key).verify(code, welcomeLabel, s.own, s.other, message) {
+		return dropUnauthenticated
+	}
+	peer, rest, err := readSender(message)
+	if err != nil || len(rest) != 0 {
+		return dropMalformed
+	}
+	s.peer = peer
+	s.establish()
+	return nil
+}
+
+// establish derives the keys of both directions.
+func (s *session) establish() {
+	s.established = true
+	dialer, acceptor := s.self, s.peer
+	dialerNonce, acceptorNonce := s.own, s.other
+	if !s.dialed {
+		dialer, acceptor = acceptor, dialer
+		dialerNonce, acceptorNonce = acceptorNonce, dialerNonce
+	}
+	names := appendSender(appendSender(nil, dialer), acceptor)
+	forth := newSigner(derive(s.key, dialedLabel, dialerNonce, acceptorNonce, names))
+	back := newSigner(derive(s.key, answerLabel, dialerNonce, acceptorNonce, names))
+	if s.dialed {
+		s.sealing, s.opening = forth, back
+	} else {
+		s.sealing, s.opening = back, forth
+	}
+}
+
+// seal returns the record of the next frame with the content.
+func (s *session) seal(content []byte) []byte {
+	s.sealed++
+	b := make([]byte, recordHeaderSize+8, recordHeaderSize+frameOverhead+len(content))
+	binary.BigEndian.PutUint32(b, uint32(1+frameOverhead+len(content)))
+	b[4] = recordFrame
+	binary.BigEndian.PutUint64(b[recordHeaderSize:], s.sealed)
+	b = append(b, content...)
+	return append(b, s.sealing.sign(b[recordHeaderSize:])...)
+}
+
+// open checks a frame and returns its content, which shares memory with b.
+func (s *session) open(b []byte) ([]byte, error) {
+	if len(b) < frameOverhead {
+		return nil, dropMalformed
+	}
+	message, code := b[:len(b)-macSize], b[len(b)-macSize:]
+	if !s.opening.verify(code, message) {
+		return nil, dropUnauthenticated
+	}
+	if binary.BigEndian.Uint64(message) != s.opened+1 {
+		return nil, dropReplayed
+	}
+	s.opened++
+	return message[8:], nil
+}
