Keep the membership by gossip

Cause: nodes must know who runs, which endpoints are leaving and which revision is newest, at a cost that does not grow with their number.

Ruled out: one order for all states of a member. A leaver that is refuted as alive would come back, and a wrongly buried node could not refute; the phase (active, leaving, left) only rises within an incarnation, while the health is overruled by a higher refutation number, and both merge without regard to order. Sending views whole: a hash of 32 parts tells which part differs.

Change: internal/process/gossiper: a state machine (Core) with Step and Tick, and Gossiper, which runs it on a messenger. A token bucket bounds what a node sends. Nodes in more than one cell don't share digests.

--- /dev/null
+++ b/internal/process/gossiper/spreader.go
@@ -0,0 +1,152 @@
+package gossiper
+
+import (
+	"net/netip"
+	"time"
+
+	"hyssoprudder/internal/connection/messenger"
+)
+
+// headerRoom is what the header of a message takes at most.
+const headerRoom = 160 // bytes
+
+// sendTo sends a message with the given items, and with rumours if the budget
+// allows and they fit.
+func (c *Core) sendTo(to netip.AddrPort, h header, items []item, now time.Time) {
+	room := maxBody - headerRoom
+	for _, i := range items {
+		room -= i.size()
+	}
+	if c.budget.allows(now) && room > 0 {
+		items = append(items, c.takeRumours(room, 1)...)
+	}
+	c.post(to, h, items)
+}
+
+func (c *Core) post(to netip.AddrPort, h header, items []item) {
+	h.Sum, h.Newest = c.sums.total, c.newest
+	body := encodeMessage(h, items)
+	c.budget.spend(len(body))
+	c.out.messages = append(c.out.messages, Envelope{to: to, body: body})
+}
+
+func (c *Core) takeRumours(room, copies int) []item {
+	items := c.rumours.take(room, copies, transmissions(len(c.members)))
+	kept := items[:0]
+	for _, i := range items {
+		if i.kind != 0 {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// sendRumours passes rumours on to a few random members.
+func (c *Core) sendRumours(now time.Time) {
+	if now.Before(c.nextGossip) || c.rumours.len() == 0 || !c.budget.allows(now) {
+		return
+	}
+	c.nextGossip = now.Add(c.timing.Gossip)
+	receivers := c.pick(fanout, "")
+	if len(receivers) == 0 {
+		return
+	}
+	items := c.takeRumours(maxBody-headerRoom, len(receivers))
+	for _, id := range receivers {
+		c.post(c.members[id].record.Address, header{Kind: kindGossip}, items)
+	}
+}
+
+// sendDigests sends changed digests to the cell. In a cell with more members
+// than receivers the rounds take turns, so that the cost stays the same.
+func (c *Core) sendDigests(now time.Time) {
+	if now.Before(c.nextDigest) || len(c.digests.due) == 0 || !c.budget.allows(now) {
+		return
+	}
+	c.nextDigest = now.Add(c.timing.Digest)
+	cell := c.cellPeers()
+	if len(cell) == 0 {
+		return
+	}
+	receivers := make([]string, 0, digestFanout)
+	for range min(digestFanout, len(cell)) {
+		c.prober.roam++
+		receivers = append(receivers, cell[c.prober.roam%len(cell)])
+	}
+	for _, items := range pack(c.digests.take(len(receivers))) {
+		for _, id := range receivers {
+			c.post(c.members[id].record.Address, header{Kind: kindGossip}, items)
+		}
+	}
+}
+
+func (c *Core) cellPeers() []string {
+	return c.peers(func(r memberRecord) bool {
+		return r.Cell == c.settings.Cell && r.isLive()
+	})
+}
+
+// pack distributes items over as few messages as their order allows.
+func pack(items []item) [][]item {
+	var out [][]item
+	room := 0
+	for _, i := range items {
+		if size := i.size(); len(out) == 0 || size > room {
+			out = append(out, nil)
+			room = maxBody - headerRoom
+		}
+		out[len(out)-1] = append(out[len(out)-1], i)
+		room -= i.size()
+	}
+	return out
+}
+
+// compare starts a comparison of views with a peer whose sum differs.
+func (c *Core) compare(peer netip.AddrPort, sum uint64, now time.Time) {
+	interval := c.timing.Sync
+	if len(c.members) <= 2 {
+		interval = c.timing.Gossip
+	}
+	if sum == c.sums.total || now.Sub(c.lastSync) < interval || !c.budget.allows(now) {
+		return
+	}
+	c.lastSync = now
+	c.post(peer, header{Kind: kindSync}, []item{{kind: itemSums, body: c.sums.encode()}})
+}
+
+// answerSync sends what the sender's view lacks, and asks for what this one
+// lacks.
+func (c *Core) answerSync(from messenger.Sender, h header, encoded []byte, now time.Time) error {
+	differing, err := c.sums.differing(encoded)
+	if err != nil || len(differing) == 0 {
+		return err
+	}
+	if !h.Reply {
+		c.post(from.Address(), header{Kind: kindSync, Reply: true}, []item{{kind: itemSums, body: c.sums.encode()}})
+	}
+	messages := pack(c.itemsIn(differing))
+	c.random.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
+	for _, items := range messages[:min(maxSyncMessages, len(messages))] {
+		if !c.budget.allows(now) {
+			break
+		}
+		c.post(from.Address(), header{Kind: kindGossip}, items)
+	}
+	return nil
+}
+
+// itemsIn returns the records of some buckets.
+func (c *Core) itemsIn(wanted map[int]bool) []item {
+	var items []item
+	for _, id := range c.ids() {
+		if wanted[bucketOf(id)] {
+			items = append(items, item{kind: itemMember, body: encodeRecord(c.members[id].record)})
+		}
+	}
+	for endpoint, m := range c.marks {
+		if wanted[bucketOf(endpoint)] {
+			items = append(items, item{kind: itemMark, body: encodeRecord(m)})
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/process/gossiper/view.go
@@ -0,0 +1,112 @@
+package gossiper
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Members returns all members that are remembered, this node among them, in
+// the order of their identities.
+func (c *Core) Members() []Member {
+	out := make([]Member, 0, len(c.members))
+	for _, id := range c.ids() {
+		out = append(out, Member{record: c.members[id].record})
+	}
+	return out
+}
+
+// Member returns the member with the identity.
+func (c *Core) Member(id string) (Member, bool) {
+	e, ok := c.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return Member{record: e.record}, true
+}
+
+// MarkLeaving says that an endpoint is leaving, up to and including the
+// incarnation. The mark can't be withdrawn.
+func (c *Core) MarkLeaving(endpoint string, incarnation uint64, now time.Time) *Output {
+	c.applyMark(markRecord{Endpoint: endpoint, Incarnation: incarnation, At: now.Unix()}, now)
+	return c.finish()
+}
+
+// IsLeaving reports whether an incarnation of an endpoint is marked.
+func (c *Core) IsLeaving(endpoint string, incarnation uint64) bool {
+	m, ok := c.marks[endpoint]
+	return ok && incarnation <= m.Incarnation
+}
+
+// Marks returns the leaving marks in the order of the endpoints.
+func (c *Core) Marks() []Mark {
+	out := make([]Mark, 0, len(c.marks))
+	for _, m := range c.marks {
+		out = append(out, Mark{record: m})
+	}
+	slices.SortFunc(out, func(a, b Mark) int {
+		if a.Endpoint() < b.Endpoint() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Leave marks this node as leaving.
+func (c *Core) Leave(now time.Time) *Output { return c.enter(phaseLeaving, now) }
+
+// Depart says that this node stops now.
+func (c *Core) Depart(now time.Time) *Output { return c.enter(phaseLeft, now) }
+
+func (c *Core) enter(phase uint8, now time.Time) *Output {
+	r := c.self()
+	if phase > r.Phase {
+		r.Phase, r.At = phase, now.Unix()
+		c.store(r, now)
+		c.spread(r)
+	}
+	return c.finish()
+}
+
+// SetRunning says which revision this node has in force.
+func (c *Core) SetRunning(number uint64, now time.Time) *Output {
+	r := c.self()
+	if number > r.Running {
+		r.Running = number
+		c.store(r, now)
+		c.spreadRunning(r)
+	}
+	return c.finish()
+}
+
+// Announce spreads that a revision was accepted.
+func (c *Core) Announce(r Revision) *Output {
+	c.hear(r)
+	return c.finish()
+}
+
+// Newest returns the newest revision that this node has heard of.
+func (c *Core) Newest() Revision { return c.newest }
+
+// Publish replaces this node's digest of a kind; version must rise. Each
+// version is sent once to each member of the cell and may get lost, so it is
+// published again at intervals. It fails if the body is too large.
+func (c *Core) Publish(kind uint8, version uint64, body []byte) error {
+	return c.digests.publish(digestRecord{Kind: kind, Version: version, Body: slices.Clone(body)},
+		max(1, len(c.cellPeers())))
+}
+
+// Digests returns the latest digests of a kind from the live members of the
+// cell, without this node's own.
+func (c *Core) Digests(kind uint8) []Digest {
+	return slices.DeleteFunc(c.digests.of(kind), func(d Digest) bool {
+		e, ok := c.members[d.node]
+		return !ok || e.record.Incarnation != d.incarnation
+	})
+}
+
+// SetCandidates replaces the addresses that are tried when no member with that
+// address is alive. They come from settings or from the platform's list, which
+// lags: a candidate becomes a member only by answering.
+func (c *Core) SetCandidates(addresses []netip.AddrPort) { c.seeds = slices.Clone(addresses) }
