Parse rules and report every fault in a file at once

Cause: rules had types and no reader. Change: one line a rule, a mandatory comment that names asker and firm, each fault with line, word, what was expected and the nearest known name.

--- /dev/null
+++ b/internal/process/parser/nouns.go
@@ -0,0 +1,240 @@
+package parser
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	defaultFirst   = 1300 * time.Millisecond
+	defaultNext    = 52 * time.Millisecond
+	maxTimeout     = time.Hour
+	tokenPrefix    = "sha256:"
+	tokenBytes     = 32
+)
+
+// noun describes one kind of rule: the names it takes and what it builds.
+type noun struct {
+	keys     map[string]string // name to what its value must be
+	required []string
+	build    func(p *pass, name string, v *values)
+}
+
+func (n *noun) keyNames() []string { return sortedKeys(n.keys) }
+
+var nouns map[string]*noun
+
+func init() {
+	nouns = map[string]*noun{
+		"customer": {
+			keys:     map[string]string{"worth": "a number from 0 to 1000", "rate": "requests per second, from 0", "burst": "a whole number from 1", "token": "sha256: and 64 hexadecimal digits"},
+			required: []string{"token"}, build: buildCustomer,
+		},
+		"service": {
+			keys:     map[string]string{"kind": "model or plain", "first": "a duration such as 1300ms", "next": "a duration such as 52ms", "timeout": "a duration up to 1h", "status": "a path with {key}", "fence": "true or false"},
+			required: []string{"kind"}, build: buildService,
+		},
+		"route": {
+			keys:     map[string]string{"path": "a path that begins with /", "service": "the name of a service", "once": "true or false", "priority": "a whole number from 0 to 9", "worth": "a number from 0 to 1000"},
+			required: []string{"path", "service"}, build: buildRoute,
+		},
+		"move": {
+			keys:     map[string]string{"from": "a version", "to": "another version", "by": "a time such as 2027-01-10T06:00:00Z", "share": "percent, above 0 and up to 50"},
+			required: []string{"from", "to", "by"}, build: buildMove,
+		},
+		"size": {
+			keys:     map[string]string{"min": "a whole number from 0", "max": "a whole number, not below min", "spare": "domain or none", "price": "a number from 0"},
+			required: []string{"min", "max"}, build: buildSize,
+		},
+		"endpoint": {
+			keys:     map[string]string{"service": "the name of a service", "address": "an IP number and port", "domain": "a failure domain", "version": "a version"},
+			required: []string{"service", "address", "domain", "version"}, build: buildEndpoint,
+		},
+	}
+}
+
+func nounNames() []string { return sortedKeys(nouns) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func buildCustomer(p *pass, name string, v *values) {
+	p.rules.customers = append(p.rules.customers, Customer{
+		name:  name,
+		worth: v.number("worth", 1, 0, 1000),
+		rate:  v.number("rate", 0, 0, 1e6),
+		burst: v.integer("burst", 100, 1, 1e6),
+		token: v.token("token"),
+	})
+}
+
+func buildService(p *pass, name string, v *values) {
+	p.rules.services = append(p.rules.services, Service{
+		name:    name,
+		kind:    Kind(v.choice("kind", string(KindPlain), string(KindModel), string(KindPlain))),
+		first:   v.duration("first", defaultFirst),
+		next:    v.duration("next", defaultNext),
+		timeout: v.duration("timeout", defaultTimeout),
+		status:  v.path("status", "{key}"),
+		fence:   v.choice("fence", "false", "true", "false") == "true",
+	})
+}
+
+func buildRoute(p *pass, name string, v *values) {
+	p.rules.routes = append(p.rules.routes, Route{
+		name:     name,
+		path:     v.path("path", ""),
+		service:  v.given["service"],
+		once:     v.choice("once", "false", "true", "false") == "true",
+		priority: v.integer("priority", 1, 0, 9),
+		worth:    v.number("worth", 1, 0, 1000),
+	})
+}
+
+func buildMove(p *pass, name string, v *values) {
+	m := Move{
+		service: name,
+		from:    v.given["from"],
+		to:      v.given["to"],
+		by:      v.time("by"),
+		share:   v.number("share", 2, 0.01, 50),
+	}
+	if m.from == m.to {
+		p.fault("to="+m.to, "a version other than from="+m.from, "")
+	}
+	p.rules.moves = append(p.rules.moves, m)
+}
+
+func buildSize(p *pass, name string, v *values) {
+	s := Size{
+		service: name,
+		min:     v.integer("min", 0, 0, 1e5),
+		max:     v.integer("max", 0, 0, 1e5),
+		spare:   v.choice("spare", "none", "domain", "none") == "domain",
+		price:   v.number("price", 0, 0, 1e6),
+	}
+	if s.max < s.min {
+		p.fault("max="+v.given["max"], "a whole number, not below min", "")
+	}
+	p.rules.sizes = append(p.rules.sizes, s)
+}
+
+func buildEndpoint(p *pass, name string, v *values) {
+	p.rules.endpoints = append(p.rules.endpoints, Endpoint{
+		name:    name,
+		service: v.given["service"],
+		address: v.address("address"),
+		domain:  v.given["domain"],
+		version: v.given["version"],
+	})
+}
+
+// values reads the values of one rule and records the faults in them.
+type values struct {
+	pass  *pass
+	keys  map[string]string
+	given map[string]string
+}
+
+func (v *values) bad(key string) {
+	v.pass.fault(key+"="+v.given[key], v.keys[key], "")
+}
+
+func (v *values) number(key string, missing, low, high float64) float64 {
+	text, ok := v.given[key]
+	if !ok {
+		return missing
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= low && n <= high) {
+		v.bad(key)
+		return missing
+	}
+	return n
+}
+
+func (v *values) integer(key string, missing, low, high int) int {
+	text, ok := v.given[key]
+	if !ok {
+		return missing
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < low || n > high {
+		v.bad(key)
+		return missing
+	}
+	return n
+}
+
+func (v *values) duration(key string, missing time.Duration) time.Duration {
+	text, ok := v.given[key]
+	if !ok {
+		return missing
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > maxTimeout {
+		v.bad(key)
+		return missing
+	}
+	return d
+}
+
+func (v *values) time(key string) time.Time {
+	t, err := time.Parse(time.RFC3339, v.given[key])
+	if err != nil {
+		v.bad(key)
+	}
+	return t
+}
+
+func (v *values) choice(key, missing string, allowed ...string) string {
+	text, ok := v.given[key]
+	if !ok {
+		return missing
+	}
+	if !contains(allowed, text) {
+		v.pass.fault(key+"="+text, v.keys[key], nearest(text, allowed))
+		return missing
+	}
+	return text
+}
+
+func (v *values) path(key, part string) string {
+	text, ok := v.given[key]
+	if !ok {
+		return ""
+	}
+	if !strings.HasPrefix(text, "/") || !strings.Contains(text, part) {
+		v.bad(key)
+	}
+	return text
+}
+
+func (v *values) address(key string) string {
+	text := v.given[key]
+	if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
+		v.bad(key)
+	}
+	return text
+}
+
+func (v *values) token(key string) string {
+	text, prefixed := strings.CutPrefix(v.given[key], tokenPrefix)
+	raw, err := hex.DecodeString(text)
+	if !prefixed || err != nil || len(raw) != tokenBytes {
+		v.pass.fault(key+"=", v.keys[key], "")
+		return ""
+	}
+	return strings.ToLower(text)
+}
--- a/internal/process/parser/rules.go
+++ b/internal/process/parser/rules.go
@@ -25,8 +25,29 @@
 	moves     []Move
 	sizes     []Size
 	endpoints []Endpoint
+	lines     []Line
 }
 
+// Line is one rule as it was written, with what its comment says.
+type Line struct {
+	number int
+	rule   string
+	asker  string
+	firm   string
+}
+
+// Number returns the number of the line, from 1.
+func (l Line) Number() int { return l.number }
+
+// Rule returns the rule without its comment.
+func (l Line) Rule() string { return l.rule }
+
+// Asker returns who asked for the rule.
+func (l Line) Asker() string { return l.asker }
+
+// Firm returns the firm that the rule was asked for.
+func (l Line) Firm() string { return l.firm }
+
 // Text returns the rules as they were written.
 func (r *Rules) Text() string { return r.text }
 
@@ -51,6 +72,9 @@
 // Endpoints returns the endpoints that the file names itself.
 func (r *Rules) Endpoints() []Endpoint { return r.endpoints }
 
+// Lines returns every rule with who asked for it, in the order of the file.
+func (r *Rules) Lines() []Line { return r.lines }
+
 // Service returns the service of that name.
 func (r *Rules) Service(name string) (Service, bool) {
 	for _, s := range r.services {
