--- /dev/null
+++ b/internal/connection/dialer/stream.go
@@ -0,0 +1,117 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+const maxEvent = 64 << 10 // bytes
+
+// ErrCut says that a stream ended before its closing event.
+var ErrCut = errors.New("the stream was cut")
+
+// ErrMoved says that the engine exported the stream's KV cache and stopped.
+var ErrMoved = errors.New("the stream was exported")
+
+// EventKind tells what an event of a stream says.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	// EventToken carries one token.
+	EventToken EventKind = iota
+	// EventDone closes the stream.
+	EventDone
+)
+
+// Event is one event of an engine's stream.
+type Event struct {
+	Kind     EventKind
+	ID       int // position of the token, from 1
+	Token    string
+	Count    int // tokens of the whole answer, in EventDone
+	Cached   int // prompt tokens found in the cache, in EventDone
+	Computed int // prompt tokens computed, in EventDone
+}
+
+// Stream reads server-sent events of an engine. It is not safe for concurrent use.
+type Stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc) *Stream {
+	return &Stream{body: body, reader: bufio.NewReaderSize(body, maxEvent), cancel: cancel}
+}
+
+// Close ends the stream; before its end this cancels the generation.
+func (s *Stream) Close() {
+	s.cancel()
+	s.body.Close()
+}
+
+// Next returns the next event. It fails with ErrMoved, or with an error that
+// wraps ErrCut when the stream ends before its closing event.
+func (s *Stream) Next() (Event, error) {
+	var name string
+	var id int
+	var data []byte
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		if err != nil {
+			return Event{}, fmt.Errorf("%w: %w", ErrCut, err)
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if data == nil && name == "" {
+				continue
+			}
+			return decodeEvent(name, id, data)
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "event":
+			name = string(value)
+		case "id":
+			id, err = strconv.Atoi(string(value))
+			if err != nil {
+				return Event{}, fmt.Errorf("%w: event id: %w", ErrCut, err)
+			}
+		case "data":
+			data = append(data, value...)
+		}
+	}
+}
+
+type eventData struct {
+	Token    string `json:"token"`
+	Count    int    `json:"count"`
+	Cached   int    `json:"cached"`
+	Computed int    `json:"computed"`
+}
+
+func decodeEvent(name string, id int, data []byte) (Event, error) {
+	if name == "moved" {
+		return Event{}, ErrMoved
+	}
+	var d eventData
+	if err := json.Unmarshal(data, &d); err != nil {
+		return Event{}, fmt.Errorf("%w: event data: %w", ErrCut, err)
+	}
+	switch name {
+	case "done":
+		return Event{Kind: EventDone, Count: d.Count, Cached: d.Cached, Computed: d.Computed}, nil
+	case "":
+		return Event{Kind: EventToken, ID: id, Token: d.Token}, nil
+	default:
+		return Event{}, fmt.Errorf("%w: unknown event %q", ErrCut, name)
+	}
+}
