--- /dev/null
+++ b/internal/connection/certifier/certifier.go
@@ -0,0 +1,96 @@
+// Package certifier serves a TLS certificate from files and takes up a changed
+// certificate without cutting connections.
+package certifier
+
+import (
+	"crypto/tls"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"hyssoprudder/internal/process/clock"
+)
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// Certifier holds the certificate in use. It is safe for concurrent use.
+type Certifier struct {
+	cert   string
+	key    string
+	clock  clock.Clock
+	report func(error)
+
+	mu      sync.Mutex
+	current *tls.Certificate
+	changed time.Time
+	checked time.Time
+}
+
+// New loads the certificate and its key from PEM files. Later failures to load
+// a changed certificate go to report, and the old one stays in use.
+func New(cert, key string, c clock.Clock, report func(error)) (*Certifier, error) {
+	f := &Certifier{cert: cert, key: key, clock: c, report: report}
+	changed, err := f.modified()
+	if err != nil {
+		return nil, err
+	}
+	if err := f.load(changed); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Config returns the TLS settings of a server that presents the certificate.
+func (f *Certifier) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return f.certificate(), nil
+		},
+	}
+}
+
+func (f *Certifier) certificate() *tls.Certificate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if now.Sub(f.checked) < checkInterval {
+		return f.current
+	}
+	f.checked = now
+	changed, err := f.modified()
+	if err == nil && !changed.Equal(f.changed) {
+		err = f.load(changed)
+	}
+	if err != nil {
+		f.report(err)
+	}
+	return f.current
+}
+
+func (f *Certifier) load(changed time.Time) error {
+	pair, err := tls.LoadX509KeyPair(f.cert, f.key)
+	if err != nil {
+		return fmt.Errorf("load certificate %s: %w", f.cert, err)
+	}
+	f.current = &pair
+	f.changed = changed
+	return nil
+}
+
+// modified returns the later modification time of the two files.
+func (f *Certifier) modified() (time.Time, error) {
+	var latest time.Time
+	for _, path := range []string{f.cert, f.key} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return latest, fmt.Errorf("look at certificate: %w", err)
+		}
+		if info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest, nil
+}
--- /dev/null
+++ b/internal/connection/server/server.go
@@ -0,0 +1,174 @@
+// Package server is the HTTP interface for callers. It bounds, authenticates
+// and reads each call, hands it to the handler and states the outcome.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"hyssoprudder/internal/connection/certifier"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/meter"
+	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/process/settings"
+	"hyssoprudder/internal/request/handler"
+)
+
+// Config holds the settings and seams of a server.
+type Config struct {
+	Listen    netip.AddrPort
+	Limits    settings.Limits
+	Certifier *certifier.Certifier // nil without TLS
+	Clock     clock.Clock
+	Log       *log.Logger
+	Meter     *meter.Calls
+	// Rules returns the rules in force, or nil if there are none yet.
+	Rules func() *parser.Rules
+	// Ready returns why the node should get no calls, or nil.
+	Ready func() error
+	// Serve answers a call.
+	Serve func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result
+}
+
+// Server serves callers.
+type Server struct {
+	cfg      Config
+	http     *http.Server
+	listener net.Listener
+	index    atomic.Pointer[index]
+	closing  atomic.Bool
+	running  atomic.Int64
+	done     chan struct{}
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, done: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("/", s.serveCall)
+	s.http = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: cfg.Limits.Read(),
+		IdleTimeout:       cfg.Limits.Idle(),
+		MaxHeaderBytes:    cfg.Limits.Header(),
+		ErrorLog:          cfg.Log.StandardLog(),
+	}
+	if cfg.Certifier != nil {
+		s.http.TLSConfig = cfg.Certifier.Config()
+	}
+	return s
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	s.listener = listener
+	go s.run()
+	return nil
+}
+
+func (s *Server) run() {
+	defer close(s.done)
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.http.Serve(s.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.cfg.Log.Error("callers' server ended", "err", err)
+	}
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Running returns the number of calls that are being served.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// Drain makes every further answer close its connection, so that callers move
+// to other entries while calls that arrive are still served.
+func (s *Server) Drain() { s.closing.Store(true) }
+
+// Stop accepts no more connections and waits for the calls that run, until ctx
+// ends; then it cuts them and returns the number of calls that it cut.
+func (s *Server) Stop(ctx context.Context) int64 {
+	s.Drain()
+	err := s.http.Shutdown(ctx)
+	cut := int64(0)
+	if err != nil {
+		cut = s.running.Load()
+		s.http.Close()
+	}
+	<-s.done
+	return cut
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	err := s.cfg.Ready()
+	if err == nil && s.closing.Load() {
+		err = errStopping
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+var errStopping = errors.New("the node is stopping")
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	start := s.cfg.Clock.Now()
+	id := uuid.NewString()
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	s.cfg.Meter.Begin()
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call, problem := s.read(w, r, id, start)
+	var result handler.Result
+	if problem != nil {
+		problem.Write(w, id)
+		result = handler.Result{Outcome: problem.Outcome(), Status: problem.Status(), Err: problem}
+	} else {
+		result = s.cfg.Serve(r.Context(), w, call)
+	}
+	s.report(id, call, result, s.cfg.Clock.Now().Sub(start))
+}
+
+func (s *Server) report(id string, call *handler.Call, result handler.Result, took time.Duration) {
+	ended := meter.Ended{Route: "none", Customer: "none", Outcome: string(result.Outcome), Status: result.Status, Attempts: result.Attempts, Duration: took}
+	if call != nil {
+		ended.Route, ended.Customer = call.Route().Name(), call.Customer().Name()
+	}
+	s.cfg.Meter.End(ended)
+	fields := []any{"request", id, "customer", ended.Customer, "route", ended.Route, "endpoint", result.Endpoint,
+		"outcome", result.Outcome, "status", result.Status, "attempts", result.Attempts, "took", took}
+	if result.Err != nil {
+		s.cfg.Log.Warn("call", append(fields, "err", result.Err)...)
+		return
+	}
+	s.cfg.Log.Info("call", fields...)
+}
--- /dev/null
+++ b/internal/process/lister/table_test.go
@@ -0,0 +1,60 @@
+package lister_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/process/lister"
+)
+
+func endpoint(id string) lister.Endpoint {
+	return lister.NewEndpoint(lister.Spec{ID: id, Service: "pumice"})
+}
+
+func ids(endpoints []lister.Endpoint) []string {
+	names := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		names = append(names, e.ID())
+	}
+	return names
+}
+
+func TestTableLaggingListDoesNotBringALeaverBack(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := lister.NewTable()
+	live := []lister.Listed{{Endpoint: endpoint("a")}, {Endpoint: endpoint("b")}}
+	table.SetListed(live, now)
+	require.True(t, table.Mark("a", now))
+	require.False(t, table.Mark("a", now))
+
+	table.SetListed(live, now.Add(time.Hour))
+
+	require.Equal(t, []string{"b"}, ids(table.Service("pumice")))
+	require.True(t, table.Leaving("a"))
+}
+
+func TestTableVersionRisesOnlyOnChange(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := lister.NewTable()
+	table.SetRuled([]lister.Endpoint{endpoint("a")})
+	before := table.Version()
+	table.SetRuled([]lister.Endpoint{endpoint("a")})
+	require.Equal(t, before, table.Version())
+
+	marked := table.SetListed([]lister.Listed{{Endpoint: endpoint("a"), Leaving: true}}, now)
+
+	require.Equal(t, []string{"a"}, marked)
+	require.Greater(t, table.Version(), before)
+	require.Empty(t, table.Service("pumice"))
+	require.Len(t, table.All(), 1)
+}
+
+func TestTableForgetsMarksOfEndpointsThatAreGone(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := lister.NewTable()
+	table.Mark("a", now)
+	table.SetListed(nil, now.Add(time.Hour))
+	require.Empty(t, table.Marks())
+}
