Add the operators' interface: messages, server, client

Cause: commands need something to talk to, apart from callers. Change: JSON over net/http with its own address and token; faults carry a code for programs; a lost answer to a change is unknown, never failed.

--- /dev/null
+++ b/internal/connection/operator/client.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+)
+
+const maxAnswer = 256 << 20 // bytes
+
+// Client calls the operators' interface of one node.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client. With roots it uses TLS and trusts only them.
+func NewClient(address netip.AddrPort, token string, roots *x509.CertPool) *Client {
+	c := &Client{base: "http://" + address.String(), token: token, http: &http.Client{}}
+	if roots != nil {
+		c.base = "https://" + address.String()
+		c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	}
+	return c
+}
+
+// Rules returns the rules in force at the node.
+func (c *Client) Rules(ctx context.Context) (Rules, error) {
+	var rules Rules
+	return rules, c.call(ctx, http.MethodGet, "/rules", nil, &rules)
+}
+
+// Apply sends a change. An answer that was lost is reported as a *Fault with
+// CodeUnknown; the change may then be sent again with the same id.
+func (c *Client) Apply(ctx context.Context, change Change) (Changed, error) {
+	var changed Changed
+	return changed, c.call(ctx, http.MethodPost, "/rules", change, &changed)
+}
+
+// History returns the accepted changes, the oldest first.
+func (c *Client) History(ctx context.Context) ([]Revision, error) {
+	var revisions []Revision
+	return revisions, c.call(ctx, http.MethodGet, "/rules/history", nil, &revisions)
+}
+
+// Waiting returns the live members that do not run the revision yet.
+func (c *Client) Waiting(ctx context.Context, revision uint64) (Waiting, error) {
+	var waiting Waiting
+	return waiting, c.call(ctx, http.MethodGet, "/rules/waiting?revision="+strconv.FormatUint(revision, 10), nil, &waiting)
+}
+
+// Members returns the nodes that the node knows.
+func (c *Client) Members(ctx context.Context) ([]Member, error) {
+	var members []Member
+	return members, c.call(ctx, http.MethodGet, "/members", nil, &members)
+}
+
+// Endpoints returns the endpoints that the node knows.
+func (c *Client) Endpoints(ctx context.Context) ([]Endpoint, error) {
+	var endpoints []Endpoint
+	return endpoints, c.call(ctx, http.MethodGet, "/endpoints", nil, &endpoints)
+}
+
+// Moves returns the version moves.
+func (c *Client) Moves(ctx context.Context) ([]Move, error) {
+	var moves []Move
+	return moves, c.call(ctx, http.MethodGet, "/moves", nil, &moves)
+}
+
+// Abort takes the move of a service back.
+func (c *Client) Abort(ctx context.Context, service string) (Move, error) {
+	var move Move
+	return move, c.call(ctx, http.MethodPost, "/moves/"+url.PathEscape(service)+"/abort", nil, &move)
+}
+
+// Claim returns the claim of a customer's key.
+func (c *Client) Claim(ctx context.Context, customer, key string) (Claim, error) {
+	var claim Claim
+	query := url.Values{"customer": {customer}, "key": {key}}
+	return claim, c.call(ctx, http.MethodGet, "/claims?"+query.Encode(), nil, &claim)
+}
+
+// State copies the node's state dump, which is JSON, to w.
+func (c *Client) State(ctx context.Context, w io.Writer) error {
+	var raw json.RawMessage
+	if err := c.call(ctx, http.MethodGet, "/state", nil, &raw); err != nil {
+		return err
+	}
+	_, err := w.Write(raw)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return lost(method, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return lost(method, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return json.Unmarshal(raw, out)
+	}
+	fault := &Fault{Code: CodeUnavailable}
+	if err := json.Unmarshal(raw, fault); err != nil {
+		return fmt.Errorf("node answered %s", resp.Status)
+	}
+	return fault
+}
+
+func lost(method string, err error) error {
+	if method == http.MethodGet {
+		return &Fault{Code: CodeUnavailable, Message: fmt.Sprintf("no answer from the node: %v; check -address, or try another node", err)}
+	}
+	return &Fault{Code: CodeUnknown, Message: fmt.Sprintf("no answer from the node: %v; repeat with the same -id at any node", err)}
+}
--- /dev/null
+++ b/internal/connection/operator/messages.go
@@ -0,0 +1,136 @@
+// Package operator is the HTTP interface between operators' commands and a
+// node: messages, server and client. It has its own address and token and is
+// never open to callers.
+package operator
+
+import "time"
+
+// Rules is a revision of the rules.
+type Rules struct {
+	Revision uint64 `json:"revision"`
+	Text     string `json:"text"`
+	Lines    []Line `json:"lines"`
+}
+
+// Line is one rule with who asked for it.
+type Line struct {
+	Number int    `json:"line"`
+	Rule   string `json:"rule"`
+	Asker  string `json:"asker"`
+	Firm   string `json:"firm"`
+}
+
+// Change asks for new rules on top of a base revision. Repeating a change with
+// the same id is idempotent.
+type Change struct {
+	ID   string `json:"id"`
+	Base uint64 `json:"base"`
+	Text string `json:"text"`
+	By   string `json:"by"`
+}
+
+// Changed is the answer to an accepted change.
+type Changed struct {
+	Revision uint64 `json:"revision"`
+	Again    bool   `json:"again"` // the change was accepted earlier
+}
+
+// Revision is one accepted change in the history.
+type Revision struct {
+	Revision uint64    `json:"revision"`
+	At       time.Time `json:"at"`
+	By       string    `json:"by"`
+	Change   string    `json:"change"`
+	Added    []Line    `json:"added"`
+	Removed  []Line    `json:"removed"`
+}
+
+// Member is a node as the answering node sees it.
+type Member struct {
+	ID          string   `json:"id"`
+	Address     string   `json:"address"`
+	Domain      string   `json:"domain"`
+	Roles       []string `json:"roles"`
+	State       string   `json:"state"`
+	Incarnation uint64   `json:"incarnation"`
+	Revision    uint64   `json:"revision"`
+	Leader      bool     `json:"leader"`
+}
+
+// Endpoint is an endpoint as the answering node sees it.
+type Endpoint struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Version  string  `json:"version"`
+	Domain   string  `json:"domain"`
+	Address  string  `json:"address"`
+	Class    string  `json:"class"`
+	Market   string  `json:"market"`
+	Price    float64 `json:"price"`
+	Leaving  bool    `json:"leaving"`
+	Inflight int     `json:"inflight"`
+}
+
+// Waiting lists the live members that do not run a revision yet.
+type Waiting struct {
+	Revision uint64   `json:"revision"`
+	Members  []string `json:"members"`
+}
+
+// Move is a version move and how far it is.
+type Move struct {
+	Service string    `json:"service"`
+	From    string    `json:"from"`
+	To      string    `json:"to"`
+	By      time.Time `json:"by"`
+	Stage   string    `json:"stage"`
+	Share   float64   `json:"share"` // percent
+	Verdict string    `json:"verdict"`
+	Reason  string    `json:"reason"`
+}
+
+// Claim is a call that runs at most once.
+type Claim struct {
+	Customer string    `json:"customer"`
+	Key      string    `json:"key"`
+	State    string    `json:"state"`
+	Entry    string    `json:"entry"`
+	Request  string    `json:"request"`
+	Status   int       `json:"status"`
+	Expires  time.Time `json:"expires"`
+}
+
+// Fault is the body of an answer that is not 200.
+type Fault struct {
+	Code    Code    `json:"code"`
+	Message string  `json:"message"`
+	Current uint64  `json:"current,omitempty"` // with CodeConflict: the revision in force
+	Changes *Fields `json:"changes,omitempty"`
+}
+
+// Fields are the lines that differ between two revisions.
+type Fields struct {
+	Added   []Line `json:"added"`
+	Removed []Line `json:"removed"`
+}
+
+// Code tells programs why a command failed.
+type Code string
+
+// The codes of failures.
+const (
+	// CodeInvalid means that what was sent cannot be accepted.
+	CodeInvalid Code = "invalid"
+	// CodeConflict means that another change came first.
+	CodeConflict Code = "conflict"
+	// CodeUnavailable means that nothing was done, and it may be tried again.
+	CodeUnavailable Code = "unavailable"
+	// CodeUnknown means that the change may have been accepted; repeat it with
+	// the same id.
+	CodeUnknown Code = "unknown"
+	// CodeMissing means that the named thing does not exist.
+	CodeMissing Code = "missing"
+)
+
+// Error returns the message.
+func (f *Fault) Error() string { return f.Message }
--- /dev/null
+++ b/internal/connection/operator/server.go
@@ -0,0 +1,191 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"hyssoprudder/internal/connection/certifier"
+)
+
+const (
+	maxBody       = 2 << 20 // bytes
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+)
+
+// Config holds the settings of a server and the functions that answer.
+// An error that is a *Fault is sent as it is; any other is sent as
+// unavailable.
+type Config struct {
+	Listen    netip.AddrPort
+	Token     string
+	Certifier *certifier.Certifier // nil without TLS
+	Log       *log.Logger
+	Metrics   http.Handler
+
+	Rules     func(ctx context.Context) (Rules, error)
+	Apply     func(ctx context.Context, change Change) (Changed, error)
+	History   func(ctx context.Context) ([]Revision, error)
+	Waiting   func(revision uint64) Waiting
+	Members   func() []Member
+	Endpoints func() []Endpoint
+	Moves     func(ctx context.Context) ([]Move, error)
+	Abort     func(ctx context.Context, service string) (Move, error)
+	Claim     func(ctx context.Context, customer, key string) (Claim, error)
+	State     func() (any, error)
+}
+
+// Server answers operators.
+type Server struct {
+	cfg      Config
+	token    [sha256.Size]byte
+	http     *http.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, token: sha256.Sum256([]byte(cfg.Token)), done: make(chan struct{})}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: cfg.Log.StandardLog()}
+	if cfg.Certifier != nil {
+		s.http.TLSConfig = cfg.Certifier.Config()
+	}
+	return s
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rules", answer(func(r *http.Request) (any, error) { return s.cfg.Rules(r.Context()) }))
+	mux.HandleFunc("POST /rules", answer(s.apply))
+	mux.HandleFunc("GET /rules/history", answer(func(r *http.Request) (any, error) { return s.cfg.History(r.Context()) }))
+	mux.HandleFunc("GET /rules/waiting", answer(s.waiting))
+	mux.HandleFunc("GET /members", answer(func(*http.Request) (any, error) { return s.cfg.Members(), nil }))
+	mux.HandleFunc("GET /endpoints", answer(func(*http.Request) (any, error) { return s.cfg.Endpoints(), nil }))
+	mux.HandleFunc("GET /moves", answer(func(r *http.Request) (any, error) { return s.cfg.Moves(r.Context()) }))
+	mux.HandleFunc("POST /moves/{service}/abort", answer(func(r *http.Request) (any, error) {
+		return s.cfg.Abort(r.Context(), r.PathValue("service"))
+	}))
+	mux.HandleFunc("GET /claims", answer(func(r *http.Request) (any, error) {
+		return s.cfg.Claim(r.Context(), r.FormValue("customer"), r.FormValue("key"))
+	}))
+	mux.HandleFunc("GET /state", answer(func(*http.Request) (any, error) { return s.cfg.State() }))
+	mux.Handle("GET /metrics", s.cfg.Metrics)
+	return s.authenticate(mux)
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	s.listener = listener
+	go s.run()
+	return nil
+}
+
+func (s *Server) run() {
+	defer close(s.done)
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.http.Serve(s.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.cfg.Log.Error("operators' server ended", "err", err)
+	}
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Stop ends the server after the answers that are being written.
+func (s *Server) Stop(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.http.Close()
+	}
+	<-s.done
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(sum[:], s.token[:]) != 1 {
+			writeFault(w, http.StatusUnauthorized, &Fault{Code: CodeInvalid, Message: "the operators' token is missing or wrong; name its file with -token"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) apply(r *http.Request) (any, error) {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, &Fault{Code: CodeInvalid, Message: err.Error()}
+	}
+	var change Change
+	if err := json.Unmarshal(raw, &change); err != nil {
+		return nil, &Fault{Code: CodeInvalid, Message: "the change is no JSON: " + err.Error()}
+	}
+	if change.ID == "" {
+		return nil, &Fault{Code: CodeInvalid, Message: "the change needs an id"}
+	}
+	return s.cfg.Apply(r.Context(), change)
+}
+
+func (s *Server) waiting(r *http.Request) (any, error) {
+	revision, err := strconv.ParseUint(r.FormValue("revision"), 10, 64)
+	if err != nil {
+		return nil, &Fault{Code: CodeInvalid, Message: "revision must be a whole number"}
+	}
+	return s.cfg.Waiting(revision), nil
+}
+
+// answer adapts a function to HTTP: its value becomes JSON, its error a fault.
+func answer(fn func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		value, err := fn(r)
+		if err != nil {
+			fault := &Fault{Code: CodeUnavailable, Message: err.Error()}
+			errors.As(err, &fault)
+			writeFault(w, statuses[fault.Code], fault)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// The operator may be gone; a change is idempotent by its id.
+		_ = json.NewEncoder(w).Encode(value)
+	}
+}
+
+var statuses = map[Code]int{
+	CodeInvalid:     http.StatusUnprocessableEntity,
+	CodeConflict:    http.StatusConflict,
+	CodeUnavailable: http.StatusServiceUnavailable,
+	CodeUnknown:     http.StatusGatewayTimeout,
+	CodeMissing:     http.StatusNotFound,
+}
+
+func writeFault(w http.ResponseWriter, status int, fault *Fault) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(fault)
+}
