--- /dev/null
+++ b/internal/command/factory/factory.go
@@ -0,0 +1,143 @@
+// Package factory provides commands with their dependencies. Each is a
+// function, so that a command pays only for what it uses and tests can replace
+// any of them.
+package factory
+
+import (
+	"context"
+	"crypto/x509"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"golang.org/x/term"
+
+	"hyssoprudder/internal/command/printer"
+	"hyssoprudder/internal/connection/operator"
+	"hyssoprudder/internal/process/clock"
+)
+
+// Names of environment variables that give defaults to flags.
+const (
+	EnvAddress = "HYSSOPRUDDER_ADDRESS"
+	EnvToken   = "HYSSOPRUDDER_TOKEN"
+	EnvCA      = "HYSSOPRUDDER_CA"
+)
+
+// ErrUsage says that a command was called wrongly. Its text has been printed.
+var ErrUsage = errors.New("wrong use")
+
+// UsageError is a wrong use of a command that has not been printed yet.
+type UsageError struct {
+	message string
+}
+
+// Usagef returns a wrong use of a command.
+func Usagef(format string, args ...any) *UsageError {
+	return &UsageError{message: fmt.Sprintf(format, args...)}
+}
+
+// Error says what is wrong.
+func (e *UsageError) Error() string { return e.message }
+
+// Factory holds what commands need.
+type Factory struct {
+	In       io.Reader
+	Out      io.Writer
+	Err      io.Writer
+	Terminal func() bool
+	Clock    clock.Clock
+	ReadFile func(path string) ([]byte, error)
+	Getenv   func(name string) string
+	// Client returns a client for the node that the connection names.
+	Client func(c *Connection) (Client, error)
+}
+
+// Client is what commands call on a node.
+type Client interface {
+	Rules(ctx context.Context) (operator.Rules, error)
+	Apply(ctx context.Context, change operator.Change) (operator.Changed, error)
+	History(ctx context.Context) ([]operator.Revision, error)
+	Waiting(ctx context.Context, revision uint64) (operator.Waiting, error)
+	Members(ctx context.Context) ([]operator.Member, error)
+	Endpoints(ctx context.Context) ([]operator.Endpoint, error)
+	Moves(ctx context.Context) ([]operator.Move, error)
+	Abort(ctx context.Context, service string) (operator.Move, error)
+	Claim(ctx context.Context, customer, key string) (operator.Claim, error)
+	State(ctx context.Context, w io.Writer) error
+}
+
+// New returns the dependencies of the running program.
+func New() *Factory {
+	f := &Factory{
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
+		Terminal: func() bool { return term.IsTerminal(int(os.Stdout.Fd())) },
+		Clock:    clock.System{},
+		ReadFile: os.ReadFile,
+		Getenv:   os.Getenv,
+	}
+	f.Client = f.dial
+	return f
+}
+
+// Connection holds the flags that name a node.
+type Connection struct {
+	address string
+	token   string
+	ca      string
+}
+
+// AddFlags defines the flags that name a node.
+func (c *Connection) AddFlags(set *flag.FlagSet, f *Factory) {
+	set.StringVar(&c.address, "address", f.Getenv(EnvAddress), "operators' `IP:PORT` of a node; default from "+EnvAddress)
+	set.StringVar(&c.token, "token", f.Getenv(EnvToken), "`FILE` with the operators' token; default from "+EnvToken)
+	set.StringVar(&c.ca, "ca", f.Getenv(EnvCA), "`FILE` with the certificates to trust, when the node uses TLS; default from "+EnvCA)
+}
+
+func (f *Factory) dial(c *Connection) (Client, error) {
+	if c.address == "" {
+		return nil, Usagef("no node named; pass -address or set %s", EnvAddress)
+	}
+	address, err := netip.ParseAddrPort(c.address)
+	if err != nil {
+		return nil, Usagef("-address %q is no IP number and port; write for example 127.0.0.1:9000", c.address)
+	}
+	if c.token == "" {
+		return nil, Usagef("no token; pass -token or set %s", EnvToken)
+	}
+	token, err := f.ReadFile(c.token)
+	if err != nil {
+		return nil, fmt.Errorf("read the operators' token: %w", err)
+	}
+	var roots *x509.CertPool
+	if c.ca != "" {
+		pem, err := f.ReadFile(c.ca)
+		if err != nil {
+			return nil, fmt.Errorf("read the trusted certificates: %w", err)
+		}
+		roots = x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s holds no certificate in PEM", c.ca)
+		}
+	}
+	return operator.NewClient(address, strings.TrimSpace(string(token)), roots), nil
+}
+
+// Output holds the flag that chooses the form of the output.
+type Output struct {
+	json bool
+}
+
+// AddFlags defines the flag that chooses the form of the output.
+func (o *Output) AddFlags(set *flag.FlagSet) {
+	set.BoolVar(&o.json, "json", false, "print JSON for programs")
+}
+
+// Printer returns a printer of the chosen form.
+func (o *Output) Printer(f *Factory) *printer.Printer {
+	return printer.New(f.Out, f.Terminal(), o.json)
+}
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -35,58 +35,49 @@
 
 // Rules returns the rules in force at the node.
 func (c *Client) Rules(ctx context.Context) (Rules, error) {
-	var rules Rules
-	return rules, c.call(ctx, http.MethodGet, "/rules", nil, &rules)
+	return fetch[Rules](ctx, c, http.MethodGet, "/rules", nil)
 }
 
 // Apply sends a change. An answer that was lost is reported as a *Fault with
 // CodeUnknown; the change may then be sent again with the same id.
 func (c *Client) Apply(ctx context.Context, change Change) (Changed, error) {
-	var changed Changed
-	return changed, c.call(ctx, http.MethodPost, "/rules", change, &changed)
+	return fetch[Changed](ctx, c, http.MethodPost, "/rules", change)
 }
 
 // History returns the accepted changes, the oldest first.
 func (c *Client) History(ctx context.Context) ([]Revision, error) {
-	var revisions []Revision
-	return revisions, c.call(ctx, http.MethodGet, "/rules/history", nil, &revisions)
+	return fetch[[]Revision](ctx, c, http.MethodGet, "/rules/history", nil)
 }
 
 // Waiting returns the live members that do not run the revision yet.
 func (c *Client) Waiting(ctx context.Context, revision uint64) (Waiting, error) {
-	var waiting Waiting
-	return waiting, c.call(ctx, http.MethodGet, "/rules/waiting?revision="+strconv.FormatUint(revision, 10), nil, &waiting)
+	return fetch[Waiting](ctx, c, http.MethodGet, "/rules/waiting?revision="+strconv.FormatUint(revision, 10), nil)
 }
 
 // Members returns the nodes that the node knows.
 func (c *Client) Members(ctx context.Context) ([]Member, error) {
-	var members []Member
-	return members, c.call(ctx, http.MethodGet, "/members", nil, &members)
+	return fetch[[]Member](ctx, c, http.MethodGet, "/members", nil)
 }
 
 // Endpoints returns the endpoints that the node knows.
 func (c *Client) Endpoints(ctx context.Context) ([]Endpoint, error) {
-	var endpoints []Endpoint
-	return endpoints, c.call(ctx, http.MethodGet, "/endpoints", nil, &endpoints)
+	return fetch[[]Endpoint](ctx, c, http.MethodGet, "/endpoints", nil)
 }
 
 // Moves returns the version moves.
 func (c *Client) Moves(ctx context.Context) ([]Move, error) {
-	var moves []Move
-	return moves, c.call(ctx, http.MethodGet, "/moves", nil, &moves)
+	return fetch[[]Move](ctx, c, http.MethodGet, "/moves", nil)
 }
 
 // Abort takes the move of a service back.
 func (c *Client) Abort(ctx context.Context, service string) (Move, error) {
-	var move Move
-	return move, c.call(ctx, http.MethodPost, "/moves/"+url.PathEscape(service)+"/abort", nil, &move)
+	return fetch[Move](ctx, c, http.MethodPost, "/moves/"+url.PathEscape(service)+"/abort", nil)
 }
 
 // Claim returns the claim of a customer's key.
 func (c *Client) Claim(ctx context.Context, customer, key string) (Claim, error) {
-	var claim Claim
 	query := url.Values{"customer": {customer}, "key": {key}}
-	return claim, c.call(ctx, http.MethodGet, "/claims?"+query.Encode(), nil, &claim)
+	return fetch[Claim](ctx, c, http.MethodGet, "/claims?"+query.Encode(), nil)
 }
 
 // State copies the node's state dump, which is JSON, to w.
@@ -99,6 +90,13 @@
 	return err
 }
 
+// fetch calls the node and decodes its answer as a T.
+func fetch[T any](ctx context.Context, c *Client, method, path string, in any) (T, error) {
+	var out T
+	err := c.call(ctx, method, path, in, &out)
+	return out, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
