--- a/internal/command/configchecker/configchecker.go
+++ b/internal/command/configchecker/configchecker.go
@@ -26,7 +26,7 @@
 		Name:    "config check",
 		Args:    "FILE...",
 		Short:   "Check the settings of one node, or of a whole deployment",
-		Example: `hyssoprudder config check examples/vrancea/*.toml`,
+		Example: `hyssoprudder config check examples/vrancea/*-[0-9].toml`,
 		Flags:   o.output.AddFlags,
 		Run: func(ctx context.Context, args []string) error {
 			if len(args) == 0 {
