Add stand-in engines and booking services

Nothing outside the product could be reached in a test: the whole path needs endpoints that batch, cache, resume, move KV caches, take orders and fail on request, and a service that records what it ran. Batching is a state machine without time of its own; the adapters around it do HTTP. A generic HTTP mock was ruled out, because step times and queueing are what routing is judged by.

--- /dev/null
+++ b/internal/standin/engine/batch_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestBatchAnswersEachJobWhole checks order, slots and bounds for any jobs.
+func TestBatchAnswersEachJobWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := Defaults()
+		spec.Slots = rapid.IntRange(1, 4).Draw(t, "slots")
+		spec.Cache = rapid.IntRange(0, 8).Draw(t, "blocks") * blockWords
+		b := newBatch(spec, func(change) {})
+		next, limit := map[string]int{}, map[string]int{}
+		for _, id := range rapid.SliceOfNDistinct(rapid.StringN(1, 3, 3), 1, 12, rapid.ID[string]).Draw(t, "ids") {
+			job := Job{
+				ID: id, Prompt: strings.Repeat("a ", rapid.IntRange(0, 200).Draw(t, "words")) + id,
+				After: rapid.IntRange(0, 3).Draw(t, "after"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+				Slow: rapid.Float64Range(0, 3).Draw(t, "slow"),
+			}
+			job.Max = job.After + rapid.IntRange(1, 5).Draw(t, "max")
+			next[id], limit[id] = job.After, job.Max
+			b.Add(job)
+		}
+		for b.Running()+b.Queued() > 0 {
+			took, outputs := b.Step()
+			if took <= 0 || b.Running() > spec.Slots || len(b.cache.blocks) > b.cache.limit {
+				t.Fatalf("took %v, running %d, blocks %d", took, b.Running(), len(b.cache.blocks))
+			}
+			for _, output := range outputs {
+				if output.Position != next[output.ID] || output.Done != (output.Position+1 == limit[output.ID]) {
+					t.Fatalf("output %+v, want position %d of %d", output, next[output.ID], limit[output.ID])
+				}
+				next[output.ID]++
+			}
+		}
+		require.Equal(t, limit, next)
+	})
+}
+
+func TestBatchStepGrowsAndBoundsPrefill(t *testing.T) {
+	spec := Defaults()
+	b := newBatch(spec, func(change) {})
+	b.Add(Job{ID: "long", Prompt: strings.Repeat("a ", 2*spec.Chunk), Max: 3})
+	took, outputs := b.Step()
+	require.Equal(t, 16*time.Millisecond, took)
+	require.Empty(t, outputs)
+	b.Add(Job{ID: "short", Prompt: "b", Max: 3})
+	_, outputs = b.Step()
+	require.Len(t, outputs, 1, "the long prompt took the whole chunk of this step")
+	b.Step()
+	took, _ = b.Step()
+	require.Equal(t, 26250*time.Microsecond, took, "two sequences decode")
+	took, _ = b.Step()
+	require.Equal(t, 25*time.Millisecond, took, "one sequence is left")
+}
+
+func TestBatchServesUrgentFirst(t *testing.T) {
+	spec := Defaults()
+	spec.Slots = 1
+	b := newBatch(spec, func(change) {})
+	for _, job := range []Job{{ID: "a", Priority: 2}, {ID: "b", Priority: 1}, {ID: "c", Priority: 2}, {ID: "d", Priority: 1}} {
+		job.Prompt, job.Max = "w", 1
+		b.Add(job)
+	}
+	var order string
+	for b.Running()+b.Queued() > 0 {
+		_, outputs := b.Step()
+		order += outputs[0].ID
+	}
+	require.Equal(t, "bdac", order)
+}
--- /dev/null
+++ b/internal/standin/engine/spec.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"flag"
+	"time"
+)
+
+const scaleHelp = "factor of all times of the engine"
+
+// Spec is what an engine is like. Times and rates are before Scale.
+type Spec struct {
+	ID       string        `toml:"id"`
+	Service  string        `toml:"service"`
+	Version  string        `toml:"version"`
+	Domain   string        `toml:"domain"`
+	Slots    int           `toml:"slots"`   // sequences that run at once
+	Prefill  float64       `toml:"prefill"` // words per second
+	Decode   float64       `toml:"decode"`  // tokens per second of one sequence alone
+	Growth   float64       `toml:"growth"`  // share by which one more sequence lengthens a step
+	Chunk    int           `toml:"chunk"`   // words of prefill in one step at most
+	Cache    int           `toml:"cache"`   // words
+	Copy     float64       `toml:"copy"`    // words of KV cache per second
+	Load     time.Duration `toml:"load"`    // time to load a version
+	Lag      time.Duration `toml:"lag"`     // age of the load report
+	EventLag time.Duration `toml:"eventlag"`
+	EventGap float64       `toml:"eventgap"` // share of the cache events that are lost
+	Fence    bool          `toml:"fence"`    // orders with an old fencing number are refused
+	Empty    bool          `toml:"empty"`    // starts without weights and waits for them
+	Scale    float64       `toml:"scale"`
+	Seed     uint64        `toml:"seed"`
+}
+
+// Defaults returns the spec of a middle-sized engine.
+func Defaults() Spec {
+	return Spec{
+		Service: "pumice", Version: "12", Domain: "focsani",
+		Slots: 16, Prefill: 4000, Decode: 40, Growth: 0.05, Chunk: 64, Cache: 32768, Copy: 40000,
+		Load: 8 * time.Second, Lag: 500 * time.Millisecond, EventLag: time.Second, EventGap: 0.02,
+		Fence: true, Scale: 1, Seed: 1,
+	}
+}
+
+// Register adds a flag for each field to set, with the present values as defaults.
+func (s *Spec) Register(set *flag.FlagSet) {
+	set.StringVar(&s.Service, "service", s.Service, "name of the service")
+	set.StringVar(&s.Version, "version", s.Version, "version that is served")
+	set.StringVar(&s.Domain, "domain", s.Domain, "failure domain")
+	set.IntVar(&s.Slots, "slots", s.Slots, "sequences that run at once")
+	set.Float64Var(&s.Prefill, "prefill", s.Prefill, "prefill rate in words per second")
+	set.Float64Var(&s.Decode, "decode", s.Decode, "decode rate in tokens per second of one sequence alone")
+	set.Float64Var(&s.Growth, "growth", s.Growth, "share by which one more sequence lengthens a step")
+	set.IntVar(&s.Chunk, "chunk", s.Chunk, "words of prefill in one step at most")
+	set.IntVar(&s.Cache, "cache", s.Cache, "prefix cache in words")
+	set.Float64Var(&s.Copy, "copy", s.Copy, "rate of a KV copy in words per second")
+	set.DurationVar(&s.Load, "load", s.Load, "time to load a version")
+	set.DurationVar(&s.Lag, "lag", s.Lag, "age of the load report")
+	set.DurationVar(&s.EventLag, "eventlag", s.EventLag, "age of the cache events")
+	set.Float64Var(&s.EventGap, "eventgap", s.EventGap, "share of the cache events that are lost")
+	set.BoolVar(&s.Fence, "fence", s.Fence, "refuse orders with an old fencing number")
+	set.Float64Var(&s.Scale, "scale", s.Scale, scaleHelp)
+	set.Uint64Var(&s.Seed, "seed", s.Seed, "seed of random choices")
+}
+
+func (s Spec) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * s.Scale) }
--- /dev/null
+++ b/internal/standin/servicer/servicer.go
@@ -0,0 +1,252 @@
+// Package servicer is a stand-in for a plain booking service. It records each
+// call that it ran, so that doubled and lost calls can be counted from outside.
+package servicer
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/standin/faulter"
+	"hyssoprudder/internal/standin/hoster"
+)
+
+const maxBody = 1 << 20 // bytes
+
+// Spec is what an instance of the service is like. Took is before Scale.
+type Spec struct {
+	ID      string        `toml:"id"`
+	Service string        `toml:"service"`
+	Version string        `toml:"version"`
+	Domain  string        `toml:"domain"`
+	Status  string        `toml:"status"` // path prefix of the status calls
+	Slots   int           `toml:"slots"`  // calls that run at once
+	Queue   int           `toml:"queue"`  // calls that wait at most
+	Took    time.Duration `toml:"took"`   // time that one call runs
+	Lag     time.Duration `toml:"lag"`    // age of the load report
+	Scale   float64       `toml:"scale"`
+	Seed    uint64        `toml:"seed"`
+}
+
+// Defaults returns the spec of a booking service.
+func Defaults() Spec {
+	return Spec{
+		Service: "bookings", Version: "3", Domain: "focsani", Status: "/bookings/",
+		Slots: 32, Queue: 256, Took: 20 * time.Millisecond, Lag: 500 * time.Millisecond, Scale: 1, Seed: 1,
+	}
+}
+
+// Register adds a flag for each field to set, with the present values as defaults.
+func (s *Spec) Register(set *flag.FlagSet) {
+	set.StringVar(&s.Service, "service", s.Service, "name of the service")
+	set.StringVar(&s.Version, "version", s.Version, "version that is served")
+	set.StringVar(&s.Domain, "domain", s.Domain, "failure domain")
+	set.StringVar(&s.Status, "status", s.Status, "path prefix of the status calls")
+	set.IntVar(&s.Slots, "slots", s.Slots, "calls that run at once")
+	set.IntVar(&s.Queue, "queue", s.Queue, "calls that wait at most")
+	set.DurationVar(&s.Took, "took", s.Took, "time that one call runs")
+	set.DurationVar(&s.Lag, "lag", s.Lag, "age of the load report")
+	set.Float64Var(&s.Scale, "scale", s.Scale, "factor of all times of the service")
+	set.Uint64Var(&s.Seed, "seed", s.Seed, "seed of random choices")
+}
+
+// Service is one running instance of the service.
+type Service struct {
+	spec   Spec
+	clock  clock.Clock
+	ledger *Ledger
+	host   *hoster.Host
+	faults *faulter.Set
+	slots  chan struct{}
+	ended  sync.WaitGroup
+
+	mu      sync.Mutex
+	calls   int // running and queued
+	samples []hoster.Report
+}
+
+// Start runs an instance that listens on an IP address and port. Instances of
+// one service share a ledger.
+func Start(address string, spec Spec, ledger *Ledger, c clock.Clock) (*Service, error) {
+	if spec.Slots < 1 || spec.Scale <= 0 {
+		return nil, fmt.Errorf("service %s: slots and scale must be above 0", spec.ID)
+	}
+	s := &Service{
+		spec: spec, clock: c, ledger: ledger,
+		faults: faulter.New(spec.Seed, c.Now),
+		slots:  make(chan struct{}, spec.Slots),
+	}
+	s.sample()
+	host, err := hoster.Listen(address, s.handler())
+	if err != nil {
+		return nil, err
+	}
+	s.host = host
+	s.ended.Add(1)
+	go s.loop()
+	return s, nil
+}
+
+// ID returns the identity of the instance.
+func (s *Service) ID() string { return s.spec.ID }
+
+// Address returns the address that the instance listens on.
+func (s *Service) Address() netip.AddrPort { return s.host.Address() }
+
+// Faults returns the faults of the instance.
+func (s *Service) Faults() *faulter.Set { return s.faults }
+
+// Serving returns the version that is served.
+func (s *Service) Serving() string { return s.spec.Version }
+
+// Kill ends the instance abruptly. The ledger stays.
+func (s *Service) Kill() {
+	s.host.Kill()
+	s.ended.Wait()
+}
+
+// Stop lets the running calls finish until ctx ends.
+func (s *Service) Stop(ctx context.Context) {
+	s.host.Stop(ctx)
+	s.ended.Wait()
+}
+
+// loop samples the load, so that reports are late.
+func (s *Service) loop() {
+	defer s.ended.Done()
+	for clock.Sleep(s.clock, max(s.scaled(s.spec.Lag), time.Millisecond), s.host.Dead()) {
+		s.sample()
+	}
+}
+
+func (s *Service) sample() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := min(s.calls, s.spec.Slots)
+	s.samples = append(s.samples, hoster.Report{
+		ID: s.spec.ID, Service: s.spec.Service, Version: s.spec.Version, Domain: s.spec.Domain, At: s.clock.Now(),
+		Running: running, Queued: s.calls - running, Slots: s.spec.Slots,
+	})
+	if len(s.samples) > 2 {
+		s.samples = s.samples[1:]
+	}
+}
+
+func (s *Service) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * s.spec.Scale)
+}
+
+func (s *Service) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.thawed(s.serve))
+	mux.HandleFunc("GET /load", s.thawed(s.getLoad))
+	mux.HandleFunc("GET /healthz", s.thawed(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") }))
+	mux.HandleFunc("GET /record", s.ledger.Serve)
+	mux.HandleFunc("/faults", s.faults.Serve)
+	return mux
+}
+
+func (s *Service) thawed(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.faults.Thaw(r.Context().Done()) {
+			handle(w, r)
+		}
+	}
+}
+
+func (s *Service) getLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := s.samples[0]
+	s.mu.Unlock()
+	hoster.Reply(w, http.StatusOK, report)
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, s.spec.Status) {
+		s.ledger.serveStatus(w, r, strings.TrimPrefix(r.URL.Path, s.spec.Status))
+		return
+	}
+	s.mu.Lock()
+	waiting := s.calls
+	full := waiting >= s.spec.Slots+s.spec.Queue
+	if !full {
+		s.calls++
+	}
+	s.mu.Unlock()
+	if full {
+		refuse(w, "queue is full")
+		return
+	}
+	defer s.leave()
+	effect := s.faults.Call(s.spec.Version, min(waiting, s.spec.Slots), r.URL.Path)
+	switch {
+	case effect.Refuse:
+		refuse(w, "refused")
+	case effect.Fail:
+		http.Error(w, "failed", http.StatusInternalServerError)
+	default:
+		s.execute(w, r, effect)
+	}
+}
+
+func (s *Service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+}
+
+// execute runs one call. A call that has got its slot runs to its end, also when
+// the caller has gone.
+func (s *Service) execute(w http.ResponseWriter, r *http.Request, effect faulter.Effect) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer s.release()
+	case <-r.Context().Done():
+		return
+	}
+	call := Call{
+		Key: r.Header.Get("Idempotency-Key"), Request: r.Header.Get("Request"), Instance: s.spec.ID, Version: s.spec.Version,
+		Method: r.Method, Path: r.URL.Path, Hash: fmt.Sprintf("%016x", xxhash.Sum64(body)), At: s.clock.Now(),
+	}
+	if err := s.ledger.begin(call.Key); err != nil {
+		refuse(w, err.Error())
+		return
+	}
+	slow := effect.Slow * s.faults.Factor(s.spec.Version, len(s.slots))
+	ran := clock.Sleep(s.clock, time.Duration(float64(s.scaled(s.spec.Took))*slow), s.host.Dead())
+	if !ran {
+		s.ledger.abort(call.Key)
+		return
+	}
+	call.Body = fmt.Sprintf(`{"booked":%q}`, call.Hash)
+	s.ledger.end(call)
+	if effect.Lose || !clock.Sleep(s.clock, effect.Late, s.host.Dead()) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	fmt.Fprint(w, call.Body)
+}
+
+func (s *Service) release() { <-s.slots }
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set("Outcome", "notrun")
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+var errSealed = errors.New("the key was reported as not run and is sealed")
