Add a stand-in platform with the fleets of both firms

Reclaims, refused starts, late or doubled notices and the rate-limited weight store could not be brought about. The platform runs its instances inside its own process, because a process starts no other process; instances killed there cut their connections as a lost machine does.

--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -12,6 +12,7 @@
 
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/standin/engine"
+	"hyssoprudder/internal/standin/platform"
 	"hyssoprudder/internal/standin/servicer"
 )
 
@@ -48,6 +49,7 @@
 	return []command{
 		{"engine", "run stand-in model engines", c.engine},
 		{"service", "run stand-in booking services", c.service},
+		{"platform", "run a stand-in platform with a fleet of instances", c.platform},
 	}
 }
 
@@ -94,23 +96,23 @@
 	return err
 }
 
-// instance is one engine or service that the program runs.
-type instance interface {
-	ID() string
-	Address() netip.AddrPort
-	Stop(ctx context.Context)
+// instance is one engine, service or platform that the program runs.
+type instance struct {
+	id      string
+	address netip.AddrPort
+	stop    func(context.Context)
 }
 
 // serve prints that the instances are ready and stops them when ctx ends.
 func (c *Commander) serve(ctx context.Context, instances []instance) {
 	for _, i := range instances {
-		fmt.Fprintf(c.out, "ready id=%s address=%s\n", i.ID(), i.Address())
+		fmt.Fprintf(c.out, "ready id=%s address=%s\n", i.id, i.address)
 	}
 	<-ctx.Done()
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	for _, i := range instances {
-		i.Stop(stop)
+		i.stop(stop)
 	}
 }
 
@@ -149,7 +151,7 @@
 		if err != nil {
 			return err
 		}
-		instances = append(instances, e)
+		instances = append(instances, instance{e.ID(), e.Address(), e.Stop})
 	}
 	c.serve(ctx, instances)
 	return nil
@@ -176,8 +178,42 @@
 		if err != nil {
 			return err
 		}
-		instances = append(instances, s)
+		instances = append(instances, instance{s.ID(), s.Address(), s.Stop})
 	}
 	c.serve(ctx, instances)
 	return nil
 }
+
+func (c *Commander) platform(ctx context.Context, set *flag.FlagSet, args []string) error {
+	path := set.String("config", "", "TOML file with the platform and its first fleet")
+	listen := set.String("listen", "", "IP address and port in place of the file's")
+	scale := set.Float64("scale", 0, "factor of all times in place of the file's")
+	free := set.Bool("free", false, "let instances listen on any free port")
+	if err := parse(set, args); err != nil {
+		return err
+	}
+	settings, err := platform.Read(*path)
+	if err != nil {
+		return err
+	}
+	if *listen != "" {
+		settings.Listen = *listen
+	}
+	if *scale > 0 {
+		settings.Scale = *scale
+	}
+	for n := range settings.Fleets {
+		if *free {
+			settings.Fleets[n].Port = 0
+		}
+	}
+	p, err := platform.Start(settings, c.clock)
+	if err != nil {
+		return err
+	}
+	for _, i := range p.Instances() {
+		fmt.Fprintf(c.out, "ready id=%s address=%s\n", i.ID, i.Address)
+	}
+	c.serve(ctx, []instance{{"platform", p.Address(), p.Stop}})
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform/process.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"hyssoprudder/internal/standin/engine"
+	"hyssoprudder/internal/standin/faulter"
+	"hyssoprudder/internal/standin/servicer"
+)
+
+// process is the engine or service that runs on an instance.
+type process struct {
+	address netip.AddrPort
+	faults  *faulter.Set
+	load    func(version string, took time.Duration)
+	took    time.Duration // of one load
+	serving func() string
+	kill    func()
+	stop    func(context.Context)
+}
+
+// selfLoads is how many times longer a load takes that the weight store was not
+// asked for.
+const selfLoads = 5
+
+func (p *Platform) start(i Instance, address string, empty bool) (*process, error) {
+	service, _ := p.settings.service(i.Service)
+	if service.Kind == kindPlain {
+		s, err := servicer.Start(address, p.settings.serviceSpec(service, i), p.ledgers[i.Service], p.clock)
+		if err != nil {
+			return nil, err
+		}
+		return &process{
+			address: s.Address(), faults: s.Faults(), serving: s.Serving, kill: s.Kill, stop: s.Stop,
+			load: func(string, time.Duration) {},
+		}, nil
+	}
+	spec := p.settings.engineSpec(service, i)
+	spec.Empty = empty
+	e, err := engine.Start(address, spec, p.clock)
+	if err != nil {
+		return nil, err
+	}
+	if empty {
+		e.Load(i.Version, selfLoads*spec.Load)
+	}
+	return &process{
+		address: e.Address(), faults: e.Faults(), serving: e.Serving, kill: e.Kill, stop: e.Stop,
+		load: e.Load, took: spec.Load,
+	}, nil
+}
--- /dev/null
+++ b/internal/standin/platform/settings.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"hyssoprudder/internal/standin/engine"
+	"hyssoprudder/internal/standin/servicer"
+)
+
+// The kinds of services.
+const (
+	kindModel = "model"
+	kindPlain = "plain"
+)
+
+// Settings is the platform and its first fleet. Times are before Scale.
+type Settings struct {
+	Listen   string        `toml:"listen"`
+	Scale    float64       `toml:"scale"`
+	Seed     uint64        `toml:"seed"`
+	Lag      time.Duration `toml:"lag"`    // age of the list of instances
+	Boot     time.Duration `toml:"boot"`   // from a start until the instance is listed
+	Rate     float64       `toml:"rate"`   // starts per second at most
+	Refuse   float64       `toml:"refuse"` // share of the starts that are refused
+	Loads    int           `toml:"loads"`  // loads of weights at once
+	Late     time.Duration `toml:"late"`   // by which notices come late
+	Twice    float64       `toml:"twice"`  // share of the notices that come twice
+	Services []Service     `toml:"service"`
+	Machines []Machine     `toml:"machine"`
+	Classes  []Class       `toml:"class"`
+	Fleets   []Fleet       `toml:"fleet"`
+}
+
+// Service is what the instances of one service run.
+type Service struct {
+	Name  string        `toml:"name"`
+	Kind  string        `toml:"kind"`
+	Load  time.Duration `toml:"load"`  // time to load a version of a model
+	Fence bool          `toml:"fence"` // engines refuse orders with an old fencing number
+	Took  time.Duration `toml:"took"`  // time that one call of a plain service runs
+	// Status is the path prefix of the status calls of a plain service.
+	Status string `toml:"status"`
+}
+
+// Machine is what an engine on a class of machines can do.
+type Machine struct {
+	Class   string  `toml:"class"`
+	Slots   int     `toml:"slots"`
+	Prefill float64 `toml:"prefill"`
+	Decode  float64 `toml:"decode"`
+	Cache   int     `toml:"cache"`
+}
+
+// Class is a class of machines as one domain sells it.
+type Class struct {
+	Class  string  `toml:"class" json:"class"`
+	Domain string  `toml:"domain" json:"domain"`
+	Market string  `toml:"market" json:"market"`
+	Price  float64 `toml:"price" json:"price"` // per hour
+}
+
+// Fleet is a number of equal instances that run from the start.
+type Fleet struct {
+	Service string `toml:"service"`
+	Version string `toml:"version"`
+	Domain  string `toml:"domain"`
+	Class   string `toml:"class"`
+	Market  string `toml:"market"`
+	Count   int    `toml:"count"`
+	Port    uint16 `toml:"port"` // of the first instance; 0: any
+}
+
+// Read reads settings from a TOML file.
+func Read(path string) (Settings, error) {
+	s := Settings{
+		Scale: 1, Seed: 1, Lag: 2 * time.Second, Boot: 4 * time.Second, Rate: 2, Loads: 2,
+	}
+	meta, err := toml.DecodeFile(path, &s)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return s, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	}
+	if err := Check(s); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check returns all errors of the settings.
+func Check(s Settings) error {
+	var errs []error
+	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+		errs = append(errs, fmt.Errorf("listen: %w", err))
+	}
+	for _, service := range s.Services {
+		if service.Kind != kindModel && service.Kind != kindPlain {
+			errs = append(errs, fmt.Errorf("service %s: kind is %q, want model or plain", service.Name, service.Kind))
+		}
+	}
+	for _, f := range s.Fleets {
+		if _, ok := s.class(f.Class, f.Domain, f.Market); !ok {
+			errs = append(errs, fmt.Errorf("fleet of %s: %s sells no %s %s", f.Service, f.Domain, f.Market, f.Class))
+		}
+		if _, ok := s.service(f.Service); !ok {
+			errs = append(errs, fmt.Errorf("fleet of %s: no such service", f.Service))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (s Settings) class(name, domain, market string) (Class, bool) {
+	for _, c := range s.Classes {
+		if c.Class == name && c.Domain == domain && c.Market == market {
+			return c, true
+		}
+	}
+	return Class{}, false
+}
+
+func (s Settings) service(name string) (Service, bool) {
+	for _, service := range s.Services {
+		if service.Name == name {
+			return service, true
+		}
+	}
+	return Service{}, false
+}
+
+func (s Settings) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * s.Scale)
+}
+
+func (s Settings) engineSpec(service Service, i Instance) engine.Spec {
+	spec := engine.Defaults()
+	spec.ID, spec.Service, spec.Version, spec.Domain = i.ID, i.Service, i.Version, i.Domain
+	spec.Scale, spec.Seed, spec.Fence = s.Scale, s.Seed, service.Fence
+	if service.Load > 0 {
+		spec.Load = service.Load
+	}
+	for _, m := range s.Machines {
+		if m.Class == i.Class {
+			spec.Slots, spec.Prefill, spec.Decode, spec.Cache = m.Slots, m.Prefill, m.Decode, m.Cache
+		}
+	}
+	return spec
+}
+
+func (s Settings) serviceSpec(service Service, i Instance) servicer.Spec {
+	spec := servicer.Defaults()
+	spec.ID, spec.Service, spec.Version, spec.Domain = i.ID, i.Service, i.Version, i.Domain
+	spec.Scale, spec.Seed = s.Scale, s.Seed
+	if service.Took > 0 {
+		spec.Took = service.Took
+	}
+	if service.Status != "" {
+		spec.Status = service.Status
+	}
+	return spec
+}
