--- /dev/null
+++ b/internal/process/applier/applier.go
@@ -0,0 +1,303 @@
+package applier
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the replicated state. All replicas must use the same values.
+const (
+	// MaxTexts is the number of revisions whose text is kept.
+	MaxTexts = 64
+	// MaxChanges is the number of change ids whose answer is kept.
+	MaxChanges = 2048
+	// IntentKeep is how long a closed intent is remembered.
+	IntentKeep = 24 * time.Hour
+	// MaxKeep bounds how long a claim outlives its deadline.
+	MaxKeep = 24 * time.Hour
+	// MinKeep is the shortest time by which a claim outlives its deadline.
+	MinKeep = time.Minute
+	// MaxAnswer is the size in bytes up to which the body of an answer is kept.
+	MaxAnswer = 64 << 10
+	// MaxClaimBytes bounds the memory of all claims, in bytes.
+	MaxClaimBytes = 32 << 20
+)
+
+// Revision is one accepted set of rules. Text is empty once it is compacted.
+type Revision struct {
+	Number   uint64 `msgpack:"n"`
+	Text     string `msgpack:"text"`
+	Hash     uint64 `msgpack:"hash"`
+	By       string `msgpack:"by"`
+	ChangeID string `msgpack:"id"`
+	At       int64  `msgpack:"at"`
+	Term     uint64 `msgpack:"term"`
+}
+
+// Move is the state of a service's version move.
+type Move struct {
+	Service string `msgpack:"svc"`
+	Number  uint64 `msgpack:"n"`
+	Body    []byte `msgpack:"body"`
+	LastID  string `msgpack:"id"`
+}
+
+// Intent is a recorded capacity intent.
+type Intent struct {
+	ID       string `msgpack:"id"`
+	Service  string `msgpack:"svc"`
+	Body     []byte `msgpack:"body"`
+	ClosedAt int64  `msgpack:"closed,omitempty"`
+}
+
+type change struct {
+	ID     string     `msgpack:"id"`
+	Result RuleResult `msgpack:"r"`
+}
+
+// Applier executes committed commands. It is safe for concurrent use.
+type Applier struct {
+	mu        sync.RWMutex
+	index     uint64
+	now       int64
+	revisions []Revision
+	changes   []change
+	byChange  map[string]RuleResult
+	moves     map[string]Move
+	fence     Fence
+	intents   map[string]Intent
+	claims    *table
+	hook      func(Revision)
+}
+
+// New returns an empty state.
+func New() *Applier {
+	return &Applier{
+		byChange: make(map[string]RuleResult),
+		moves:    make(map[string]Move),
+		intents:  make(map[string]Intent),
+		claims:   newTable(),
+	}
+}
+
+// OnRevision sets a function that is called after each accepted revision, with
+// no lock held. Set it before the first Apply.
+func (a *Applier) OnRevision(f func(Revision)) { a.hook = f }
+
+// Apply executes the command of log entry index, which was appended in term.
+// Entries that have been executed are passed over.
+func (a *Applier) Apply(index, term uint64, c Command) Result {
+	a.mu.Lock()
+	if index <= a.index {
+		a.mu.Unlock()
+		return Result{}
+	}
+	a.index = index
+	a.now = max(a.now, c.At)
+	a.claims.expire(a.now)
+	last := a.current()
+	result := a.execute(term, c)
+	current := a.current()
+	a.mu.Unlock()
+	if a.hook != nil && current.Number != last.Number {
+		a.hook(current)
+	}
+	return result
+}
+
+// Skip records that the entry at index holds no command.
+func (a *Applier) Skip(index uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.index = max(a.index, index)
+}
+
+func (a *Applier) execute(term uint64, c Command) Result {
+	switch {
+	case c.RuleApply != nil:
+		return Result{Rule: a.applyRule(term, c.RuleApply)}
+	case c.MoveSet != nil:
+		return Result{Move: a.setMove(c.MoveSet)}
+	case c.FenceNext != nil:
+		a.fence = Fence{Term: max(term, a.fence.Term), Count: a.fence.Count + 1}
+		fence := a.fence
+		return Result{Fence: &fence}
+	case c.IntentPut != nil:
+		return Result{Intent: a.putIntent(c.IntentPut)}
+	case c.IntentClose != nil:
+		return Result{Intent: a.closeIntent(c.IntentClose)}
+	case c.ClaimGrant != nil:
+		return Result{Claim: a.claims.grant(c.ClaimGrant, a.now)}
+	case c.ClaimFinish != nil:
+		return Result{Claim: a.claims.finish(c.ClaimFinish, a.now)}
+	case c.ClaimResolve != nil:
+		return Result{Claim: a.claims.resolve(c.ClaimResolve, a.now)}
+	}
+	return Result{}
+}
+
+func (a *Applier) current() Revision {
+	if len(a.revisions) == 0 {
+		return Revision{}
+	}
+	return a.revisions[len(a.revisions)-1]
+}
+
+func (a *Applier) applyRule(term uint64, c *RuleApply) *RuleResult {
+	if first, ok := a.byChange[c.ChangeID]; ok {
+		return &first
+	}
+	current := a.current()
+	result := RuleResult{Outcome: RuleConflict, Revision: current.Number, Hash: current.Hash, By: current.By}
+	if c.Base == current.Number {
+		rev := Revision{
+			Number: current.Number + 1, Text: c.Text, Hash: xxhash.Sum64String(c.Text),
+			By: c.By, ChangeID: c.ChangeID, At: a.now, Term: term,
+		}
+		a.revisions = append(a.revisions, rev)
+		result = RuleResult{Outcome: RuleAccepted, Revision: rev.Number, Hash: rev.Hash, By: rev.By}
+		a.compactRevisions()
+	}
+	a.byChange[c.ChangeID] = result
+	a.changes = append(a.changes, change{ID: c.ChangeID, Result: result})
+	if len(a.changes) > MaxChanges {
+		delete(a.byChange, a.changes[0].ID)
+		a.changes = append([]change(nil), a.changes[1:]...)
+	}
+	return &result
+}
+
+func (a *Applier) compactRevisions() {
+	if n := len(a.revisions) - MaxTexts; n > 0 {
+		a.revisions[n-1].Text = ""
+	}
+	if len(a.revisions) > MaxChanges {
+		a.revisions = append([]Revision(nil), a.revisions[1:]...)
+	}
+}
+
+func (a *Applier) setMove(c *MoveSet) *MoveResult {
+	current := a.moves[c.Service]
+	if c.ID != "" && c.ID == current.LastID {
+		return &MoveResult{Accepted: true, Number: current.Number, Body: current.Body}
+	}
+	if c.Base != current.Number {
+		return &MoveResult{Number: current.Number, Body: current.Body}
+	}
+	next := Move{Service: c.Service, Number: current.Number + 1, Body: c.Body, LastID: c.ID}
+	a.moves[c.Service] = next
+	return &MoveResult{Accepted: true, Number: next.Number, Body: next.Body}
+}
+
+func (a *Applier) putIntent(c *IntentPut) *IntentResult {
+	if known, ok := a.intents[c.ID]; ok {
+		return &IntentResult{Known: true, Closed: known.ClosedAt != 0}
+	}
+	for id, in := range a.intents {
+		if in.ClosedAt != 0 && in.ClosedAt+int64(IntentKeep) <= a.now {
+			delete(a.intents, id)
+		}
+	}
+	a.intents[c.ID] = Intent{ID: c.ID, Service: c.Service, Body: c.Body}
+	return &IntentResult{Created: true, Known: true}
+}
+
+func (a *Applier) closeIntent(c *IntentClose) *IntentResult {
+	in, ok := a.intents[c.ID]
+	if !ok {
+		return &IntentResult{}
+	}
+	if in.ClosedAt == 0 {
+		in.ClosedAt = max(a.now, 1)
+		a.intents[c.ID] = in
+	}
+	return &IntentResult{Known: true, Closed: true}
+}
+
+// Index returns the index of the last executed entry.
+func (a *Applier) Index() uint64 {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.index
+}
+
+// Rules returns the revision in force; its Number is 0 if there is none.
+func (a *Applier) Rules() Revision {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.current()
+}
+
+// History returns the kept revisions, the oldest first.
+func (a *Applier) History() []Revision {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return append([]Revision(nil), a.revisions...)
+}
+
+// Move returns the state of a service's move; its Number is 0 if there is none.
+func (a *Applier) Move(service string) Move {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.moves[service]
+}
+
+// Moves returns all move states, ordered by service.
+func (a *Applier) Moves() []Move {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.sortedMoves()
+}
+
+// Fence returns the newest fencing number.
+func (a *Applier) Fence() Fence {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.fence
+}
+
+// Intents returns all intents, ordered by id.
+func (a *Applier) Intents() []Intent {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.sortedIntents()
+}
+
+// Claim returns the record of a customer's key.
+func (a *Applier) Claim(customer, key string) (Claim, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	c, ok := a.claims.records[claimKey{customer, key}]
+	if !ok {
+		return Claim{}, false
+	}
+	return *c, true
+}
+
+// Counts returns the number of claims and the bytes that they take.
+func (a *Applier) Counts() (claims, bytes int) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return len(a.claims.records), a.claims.bytes
+}
+
+func (a *Applier) sortedMoves() []Move {
+	out := make([]Move, 0, len(a.moves))
+	for _, m := range a.moves {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+func (a *Applier) sortedIntents() []Intent {
+	out := make([]Intent, 0, len(a.intents))
+	for _, in := range a.intents {
+		out = append(out, in)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/process/applier/snapshot.go
@@ -0,0 +1,96 @@
+package applier
+
+import (
+	"container/heap"
+	"fmt"
+	"sort"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Image is the whole state at one index. It does not change, so it can be
+// encoded while commands go on being executed.
+type Image struct {
+	Index     uint64     `msgpack:"index"`
+	Now       int64      `msgpack:"now"`
+	Revisions []Revision `msgpack:"revisions"`
+	Changes   []change   `msgpack:"changes"`
+	Moves     []Move     `msgpack:"moves"`
+	Fence     Fence      `msgpack:"fence"`
+	Intents   []Intent   `msgpack:"intents"`
+	Claims    []*Claim   `msgpack:"claims"`
+}
+
+// Encode returns the image as msgpack. Equal states give equal bytes.
+func (i *Image) Encode() ([]byte, error) {
+	sort.Slice(i.Claims, func(a, b int) bool {
+		x, y := i.Claims[a], i.Claims[b]
+		if x.Customer != y.Customer {
+			return x.Customer < y.Customer
+		}
+		return x.Key < y.Key
+	})
+	return msgpack.Marshal(i)
+}
+
+// Capture returns the state as it is now.
+func (a *Applier) Capture() *Image {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	image := &Image{
+		Index:     a.index,
+		Now:       a.now,
+		Revisions: append([]Revision(nil), a.revisions...),
+		Changes:   append([]change(nil), a.changes...),
+		Moves:     a.sortedMoves(),
+		Fence:     a.fence,
+		Intents:   a.sortedIntents(),
+		Claims:    make([]*Claim, 0, len(a.claims.records)),
+	}
+	for _, c := range a.claims.records {
+		image.Claims = append(image.Claims, c)
+	}
+	return image
+}
+
+// Restore replaces the state by an encoded image.
+func (a *Applier) Restore(data []byte) error {
+	var image Image
+	if err := msgpack.Unmarshal(data, &image); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	a.mu.Lock()
+	last := a.current().Number
+	a.load(&image)
+	current := a.current()
+	a.mu.Unlock()
+	if a.hook != nil && current.Number > last {
+		a.hook(current)
+	}
+	return nil
+}
+
+func (a *Applier) load(image *Image) {
+	a.index, a.now, a.fence = image.Index, image.Now, image.Fence
+	a.revisions, a.changes = image.Revisions, image.Changes
+	a.byChange = make(map[string]RuleResult, len(a.changes))
+	for _, c := range a.changes {
+		a.byChange[c.ID] = c.Result
+	}
+	a.moves = make(map[string]Move, len(image.Moves))
+	for _, m := range image.Moves {
+		a.moves[m.Service] = m
+	}
+	a.intents = make(map[string]Intent, len(image.Intents))
+	for _, in := range image.Intents {
+		a.intents[in.ID] = in
+	}
+	a.claims = newTable()
+	for _, c := range image.Claims {
+		key := claimKey{c.Customer, c.Key}
+		a.claims.records[key] = c
+		a.claims.bytes += c.size()
+		a.claims.expires = append(a.claims.expires, expiry{at: c.Expires, key: key})
+	}
+	heap.Init(&a.claims.expires)
+}
--- /dev/null
+++ b/internal/process/journaler/journaler.go
@@ -0,0 +1,326 @@
+// Package journaler keeps the durable part of a replica in one folder: the log in
+// segments, the term, vote and identity, and the newest snapshot.
+//
+// Nothing is reported as written before it is synced. After the first failure to
+// write or sync, a journal refuses every further change.
+package journaler
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	stateName     = "state"
+	snapshotName  = "snapshot"
+	lockName      = "lock"
+	segmentSuffix = ".log"
+
+	// DefaultSegmentSize is the size in bytes at which a new segment begins.
+	DefaultSegmentSize = 16 << 20
+)
+
+// ErrFailed is wrapped by all errors of a journal that has refused to go on.
+var ErrFailed = errors.New("journal has failed")
+
+// Kind is the kind of an entry.
+type Kind uint8
+
+// The kinds of entries.
+const (
+	// KindNone is an entry without content, with which a leader begins its term.
+	KindNone Kind = iota
+	// KindCommand is an entry for the replicated state.
+	KindCommand
+	// KindMembers is an entry that holds a new set of members.
+	KindMembers
+)
+
+// Entry is one entry of the log.
+type Entry struct {
+	Index uint64 `msgpack:"i"`
+	Term  uint64 `msgpack:"t"`
+	Kind  Kind   `msgpack:"k,omitempty"`
+	Data  []byte `msgpack:"d,omitempty"`
+}
+
+// State is what a replica must never forget about its votes.
+type State struct {
+	// Identity is made at random in an empty folder and never changes.
+	Identity string `msgpack:"identity"`
+	// Cluster names the log that this folder belongs to; empty before the first
+	// entry.
+	Cluster string `msgpack:"cluster"`
+	Term    uint64 `msgpack:"term"`
+	// Vote is the identity that got the vote in Term.
+	Vote string `msgpack:"vote"`
+}
+
+// Snapshot is the replicated state after the entry Index.
+type Snapshot struct {
+	Index   uint64 `msgpack:"index"`
+	Term    uint64 `msgpack:"term"`
+	Members []byte `msgpack:"members"`
+	Data    []byte `msgpack:"data"`
+}
+
+type segment struct {
+	path   string
+	first  uint64 // number of its first record
+	newest uint64 // highest index of an entry in it
+}
+
+// Options set up a journal. Zero values stand for the defaults.
+type Options struct {
+	Files       Files
+	SegmentSize int64
+}
+
+// Journal is the open folder of one replica. It is not safe for concurrent use,
+// except that WriteSnapshot and ReadSnapshot may run beside the other methods.
+type Journal struct {
+	folder   string
+	files    Files
+	limit    int64
+	lock     File
+	state    State
+	snapshot Snapshot
+	entries  []Entry // those read by Open, until they are taken
+	last     uint64
+	segments []segment
+	current  File
+	size     int64
+	next     uint64 // number of the next record
+	buf      []byte
+	failed   error
+}
+
+// Open reads the folder, makes it if it does not exist, and cuts a record that a
+// crash left unfinished at the end of the log. Damage elsewhere gives a
+// *DamageError.
+func Open(folder string, o Options) (*Journal, error) {
+	if o.Files.Create == nil {
+		o.Files = SystemFiles()
+	}
+	if o.SegmentSize == 0 {
+		o.SegmentSize = DefaultSegmentSize
+	}
+	j := &Journal{folder: folder, files: o.Files, limit: o.SegmentSize, next: 1}
+	names, err := j.files.List(folder)
+	if err != nil {
+		return nil, fmt.Errorf("list journal folder: %w", err)
+	}
+	if j.lock, err = j.files.Lock(folder); err != nil {
+		return nil, err
+	}
+	if err := j.load(names); err != nil {
+		return nil, errors.Join(err, j.Close())
+	}
+	return j, nil
+}
+
+// State returns the durable state; its Identity is empty in a new folder.
+func (j *Journal) State() State { return j.state }
+
+// TakeSnapshot returns the snapshot that Open found, once; its Index is 0 if
+// there is none.
+func (j *Journal) TakeSnapshot() Snapshot {
+	out := j.snapshot
+	j.snapshot.Data, j.snapshot.Members = nil, nil
+	return out
+}
+
+// ReadSnapshot returns the newest snapshot from the disk. Like WriteSnapshot it
+// may run beside the other methods.
+func (j *Journal) ReadSnapshot() (Snapshot, error) {
+	var s Snapshot
+	err := j.loadFile(snapshotName, &s)
+	return s, err
+}
+
+// TakeEntries returns the entries behind the snapshot that Open read, once.
+func (j *Journal) TakeEntries() []Entry {
+	out := j.entries
+	j.entries = nil
+	return out
+}
+
+// Err returns the failure that stopped the journal, or nil.
+func (j *Journal) Err() error { return j.failed }
+
+// Segments returns the number of segments.
+func (j *Journal) Segments() int { return len(j.segments) }
+
+func (j *Journal) fail(err error) error {
+	if j.failed == nil {
+		j.failed = fmt.Errorf("%w: %w", ErrFailed, err)
+	}
+	return j.failed
+}
+
+// SaveState makes s durable.
+func (j *Journal) SaveState(s State) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	data, err := seal(s)
+	if err != nil {
+		return j.fail(err)
+	}
+	if err := j.files.Replace(filepath.Join(j.folder, stateName), data); err != nil {
+		return j.fail(fmt.Errorf("write state: %w", err))
+	}
+	j.state = s
+	return nil
+}
+
+// Append makes a group of consecutive entries durable with one sync. An entry
+// whose index is already in the log replaces it and all that followed.
+func (j *Journal) Append(entries []Entry) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	if first := entries[0].Index; first > j.last+1 || first <= j.snapshot.Index {
+		panic(fmt.Sprintf("journaler: entry %d after %d, snapshot %d", first, j.last, j.snapshot.Index))
+	}
+	if err := j.write(entries); err != nil {
+		return j.fail(err)
+	}
+	j.last = entries[len(entries)-1].Index
+	return nil
+}
+
+func (j *Journal) write(entries []Entry) error {
+	payload, err := msgpack.Marshal(entries)
+	if err != nil {
+		return err
+	}
+	if j.current == nil || j.size >= j.limit {
+		if err := j.rotate(); err != nil {
+			return fmt.Errorf("start segment: %w", err)
+		}
+	}
+	j.buf = appendRecord(j.buf[:0], j.next, payload)
+	if _, err := j.current.Write(j.buf); err != nil {
+		return fmt.Errorf("append: %w", err)
+	}
+	if err := j.current.Sync(); err != nil {
+		return fmt.Errorf("sync: %w", err)
+	}
+	j.size += int64(len(j.buf))
+	j.next++
+	seg := &j.segments[len(j.segments)-1]
+	seg.newest = max(seg.newest, entries[len(entries)-1].Index)
+	return nil
+}
+
+func (j *Journal) rotate() error {
+	if j.current != nil {
+		if err := j.current.Close(); err != nil {
+			return err
+		}
+		j.current = nil
+	}
+	path := filepath.Join(j.folder, fmt.Sprintf("%016x%s", j.next, segmentSuffix))
+	f, err := j.files.Create(path)
+	if err != nil {
+		return err
+	}
+	j.current, j.size = f, 0
+	j.segments = append(j.segments, segment{path: path, first: j.next})
+	return j.files.SyncFolder(j.folder)
+}
+
+// WriteSnapshot makes a snapshot durable. The log stays as it is until Compact
+// or Reset is called. It touches nothing but the snapshot file.
+func (j *Journal) WriteSnapshot(s Snapshot) error {
+	data, err := seal(s)
+	if err != nil {
+		return err
+	}
+	if err := j.files.Replace(filepath.Join(j.folder, snapshotName), data); err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	return nil
+}
+
+// Compact removes the segments that hold nothing behind index. A snapshot at
+// index or later must have been written before.
+func (j *Journal) Compact(index uint64) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	j.snapshot.Index = max(j.snapshot.Index, index)
+	n := 0
+	for n < len(j.segments)-1 && j.segments[n].newest <= index {
+		if err := j.files.Remove(j.segments[n].path); err != nil {
+			return j.fail(fmt.Errorf("remove segment: %w", err))
+		}
+		n++
+	}
+	j.segments = append([]segment(nil), j.segments[n:]...)
+	return nil
+}
+
+// Reset drops the whole log in favour of a snapshot at index that was received
+// from the leader and has been written before.
+func (j *Journal) Reset(index uint64) error {
+	if j.failed != nil {
+		return j.failed
+	}
+	j.snapshot.Index, j.last = index, index
+	if err := j.dropSegments(); err != nil {
+		return j.fail(err)
+	}
+	return nil
+}
+
+func (j *Journal) dropSegments() error {
+	if j.current != nil {
+		if err := j.current.Close(); err != nil {
+			return err
+		}
+		j.current = nil
+	}
+	for i := len(j.segments) - 1; i >= 0; i-- {
+		if err := j.files.Remove(j.segments[i].path); err != nil {
+			return err
+		}
+	}
+	j.segments = nil
+	return j.files.SyncFolder(j.folder)
+}
+
+// Close closes the files and frees the folder.
+func (j *Journal) Close() error {
+	if j.failed == nil {
+		j.failed = fmt.Errorf("%w: closed", ErrFailed)
+	}
+	var errs []error
+	if j.current != nil {
+		errs = append(errs, j.current.Close())
+		j.current = nil
+	}
+	if j.lock != nil {
+		errs = append(errs, j.lock.Close())
+		j.lock = nil
+	}
+	return errors.Join(errs...)
+}
+
+func segmentNumber(name string) (uint64, bool) {
+	hex, ok := strings.CutSuffix(name, segmentSuffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(hex, 16, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/internal/process/keeper/core_test.go
@@ -0,0 +1,461 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/journaler"
+)
+
+const (
+	modelElection  = 100 * time.Millisecond
+	modelHeartbeat = 15 * time.Millisecond
+	stepsPerCheck  = 600
+	snapshotGap    = 12
+)
+
+// replica is one keeper of the model: a core, what its disk holds and its clock.
+type replica struct {
+	name   string
+	core   *Core // nil while it is down
+	app    *applier.Applier
+	frozen bool
+	rate   float64 // of its clock against true time
+
+	state    journaler.State
+	snapshot journaler.Snapshot
+	entries  []journaler.Entry
+	rev      uint64
+}
+
+// model runs cores against a network and disks that lose what they may lose.
+type model struct {
+	t         *rapid.T
+	replicas  []*replica
+	flight    []Message
+	elapsed   time.Duration
+	ids       int
+	nextRead  uint64
+	reads     map[uint64]uint64 // id of the read, commit index when it was asked
+	leaders   map[uint64]string // term, identity
+	committed []journaler.Entry
+	results   []applier.Result
+	granted   map[string]string // key, request
+	wiped     map[string]bool
+	changes   int
+	revision  uint64
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, reads: make(map[uint64]uint64), leaders: make(map[uint64]string),
+		granted: make(map[string]string), wiped: make(map[string]bool),
+	}
+	size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
+	var members []Member
+	for i := range size {
+		r := &replica{name: fmt.Sprint("k", i), rate: 1 + float64(rapid.IntRange(-DriftPercent, DriftPercent).Draw(t, "drift"))/100}
+		m.replicas = append(m.replicas, r)
+		m.boot(r)
+		members = append(members, Member{ID: r.state.Identity, Name: r.name, Voter: true})
+	}
+	m.replicas[0].core.Create(m.now(m.replicas[0]), "cluster", members)
+	m.execute(m.replicas[0], noCrash)
+	return m
+}
+
+func (m *model) now(r *replica) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(m.elapsed) * r.rate))
+}
+
+// boot starts a replica from its disk; an empty disk gets a new identity.
+func (m *model) boot(r *replica) {
+	if r.state.Identity == "" {
+		m.ids++
+		r.state.Identity = fmt.Sprint("id-", m.ids)
+	}
+	r.app, r.rev = applier.New(), 0 // until it has heard the leader again
+	if r.snapshot.Index > 0 {
+		require.NoError(m.t, r.app.Restore(r.snapshot.Data))
+	}
+	r.core = NewCore(CoreConfig{
+		State: r.state, Snapshot: r.snapshot, Entries: slices.Clone(r.entries), Now: m.now(r),
+		Rand: rand.New(rand.NewPCG(uint64(r.name[1]), uint64(m.elapsed))), Election: modelElection, Heartbeat: modelHeartbeat,
+	})
+}
+
+// The places at which a crash may interrupt the handling of an output.
+const (
+	noCrash = iota
+	crashBeforeDisk
+	crashAfterState
+	crashAfterDisk
+)
+
+func (m *model) crash(r *replica) { r.core, r.app = nil, nil }
+
+// execute does what the core asks for, as the adapter does.
+func (m *model) execute(r *replica, crashAt int) {
+	for {
+		out := r.core.Take()
+		if out.IsEmpty() {
+			return
+		}
+		m.flight = append(m.flight, out.Early...)
+		if crashAt == crashBeforeDisk {
+			m.crash(r)
+			return
+		}
+		if out.State != nil {
+			r.state = *out.State
+		}
+		if crashAt == crashAfterState {
+			m.crash(r)
+			return
+		}
+		if s := out.Snapshot; s != nil {
+			r.snapshot, r.entries = *s, nil
+			require.NoError(m.t, r.app.Restore(s.Data))
+		}
+		if len(out.Entries) > 0 {
+			keep := out.Entries[0].Index - r.snapshot.Index - 1
+			r.entries = append(slices.Clone(r.entries[:keep]), out.Entries...)
+		}
+		if crashAt == crashAfterDisk {
+			m.crash(r)
+			return
+		}
+		m.flight = append(m.flight, out.Messages...)
+		for _, e := range out.Committed {
+			m.apply(r, e)
+		}
+		for _, done := range out.Reads {
+			if done.OK {
+				require.GreaterOrEqual(m.t, r.core.applied, m.reads[done.ID], "a read misses what was committed before it")
+			}
+			delete(m.reads, done.ID)
+		}
+		r.core.Persisted(m.now(r))
+		m.compact(r)
+	}
+}
+
+// apply executes an entry and compares it with what was committed anywhere.
+func (m *model) apply(r *replica, e journaler.Entry) {
+	var result applier.Result
+	if e.Kind == journaler.KindCommand {
+		c, err := applier.Decode(e.Data)
+		require.NoError(m.t, err)
+		result = r.app.Apply(e.Index, e.Term, c)
+		m.checkGrant(c, result)
+	} else {
+		r.app.Skip(e.Index)
+	}
+	require.Equal(m.t, r.app.Index(), e.Index)
+	if n := uint64(len(m.committed)); e.Index == n+1 {
+		m.committed = append(m.committed, e)
+		m.results = append(m.results, result)
+		if rule := result.Rule; rule != nil && rule.Outcome == applier.RuleAccepted && rule.Revision > m.revision {
+			require.Equal(m.t, m.revision+1, rule.Revision, "revisions rise by one")
+			m.revision = rule.Revision
+		}
+		return
+	}
+	require.LessOrEqual(m.t, e.Index, uint64(len(m.committed)), "a gap in what is committed")
+	require.Equal(m.t, m.committed[e.Index-1], e, "a committed entry has changed")
+	require.Equal(m.t, m.results[e.Index-1], result, "replicas disagree on a result")
+}
+
+func (m *model) checkGrant(c applier.Command, result applier.Result) {
+	if c.ClaimGrant == nil || result.Claim.Outcome != applier.ClaimGranted {
+		return
+	}
+	key := c.ClaimGrant.Key
+	if holder, ok := m.granted[key]; ok {
+		require.Equal(m.t, holder, c.ClaimGrant.Request, "key %s granted twice", key)
+	}
+	m.granted[key] = c.ClaimGrant.Request
+}
+
+func (m *model) compact(r *replica) {
+	index := r.core.applied
+	term, ok := r.core.log.term(index)
+	if index < r.snapshot.Index+snapshotGap || !ok {
+		return
+	}
+	data, err := r.app.Capture().Encode()
+	require.NoError(m.t, err)
+	rest := r.entries[index-r.snapshot.Index:]
+	r.snapshot = journaler.Snapshot{Index: index, Term: term, Members: encodeMembers(r.core.membersAt(index)), Data: data}
+	r.entries = slices.Clone(rest)
+	r.core.Compact(index)
+	r.core.log.compact(index) // without the entries that are kept for slow replicas
+}
+
+// check holds the invariants over all replicas.
+func (m *model) check() {
+	holders := 0
+	for _, r := range m.replicas {
+		if r.core == nil {
+			continue
+		}
+		if _, ok := r.core.Lease(m.now(r)); ok {
+			holders++
+		}
+		rev := r.app.Rules().Number
+		require.GreaterOrEqual(m.t, rev, r.rev, "the revision at %s falls", r.name)
+		r.rev = rev
+		if r.core.role != RoleLeader {
+			continue
+		}
+		if id, ok := m.leaders[r.core.state.Term]; ok {
+			require.Equal(m.t, id, r.core.id, "two leaders in term %d", r.core.state.Term)
+			continue
+		}
+		m.leaders[r.core.state.Term] = r.core.id
+		require.GreaterOrEqual(m.t, r.core.log.last(), uint64(len(m.committed)), "a leader lacks committed entries")
+		for i := r.core.log.first(); i <= uint64(len(m.committed)); i++ {
+			require.Equal(m.t, m.committed[i-1], r.core.log.slice(i, i)[0], "a leader holds another entry")
+		}
+	}
+	require.LessOrEqual(m.t, holders, 1, "two leases at a time")
+}
+
+func (m *model) find(id string) *replica {
+	for _, r := range m.replicas {
+		if r.state.Identity == id && r.core != nil && !r.frozen {
+			return r
+		}
+	}
+	return nil
+}
+
+// deliver hands message i to its receiver; keep leaves a copy in flight.
+func (m *model) deliver(i int, keep bool, crashAt int) {
+	msg := m.flight[i]
+	if !keep {
+		m.flight = slices.Delete(m.flight, i, i+1)
+	}
+	m.handOver(msg, crashAt)
+}
+
+func (m *model) handOver(msg Message, crashAt int) {
+	if msg.Kind == KindSnapshot && msg.Snapshot == nil {
+		from := m.find(msg.From)
+		if from == nil || from.snapshot.Index == 0 {
+			return
+		}
+		s := from.snapshot
+		msg.Snapshot = &s
+	}
+	if to := m.find(msg.To); to != nil {
+		to.core.Step(m.now(to), msg)
+		m.execute(to, crashAt)
+	}
+}
+
+func (m *model) command() []byte {
+	m.changes++
+	c := applier.Command{}
+	switch rapid.IntRange(0, 2).Draw(m.t, "command") {
+	case 0:
+		c.RuleApply = &applier.RuleApply{
+			ChangeID: fmt.Sprint("change-", rapid.IntRange(0, m.changes).Draw(m.t, "change")),
+			Base:     uint64(rapid.IntRange(0, m.changes).Draw(m.t, "base")), Text: fmt.Sprint("text ", m.changes),
+		}
+		if rapid.Bool().Draw(m.t, "current") {
+			for _, r := range m.replicas {
+				if r.core != nil {
+					c.RuleApply.Base = r.app.Rules().Number
+				}
+			}
+		}
+	case 1:
+		c.FenceNext = &applier.FenceNext{}
+	default:
+		c.ClaimGrant = &applier.ClaimGrant{
+			Customer: "masons", Key: fmt.Sprint("key-", rapid.IntRange(0, 20).Draw(m.t, "key")), BodyHash: "h",
+			Entry: "entry", Request: fmt.Sprint("request-", m.changes), Keep: time.Hour,
+		}
+	}
+	data, err := c.Encode()
+	require.NoError(m.t, err)
+	return data
+}
+
+// mayWipe reports whether the last repair is over: all members are voters that
+// still have their disks, and every replica that is up knows it.
+func (m *model) mayWipe() bool {
+	for _, r := range m.replicas {
+		if r.core == nil || r.core.points == nil || r.core.points[len(r.core.points)-1].index > r.core.commit {
+			return false
+		}
+		for _, member := range r.core.members() {
+			if !member.Voter || m.wiped[member.ID] {
+				return false
+			}
+		}
+		if len(r.core.members()) != len(m.replicas) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *model) wipe(r *replica) {
+	if !m.mayWipe() {
+		return
+	}
+	m.wiped[r.state.Identity] = true
+	*r = replica{name: r.name, rate: r.rate}
+	m.boot(r)
+}
+
+// joinAll lets replicas that are outside the log ask a leader.
+func (m *model) joinAll() {
+	for _, leader := range m.replicas {
+		if leader.core == nil || leader.frozen || leader.core.role != RoleLeader {
+			continue
+		}
+		for _, r := range m.replicas {
+			if r.core != nil && r.core.log.last() == 0 {
+				leader.core.Join(m.now(leader), Member{ID: r.state.Identity, Name: r.name})
+			}
+		}
+		m.execute(leader, noCrash)
+	}
+}
+
+func (m *model) tick(r *replica, crashAt int) {
+	if r.core == nil || r.frozen {
+		return
+	}
+	r.core.Tick(m.now(r))
+	m.execute(r, crashAt)
+}
+
+// calm lets all replicas that are up talk without loss for one heartbeat.
+func (m *model) calm() {
+	m.elapsed += modelHeartbeat
+	for _, r := range m.replicas {
+		m.tick(r, noCrash)
+	}
+	for n := len(m.flight); n > 0; n-- {
+		m.deliver(0, false, noCrash)
+	}
+	m.joinAll()
+}
+
+// step does one random thing.
+func (m *model) step() {
+	r := rapid.SampledFrom(m.replicas).Draw(m.t, "replica")
+	action := rapid.IntRange(0, 99).Draw(m.t, "action")
+	crashAt := noCrash
+	if rapid.IntRange(0, 40).Draw(m.t, "crash") == 0 {
+		crashAt = rapid.IntRange(crashBeforeDisk, crashAfterDisk).Draw(m.t, "where")
+	}
+	switch {
+	case action < 40:
+		m.stepNetwork(crashAt)
+	case action < 52:
+		m.elapsed += time.Duration(rapid.IntRange(1, 20).Draw(m.t, "ms")) * time.Millisecond
+		m.tick(r, crashAt)
+	case action < 70:
+		m.calm()
+	case action < 73:
+		m.elapsed += time.Duration(rapid.IntRange(50, 250).Draw(m.t, "pause")) * time.Millisecond
+	default:
+		m.stepReplica(r, action, crashAt)
+	}
+	m.check()
+}
+
+func (m *model) stepNetwork(crashAt int) {
+	if len(m.flight) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.flight)-1).Draw(m.t, "message")
+	switch fate := rapid.IntRange(0, 9).Draw(m.t, "fate"); fate {
+	case 0:
+		m.flight = slices.Delete(m.flight, i, i+1)
+	default:
+		m.deliver(i, fate == 1, crashAt)
+	}
+	if len(m.flight) > 200 {
+		m.flight = m.flight[100:]
+	}
+}
+
+func (m *model) stepReplica(r *replica, action, crashAt int) {
+	switch {
+	case r.core == nil:
+		m.boot(r)
+	case action < 74:
+		m.crash(r)
+	case action < 75:
+		m.wipe(r)
+	case action < 78:
+		r.frozen = !r.frozen
+	case r.frozen:
+		r.frozen = action < 90
+	case action < 80:
+		r.core.Transfer(m.now(r))
+		m.execute(r, crashAt)
+	case action < 84:
+		m.nextRead++
+		m.reads[m.nextRead] = uint64(len(m.committed))
+		r.core.Read(m.now(r), m.nextRead)
+		m.execute(r, crashAt)
+	default:
+		r.core.Propose(m.now(r), [][]byte{m.command(), m.command()})
+		m.execute(r, crashAt)
+	}
+}
+
+// heal ends all faults and requires the log to go on.
+func (m *model) heal() {
+	for _, r := range m.replicas {
+		r.frozen = false
+		if r.core == nil {
+			m.boot(r)
+		}
+	}
+	before := len(m.committed)
+	for range 400 {
+		m.calm()
+		m.check()
+		for _, r := range m.replicas {
+			r.core.Propose(m.now(r), [][]byte{m.command()})
+			m.execute(r, noCrash)
+		}
+		if len(m.committed) > before+5 && m.mayWipe() {
+			return
+		}
+	}
+	for _, r := range m.replicas {
+		m.t.Logf("%s %s %s term %d last %d commit %d members %+v", r.name, r.state.Identity, r.core.role, r.state.Term, r.core.log.last(), r.core.commit, r.core.members())
+	}
+	m.t.Fatalf("no progress after all faults have ended: %d entries committed, %d before", len(m.committed), before)
+}
+
+func TestCoreKeepsItsInvariantsUnderFaults(t *testing.T) {
+	committed, terms, wipes := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range stepsPerCheck {
+			m.step()
+		}
+		m.heal()
+		committed += len(m.committed)
+		terms += len(m.leaders)
+		wipes += len(m.wiped)
+	})
+	t.Logf("%d entries committed, %d leaders, %d wiped disks", committed, terms, wipes)
+}
--- /dev/null
+++ b/internal/process/keeper/keeper_test.go
@@ -0,0 +1,274 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/process/applier"
+)
+
+func TestKeepersCommitAndCatchUp(t *testing.T) {
+	for _, size := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			d := newDeployment(t, size)
+			d.startAll()
+			d.applyRules(0, 120)
+			d.requireRevision(120)
+		})
+	}
+}
+
+// applyRules accepts the revisions from+1 to to.
+func (d *deployment) applyRules(from, to uint64) {
+	d.t.Helper()
+	for i := from; i < to; i++ {
+		r := d.propose(rule(fmt.Sprint("change-", i), i))
+		require.Equal(d.t, applier.RuleAccepted, r.Rule.Outcome)
+		require.Equal(d.t, i+1, r.Rule.Revision)
+	}
+}
+
+func (d *deployment) requireRevision(number uint64) {
+	d.t.Helper()
+	for _, k := range d.keepers {
+		d.eventually("the revision at "+k.config.Name, func() bool { return k.applier.Rules().Number == number })
+	}
+}
+
+// requireVoters waits until exactly the running keepers are voters.
+func (d *deployment) requireVoters(count int) {
+	d.t.Helper()
+	d.eventually("running keepers as voters", func() bool {
+		members := d.leader().Status().Members
+		for _, m := range members {
+			k := d.keepers[m.Name]
+			if !m.Voter || k == nil || k.self.ID != m.ID {
+				return false
+			}
+		}
+		return len(members) == count
+	})
+}
+
+func TestEntriesSurviveTheLossOfTheLeader(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	for i := range uint64(3) {
+		d.applyRules(i*10, i*10+10)
+		name := d.leader().config.Name
+		d.kill(name)
+		d.applyRules(i*10+10, i*10+10) // nothing new, the rest must go on alone
+		r := d.propose(rule(fmt.Sprint("change-", i*10+9), i*10+9))
+		require.Equal(t, i*10+10, r.Rule.Revision, "a resent change gets its first answer")
+		d.start(name)
+	}
+	d.requireRevision(30)
+}
+
+func TestAllKeepersRestart(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 130)
+	d.killAll()
+	for _, name := range d.names {
+		d.start(name)
+	}
+	r := d.propose(rule("change-7", 7))
+	require.Equal(t, uint64(8), r.Rule.Revision)
+	d.applyRules(130, 131)
+	d.requireRevision(131)
+}
+
+func TestWipedKeeperIsRepairedBeforeTheSecondLoss(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 70)
+	d.requireVoters(3)
+	lost := "b"
+	before := d.keepers[lost].self.ID
+	d.kill(lost)
+	d.wipe(lost)
+	k := d.start(lost)
+	require.NotEqual(t, before, k.self.ID, "an empty folder gets a new identity")
+	d.requireVoters(3)
+	second := "a"
+	d.kill(second)
+	d.wipe(second)
+	r := d.propose(rule("change-69", 69))
+	require.Equal(t, uint64(70), r.Rule.Revision, "nothing committed is missing")
+	d.applyRules(70, 75)
+	d.start(second)
+	d.requireVoters(3)
+	d.requireRevision(75)
+}
+
+func TestCutLeaderStepsDownAndItsProposalIsNotAcknowledged(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 3)
+	old := d.leader()
+	d.isolate(old.config.Name, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answer := make(chan error, 1)
+	go proposeInto(ctx, old, rule("lost", 3), answer)
+	d.eventually("another leader", func() bool {
+		for _, k := range d.keepers {
+			if _, ok := k.Lease(); ok && k != old {
+				_, oldHolds := old.Lease()
+				require.False(t, oldHolds, "two leases at a time")
+				return true
+			}
+		}
+		return false
+	})
+	d.eventually("step down", func() bool { return old.Status().Role != RoleLeader })
+	var accepted applier.Result
+	d.eventually("a commit by the others", func() bool {
+		for _, k := range d.keepers {
+			short, stop := context.WithTimeout(context.Background(), time.Second)
+			r, err := k.Propose(short, rule("kept", 3))
+			stop()
+			if err == nil {
+				accepted = r
+				return true
+			}
+		}
+		return false
+	})
+	require.Equal(t, applier.RuleAccepted, accepted.Rule.Outcome)
+	d.isolate(old.config.Name, false)
+	require.Error(t, <-answer)
+	d.requireRevision(4)
+	require.Equal(t, "kept", old.applier.Rules().ChangeID)
+}
+
+func proposeInto(ctx context.Context, k *Keeper, c applier.Command, answer chan<- error) {
+	_, err := k.Propose(ctx, c)
+	answer <- err
+}
+
+func TestFrozenLeaderHoldsNoLeaseWhenItWakes(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	old := d.leader()
+	wake := make(chan struct{})
+	frozen := make(chan struct{})
+	go freeze(old, frozen, wake)
+	<-frozen
+	d.eventually("a successor", func() bool {
+		for _, k := range d.keepers {
+			if _, ok := k.Lease(); ok && k != old {
+				return true
+			}
+		}
+		return false
+	})
+	_, holds := old.Lease()
+	require.False(t, holds)
+	close(wake)
+	d.eventually("the old leader follows", func() bool { return old.Status().Role == RoleFollower })
+	d.applyRules(0, 2)
+	d.requireRevision(2)
+}
+
+// freeze stops the loop of a keeper until wake is closed.
+func freeze(k *Keeper, frozen, wake chan struct{}) {
+	k.do(context.Background(), func(time.Time) bool {
+		close(frozen)
+		<-wake
+		return true
+	})
+}
+
+func TestStopHandsTheLeadershipOver(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 2)
+	old := d.leader()
+	term := old.Status().Term
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	old.handOver(ctx)
+	require.NotEqual(t, RoleLeader, old.Status().Role)
+	d.kill(old.config.Name)
+	require.Equal(t, term+1, d.leader().Status().Term, "one election without a time-out")
+	d.applyRules(2, 3)
+}
+
+func TestRacingOperatorsGetOneWinner(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	leader := d.leader()
+	const racers = 16
+	results := make([]applier.Result, racers)
+	var wg sync.WaitGroup
+	for i := range racers {
+		wg.Add(1)
+		r := &racer{keeper: leader, command: rule(fmt.Sprint("race-", i), 0), result: &results[i], wg: &wg}
+		go r.run()
+	}
+	wg.Wait()
+	winners := 0
+	for _, r := range results {
+		require.NotNil(t, r.Rule)
+		if r.Rule.Outcome == applier.RuleAccepted {
+			winners++
+		}
+		require.Equal(t, uint64(1), r.Rule.Revision)
+	}
+	require.Equal(t, 1, winners)
+	d.kill(leader.config.Name)
+	for i := range racers {
+		again := d.propose(rule(fmt.Sprint("race-", i), 0))
+		require.Equal(t, results[i], again, "the first answer, after a change of leader")
+	}
+}
+
+type racer struct {
+	keeper  *Keeper
+	command applier.Command
+	result  *applier.Result
+	wg      *sync.WaitGroup
+}
+
+func (r *racer) run() {
+	defer r.wg.Done()
+	*r.result, _ = r.keeper.Propose(context.Background(), r.command)
+}
+
+func TestLogIsCreatedOnlyWhenAllKeepersAnswer(t *testing.T) {
+	d := newDeployment(t, 3)
+	t.Cleanup(d.killAll)
+	a, b := d.start("a"), d.start("b")
+	d.eventually("many questions without an answer from c", func() bool { return d.net.probes() > 40 })
+	require.True(t, a.Status().Empty)
+	require.True(t, b.Status().Empty)
+	d.start("c")
+	d.requireVoters(3)
+}
+
+func TestReadSeesWhatWasCommitted(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 5)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	leader := d.leader()
+	require.NoError(t, leader.Read(ctx))
+	require.Equal(t, uint64(5), leader.applier.Rules().Number)
+	for _, k := range d.keepers {
+		if k != leader {
+			var notLeader *NotLeaderError
+			require.ErrorAs(t, k.Read(ctx), &notLeader)
+			name, _, ok := notLeader.Leader()
+			require.True(t, ok)
+			require.Equal(t, leader.config.Name, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/keeper/message.go
@@ -0,0 +1,60 @@
+package keeper
+
+import (
+	"net/netip"
+
+	"hyssoprudder/internal/process/journaler"
+)
+
+// MessageKind is the kind of a message between keepers.
+type MessageKind uint8
+
+// The kinds of messages.
+const (
+	// KindPreVote asks whether a vote would be granted.
+	KindPreVote MessageKind = iota + 1
+	KindPreVoteReply
+	// KindVote asks for a vote.
+	KindVote
+	KindVoteReply
+	// KindAppend carries entries; without any it is a heartbeat.
+	KindAppend
+	KindAppendReply
+	// KindSnapshot carries the newest snapshot. The sender of messages fills it in.
+	KindSnapshot
+	// KindCampaign tells a voter to become leader at once.
+	KindCampaign
+)
+
+// Message is one message between two keepers.
+type Message struct {
+	Kind    MessageKind `msgpack:"k"`
+	Cluster string      `msgpack:"-"`
+	From    string      `msgpack:"-"`
+	To      string      `msgpack:"-"`
+	Term    uint64      `msgpack:"t"`
+	// Index and LogTerm name the entry before Entries, or the sender's last
+	// entry in a request for votes. In a reply Index is the last entry that
+	// matches, or the one that did not.
+	Index   uint64            `msgpack:"i,omitempty"`
+	LogTerm uint64            `msgpack:"l,omitempty"`
+	Commit  uint64            `msgpack:"c,omitempty"`
+	Entries []journaler.Entry `msgpack:"e,omitempty"`
+	// Round numbers the rounds of heartbeats of one leader; replies repeat it.
+	Round uint64 `msgpack:"n,omitempty"`
+	// Reject refuses a request. Hint is then the last entry that may match.
+	Reject bool   `msgpack:"r,omitempty"`
+	Hint   uint64 `msgpack:"h,omitempty"`
+	// Transfer marks a campaign that the leader itself has ordered.
+	Transfer bool                `msgpack:"x,omitempty"`
+	Snapshot *journaler.Snapshot `msgpack:"s,omitempty"`
+}
+
+// Member is one replica of the log.
+type Member struct {
+	ID      string         `msgpack:"id" json:"id"`
+	Name    string         `msgpack:"name" json:"name"`
+	Address netip.AddrPort `msgpack:"address" json:"address"`
+	// Voter is false for a learner, which gets the log but has no vote.
+	Voter bool `msgpack:"voter" json:"voter"`
+}
--- /dev/null
+++ b/internal/process/keeper/replicate.go
@@ -0,0 +1,275 @@
+package keeper
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"hyssoprudder/internal/process/journaler"
+)
+
+func (c *Core) appendLocal(kind journaler.Kind, data []byte) {
+	e := journaler.Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: kind, Data: data}
+	c.log.append(e)
+	c.noteMembers(e)
+}
+
+// Propose appends commands to the log, if this keeper leads and is not handing
+// over. It returns the index of the first one and the term.
+func (c *Core) Propose(now time.Time, commands [][]byte) (index, term uint64, ok bool) {
+	if c.role != RoleLeader || c.transferTo != "" || len(commands) == 0 {
+		return 0, 0, false
+	}
+	first := c.log.last() + 1
+	for _, data := range commands {
+		c.appendLocal(journaler.KindCommand, data)
+	}
+	c.replicate(now)
+	return first, c.state.Term, true
+}
+
+// replicate sends new entries to all replicas that are ready for them.
+func (c *Core) replicate(now time.Time) {
+	for _, m := range c.members() {
+		if p := c.peers[m.ID]; p != nil {
+			c.sendEntries(now, m.ID, p, false)
+		}
+	}
+}
+
+// sendEntries sends what the replica lacks. With beat set it sends at least an
+// empty message.
+func (c *Core) sendEntries(now time.Time, id string, p *progress, beat bool) {
+	prev := p.next - 1
+	term, known := c.log.term(prev)
+	if !known || !p.snapshot.IsZero() {
+		if !now.Before(p.snapshot) {
+			p.snapshot = now.Add(snapshotRetry * c.election)
+			c.sendEarly(Message{Kind: KindSnapshot, To: id})
+		}
+		if beat {
+			c.sendEarly(Message{Kind: KindAppend, To: id, Round: c.round})
+		}
+		return
+	}
+	for beat || p.next <= c.log.last() && p.inflight < maxInflight {
+		m := Message{Kind: KindAppend, To: id, Index: prev, LogTerm: term, Commit: c.commit, Round: c.round}
+		if p.inflight < maxInflight {
+			m.Entries = c.log.batch(p.next, maxAppendBytes)
+		}
+		if n := len(m.Entries); n > 0 {
+			p.next += uint64(n)
+			p.inflight++
+			prev, term = p.next-1, m.Entries[n-1].Term
+		}
+		c.sendEarly(m)
+		beat = false
+	}
+}
+
+// snapshotRetry is the time after which a snapshot is sent again, in election
+// timeouts.
+const snapshotRetry = 10
+
+// beat begins a round of heartbeats.
+func (c *Core) beat(now time.Time) {
+	c.round++
+	c.rounds = append(c.rounds, round{c.round, now})
+	c.nextBeat = now.Add(c.heartbeat)
+	for _, m := range c.members() {
+		if p := c.peers[m.ID]; p != nil {
+			c.sendEntries(now, m.ID, p, true)
+		}
+	}
+	c.advanceRound(now)
+}
+
+// follow notes that the leader of the current term was heard.
+func (c *Core) follow(now time.Time, leader string) {
+	if c.role != RoleFollower {
+		c.becomeFollower(now, c.state.Term, leader)
+	}
+	c.leader = leader
+	c.resetDeadline(now)
+	if until := now.Add(c.election); until.After(c.promise) {
+		c.promise = until
+	}
+}
+
+func (c *Core) handleAppend(now time.Time, m Message) {
+	if c.role == RoleLeader {
+		panic(fmt.Sprintf("keeper: two leaders in term %d", m.Term))
+	}
+	c.follow(now, m.From)
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
+	entries, prev := m.Entries, m.Index
+	if prev < c.commit {
+		skip := min(c.commit-prev, uint64(len(entries)))
+		entries, prev = entries[skip:], prev+skip
+	}
+	if prev >= c.commit && !c.accepts(m, prev) {
+		reply.Reject, reply.Index, reply.Hint = true, m.Index, c.hint(m.Index)
+		c.send(reply)
+		return
+	}
+	c.merge(entries)
+	reply.Index = prev + uint64(len(entries))
+	c.commit = max(c.commit, min(m.Commit, reply.Index))
+	c.send(reply)
+}
+
+// accepts reports whether the entry before the new ones is in the log.
+func (c *Core) accepts(m Message, prev uint64) bool {
+	if prev != m.Index {
+		return true // committed, so it matches
+	}
+	return c.log.matches(prev, m.LogTerm)
+}
+
+// hint returns the last entry that may match, below the one that does not.
+func (c *Core) hint(rejected uint64) uint64 {
+	index := min(rejected-1, c.log.last())
+	term, ok := c.log.term(index)
+	if !ok || c.log.last() < rejected {
+		return index
+	}
+	conflict, _ := c.log.term(rejected)
+	for index > c.commit && term == conflict {
+		index--
+		term, _ = c.log.term(index)
+	}
+	return index
+}
+
+func (c *Core) merge(entries []journaler.Entry) {
+	for i, e := range entries {
+		if c.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= c.commit {
+			panic(fmt.Sprintf("keeper: committed entry %d would change", e.Index))
+		}
+		c.truncate(e.Index)
+		for _, added := range entries[i:] {
+			c.log.append(added)
+			c.noteMembers(added)
+		}
+		return
+	}
+}
+
+func (c *Core) truncate(index uint64) {
+	if index > c.log.last() {
+		return
+	}
+	c.log.truncate(index)
+	c.unsaved = min(c.unsaved, index)
+	c.saved = min(c.saved, index-1)
+	for len(c.points) > 0 && c.points[len(c.points)-1].index >= index {
+		c.points = c.points[:len(c.points)-1]
+	}
+}
+
+func (c *Core) handleSnapshot(now time.Time, m Message) {
+	c.follow(now, m.From)
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	if s.Index > c.commit {
+		if c.log.matches(s.Index, s.Term) {
+			c.commit = s.Index
+		} else {
+			c.install(s)
+		}
+	}
+	c.send(Message{Kind: KindAppendReply, To: m.From, Index: s.Index})
+}
+
+func (c *Core) install(s *journaler.Snapshot) {
+	c.log.reset(s.Index, s.Term)
+	c.commit, c.applied, c.saved, c.unsaved = s.Index, s.Index, s.Index, s.Index+1
+	c.points = []memberPoint{{s.Index, decodeMembers(s.Members)}}
+	c.out.Snapshot = s
+}
+
+func (c *Core) handleAppendReply(now time.Time, m Message) {
+	p := c.peers[m.From]
+	if c.role != RoleLeader || p == nil {
+		return
+	}
+	p.active, p.inflight = now, 0
+	p.round = max(p.round, m.Round)
+	switch {
+	case !m.Reject && m.Index > p.match:
+		p.match = m.Index
+		p.next = max(p.next, p.match+1)
+		if p.match >= c.log.baseIndex {
+			p.snapshot = time.Time{}
+		}
+		c.advanceCommit()
+		c.finishTransfer(m.From, p)
+	case m.Reject && m.Index > p.match && p.snapshot.IsZero():
+		p.next = max(p.match+1, min(m.Index, m.Hint+1))
+	}
+	c.sendEntries(now, m.From, p, false)
+	c.advanceRound(now)
+}
+
+// advanceCommit commits what a quorum holds durably, if it is of the own term.
+func (c *Core) advanceCommit() {
+	index := c.quorumValue(c.saved, func(p *progress) uint64 { return p.match })
+	if term, ok := c.log.term(index); ok && index > c.commit && term == c.state.Term {
+		c.commit = index
+	}
+}
+
+// quorumValue returns the highest value that a quorum of the voters has reached.
+func (c *Core) quorumValue(own uint64, of func(*progress) uint64) uint64 {
+	var values []uint64
+	for _, m := range c.members() {
+		switch {
+		case !m.Voter:
+		case m.ID == c.id:
+			values = append(values, own)
+		default:
+			values = append(values, of(c.peers[m.ID]))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+func (c *Core) hasQuorum(ok func(*progress) bool) bool {
+	return c.quorumValue(1, func(p *progress) uint64 {
+		if ok(p) {
+			return 1
+		}
+		return 0
+	}) == 1
+}
+
+// Compact forgets the entries up to index, which a durable snapshot covers, but
+// for some that slower replicas may still need.
+func (c *Core) Compact(index uint64) {
+	if index > c.log.baseIndex+retainEntries {
+		c.log.compact(index - retainEntries)
+	}
+	for len(c.points) > 1 && c.points[1].index <= index {
+		c.points = c.points[1:]
+	}
+}
+
+// membersAt returns the members that were set at or before index.
+func (c *Core) membersAt(index uint64) []Member {
+	var members []Member
+	for _, p := range c.points {
+		if p.index <= index {
+			members = p.members
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/process/keeper/vote.go
@@ -0,0 +1,122 @@
+package keeper
+
+import (
+	"time"
+
+	"hyssoprudder/internal/process/journaler"
+)
+
+// isPromised reports whether this keeper may not help to replace the leader yet.
+func (c *Core) isPromised(now time.Time) bool {
+	return c.role == RoleLeader || now.Before(c.promise)
+}
+
+// campaign asks the voters, with KindPreVote without a new term.
+func (c *Core) campaign(now time.Time, kind MessageKind) {
+	term := c.state.Term + 1
+	c.leader = ""
+	c.votes = map[string]bool{c.id: true}
+	c.role = RolePreCandidate
+	if kind == KindVote {
+		c.role = RoleCandidate
+		c.state.Term, c.state.Vote = term, c.id
+		c.saveState = true
+	} else {
+		c.byOrder = false
+	}
+	c.resetDeadline(now)
+	if c.countVotes(now) {
+		return
+	}
+	for _, m := range c.members() {
+		if m.Voter && m.ID != c.id {
+			c.send(Message{
+				Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: c.byOrder,
+			})
+		}
+	}
+}
+
+func (c *Core) handleVote(now time.Time, m Message) {
+	upToDate := c.log.isUpToDate(m.Index, m.LogTerm)
+	if m.Kind == KindPreVote {
+		grant := m.Term > c.state.Term && !c.isPromised(now) && upToDate
+		reply := Message{Kind: KindPreVoteReply, To: m.From, Cluster: m.Cluster, Reject: !grant}
+		if grant {
+			reply.Term = m.Term
+		}
+		c.send(reply)
+		return
+	}
+	free := c.state.Vote == "" || c.state.Vote == m.From
+	grant := free && upToDate && c.role != RoleLeader && (m.Transfer || !c.isPromised(now))
+	if grant {
+		if c.state.Vote != m.From {
+			c.state.Vote = m.From
+			c.saveState = true
+		}
+		c.resetDeadline(now)
+	}
+	c.send(Message{Kind: KindVoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) handleVoteReply(now time.Time, m Message) {
+	switch {
+	case m.Kind == KindPreVoteReply && c.role == RolePreCandidate && (m.Reject || m.Term == c.state.Term+1):
+	case m.Kind == KindVoteReply && c.role == RoleCandidate && m.Term == c.state.Term:
+	default:
+		return
+	}
+	if !m.Reject {
+		c.votes[m.From] = true
+	}
+	c.countVotes(now)
+}
+
+// countVotes goes on with the election if a quorum agrees. It reports whether it
+// did.
+func (c *Core) countVotes(now time.Time) bool {
+	yes, voters := 0, 0
+	for _, m := range c.members() {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if c.votes[m.ID] {
+			yes++
+		}
+	}
+	if yes <= voters/2 {
+		return false
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(now, KindVote)
+		return true
+	}
+	c.becomeLeader(now)
+	return true
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role, c.leader, c.votes = RoleLeader, c.id, nil
+	c.rounds, c.round = nil, 0
+	c.leaseUntil, c.leaseGone, c.leaseFrom = time.Time{}, false, now
+	if c.byOrder {
+		// An ordered campaign does not wait for the promises of the voters to end.
+		c.leaseFrom = now.Add(c.election)
+	}
+	c.byOrder, c.transferTo, c.reads = false, "", nil
+	c.peers = make(map[string]*progress)
+	for _, m := range c.members() {
+		c.addPeer(now, m.ID)
+	}
+	c.appendLocal(journaler.KindNone, nil)
+	c.termStart = c.log.last()
+	c.beat(now)
+}
+
+func (c *Core) addPeer(now time.Time, id string) {
+	if id != c.id && c.peers[id] == nil {
+		c.peers[id] = &progress{next: c.log.last() + 1, active: now}
+	}
+}
