Add an open-loop load with verification and an audit of the services' records

Doubled and lost bookings, false refusals and wrong tokens have to be judged from outside the product. Requests are matched by the hash of their bodies, which are unique for each booking, because an entry may rewrite keys. A closed loop was ruled out: it sends less when the deployment slows down and hides the delay.

--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -50,6 +50,8 @@
 		{"engine", "run stand-in model engines", c.engine},
 		{"service", "run stand-in booking services", c.service},
 		{"platform", "run a stand-in platform with a fleet of instances", c.platform},
+		{"load", "put an open-loop load on entries and report", c.load},
+		{"audit", "compare a load's log with the records of the services", c.audit},
 	}
 }
 
--- /dev/null
+++ b/internal/standin/loader/audit.go
@@ -0,0 +1,131 @@
+package loader
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"hyssoprudder/internal/standin/servicer"
+)
+
+// Audit compares what a service ran with what its callers were told.
+type Audit struct {
+	Runs     int      `json:"runs"`     // calls in the service's record
+	Requests int      `json:"requests"` // distinct once-only requests in the log
+	Doubled  []string `json:"doubled"`  // keys that ran more than once
+	Lost     []string `json:"lost"`     // keys answered done that did not run
+	False    []string `json:"false"`    // keys answered notrun every time that ran
+	Ran      int      `json:"ran"`      // requests with an unclear outcome that ran
+	NotRan   int      `json:"notran"`   // requests with an unclear outcome that did not
+	Stray    int      `json:"stray"`    // runs that no logged request asked for
+}
+
+// Clean reports whether nothing was doubled, lost or falsely said not to have run.
+func (a Audit) Clean() bool { return len(a.Doubled)+len(a.Lost)+len(a.False) == 0 }
+
+// asked is what the callers of one key were told.
+type asked struct {
+	key          string
+	done, notrun bool // some attempt; every attempt
+}
+
+// Compare audits the log of a load against the record of the service. Requests
+// are matched by the hash of their bodies, which is unique for each booking.
+func Compare(results []Result, calls []servicer.Call) Audit {
+	byHash := make(map[string]*asked)
+	for _, r := range results {
+		if !r.Once {
+			continue
+		}
+		a := byHash[r.Hash]
+		if a == nil {
+			a = &asked{key: r.Key, notrun: true}
+			byHash[r.Hash] = a
+		}
+		a.done = a.done || r.Outcome == Whole
+		for _, attempt := range r.Attempts {
+			a.notrun = a.notrun && attempt == Refused
+		}
+		a.notrun = a.notrun && r.Outcome == Refused
+	}
+	audit := Audit{Runs: len(calls), Requests: len(byHash)}
+	runs := make(map[string]int)
+	for _, call := range calls {
+		runs[call.Hash]++
+		if byHash[call.Hash] == nil {
+			audit.Stray++
+		}
+	}
+	for hash, a := range byHash {
+		count := runs[hash]
+		switch {
+		case count > 1:
+			audit.Doubled = append(audit.Doubled, a.key)
+		case a.done && count == 0:
+			audit.Lost = append(audit.Lost, a.key)
+		case a.notrun && count > 0:
+			audit.False = append(audit.False, a.key)
+		case a.done, a.notrun:
+		case count > 0:
+			audit.Ran++
+		default:
+			audit.NotRan++
+		}
+	}
+	return audit
+}
+
+// Fetch reads the record of a service from one of its instances.
+func Fetch(ctx context.Context, address string) ([]servicer.Call, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/record", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("record of %s: status %d", address, answer.StatusCode)
+	}
+	var record servicer.Record
+	return record.Calls, json.NewDecoder(answer.Body).Decode(&record)
+}
+
+// WriteLog writes results as one JSON object a line.
+func WriteLog(w io.Writer, results []Result) error {
+	out := bufio.NewWriter(w)
+	encoder := json.NewEncoder(out)
+	for _, r := range results {
+		if err := encoder.Encode(r); err != nil {
+			return err
+		}
+	}
+	return out.Flush()
+}
+
+// ReadLog reads what WriteLog wrote.
+func ReadLog(path string) ([]Result, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var results []Result
+	for decoder := json.NewDecoder(bufio.NewReader(file)); ; {
+		var r Result
+		switch err := decoder.Decode(&r); {
+		case errors.Is(err, io.EOF):
+			return results, nil
+		case err != nil:
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		results = append(results, r)
+	}
+}
--- /dev/null
+++ b/internal/standin/loader/settings.go
@@ -0,0 +1,104 @@
+// Package loader puts an open-loop load on a deployment, checks each answer and
+// reports percentiles, outcomes, worth and cost.
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// The kinds of calls.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+// Settings is a load. Deadlines and targets are before Scale, the rate is not
+// scaled.
+type Settings struct {
+	Entries   []string      `toml:"entries"` // IP addresses and ports
+	Rate      float64       `toml:"rate"`    // requests per second, all entries together
+	Duration  time.Duration `toml:"duration"`
+	Seed      uint64        `toml:"seed"`
+	Scale     float64       `toml:"scale"`
+	Ready     string        `toml:"ready"` // path that tells whether an entry is ready; empty: all are
+	Price     float64       `toml:"price"` // of all instances per hour
+	Customers []Customer    `toml:"customer"`
+	Calls     []Call        `toml:"call"`
+}
+
+// Customer is who sends requests.
+type Customer struct {
+	Name  string  `toml:"name"`
+	Token string  `toml:"token"`
+	Share float64 `toml:"share"` // of the requests, relative to the other customers
+	Worth float64 `toml:"worth"` // factor of the worth of an answer; 0: 1
+}
+
+// Call is one kind of request.
+type Call struct {
+	Name      string        `toml:"name"`
+	Kind      string        `toml:"kind"`
+	Path      string        `toml:"path"`
+	Share     float64       `toml:"share"` // of the requests, relative to the other calls
+	Worth     float64       `toml:"worth"` // of one answer in time; 0: 1
+	Timeout   time.Duration `toml:"timeout"`
+	First     time.Duration `toml:"first"`     // target of the first token
+	Next      time.Duration `toml:"next"`      // target of the mean time between tokens
+	Prompt    [2]int        `toml:"prompt"`    // words, least and most
+	Shared    int           `toml:"shared"`    // words that begin a prompt and are shared
+	Documents int           `toml:"documents"` // shared beginnings of one customer
+	Max       [2]int        `toml:"max"`       // tokens, least and most
+	Whole     bool          `toml:"whole"`     // the answer is not streamed
+	Priority  int           `toml:"priority"`  // sent to engines that are called directly
+	Once      bool          `toml:"once"`      // carries a key and may run at most once
+	Resend    float64       `toml:"resend"`    // share sent again with its key after its answer
+	Twin      float64       `toml:"twin"`      // share sent to two entries at once with one key
+	Drop      float64       `toml:"drop"`      // share whose caller cuts its stream in the middle and comes back
+}
+
+// Read reads settings from a TOML file.
+func Read(path string) (Settings, error) {
+	s := Settings{Rate: 10, Duration: 10 * time.Second, Seed: 1, Scale: 1}
+	meta, err := toml.DecodeFile(path, &s)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return s, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	}
+	return s, nil
+}
+
+// Check returns all errors of the settings.
+func Check(s Settings) error {
+	var errs []error
+	for _, entry := range s.Entries {
+		if _, err := netip.ParseAddrPort(entry); err != nil {
+			errs = append(errs, fmt.Errorf("entry %q: %w", entry, err))
+		}
+	}
+	if len(s.Entries) == 0 || len(s.Customers) == 0 || len(s.Calls) == 0 {
+		errs = append(errs, errors.New("entries, customers and calls are required"))
+	}
+	if s.Rate <= 0 || s.Scale <= 0 || s.Duration <= 0 {
+		errs = append(errs, errors.New("rate, scale and duration must be above 0"))
+	}
+	for _, call := range s.Calls {
+		switch {
+		case call.Kind != KindModel && call.Kind != KindPlain:
+			errs = append(errs, fmt.Errorf("call %s: kind is %q, want model or plain", call.Name, call.Kind))
+		case call.Kind == KindModel && (call.Prompt[0] < 1 || call.Max[0] < 1):
+			errs = append(errs, fmt.Errorf("call %s: prompt and max are required", call.Name))
+		case call.Prompt[1] < call.Prompt[0] || call.Max[1] < call.Max[0]:
+			errs = append(errs, fmt.Errorf("call %s: prompt and max are [least, most]", call.Name))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (s Settings) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * s.Scale) }
--- /dev/null
+++ b/internal/standin/loader/summary.go
@@ -0,0 +1,218 @@
+package loader
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longest = int64(10 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// Percentiles are of one kind of time, in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// Part is the summary of one call, one customer or all.
+type Part struct {
+	Name     string          `json:"name"`
+	Sent     int             `json:"sent"`
+	Outcomes map[Outcome]int `json:"outcomes"`
+	Met      int             `json:"met"`
+	MetShare float64         `json:"met_share"`
+	Worth    float64         `json:"worth"`
+	Offered  float64         `json:"offered"` // worth if all were answered in time
+	Tokens   int             `json:"tokens"`
+	First    Percentiles     `json:"first"`
+	Next     Percentiles     `json:"next"`
+	Total    Percentiles     `json:"total"`
+}
+
+// Summary is the summary of a load.
+type Summary struct {
+	Took      float64 `json:"took_ms"`
+	Rate      float64 `json:"rate"`     // requests per second
+	Differed  int     `json:"differed"` // resent requests that got another answer
+	Cost      float64 `json:"cost"`     // of all instances in the time
+	CostPer   float64 `json:"cost_per"` // per thousand requests met
+	All       Part    `json:"all"`
+	Calls     []Part  `json:"calls"`
+	Customers []Part  `json:"customers"`
+}
+
+type part struct {
+	Part
+	first, next, total *hdrhistogram.Histogram
+}
+
+func newPart(name string) *part {
+	return &part{
+		Part:  Part{Name: name, Outcomes: make(map[Outcome]int)},
+		first: hdrhistogram.New(1, longest, digits),
+		next:  hdrhistogram.New(1, longest, digits),
+		total: hdrhistogram.New(1, longest, digits),
+	}
+}
+
+// recorder collects results.
+type recorder struct {
+	settings  Settings
+	all       *part
+	calls     []*part
+	customers []*part
+	differed  int
+}
+
+func newRecorder(s Settings) *recorder {
+	r := &recorder{settings: s, all: newPart("all")}
+	for _, call := range s.Calls {
+		r.calls = append(r.calls, newPart(call.Name))
+	}
+	for _, customer := range s.Customers {
+		r.customers = append(r.customers, newPart(customer.Name))
+	}
+	return r
+}
+
+func (r *recorder) add(result *Result) {
+	r.all.add(result, r.offered(result))
+	for _, p := range r.calls {
+		if p.Name == result.Call {
+			p.add(result, r.offered(result))
+		}
+	}
+	for _, p := range r.customers {
+		if p.Name == result.Customer {
+			p.add(result, r.offered(result))
+		}
+	}
+}
+
+func (r *recorder) offered(result *Result) float64 {
+	worth := 1.0
+	for _, call := range r.settings.Calls {
+		if call.Name == result.Call {
+			worth *= orOne(call.Worth)
+		}
+	}
+	for _, customer := range r.settings.Customers {
+		if customer.Name == result.Customer {
+			worth *= orOne(customer.Worth)
+		}
+	}
+	return worth
+}
+
+func (p *part) add(r *Result, offered float64) {
+	p.Sent++
+	p.Outcomes[r.Outcome]++
+	p.Worth += r.Worth
+	p.Offered += offered
+	p.Tokens += r.Tokens
+	if r.Met {
+		p.Met++
+	}
+	if r.First > 0 {
+		record(p.first, r.First)
+	}
+	for _, gap := range r.gaps {
+		record(p.next, gap)
+	}
+	if r.Outcome == Whole {
+		record(p.total, r.Total)
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), longest))
+}
+
+func (r *recorder) finish(took time.Duration) *Summary {
+	s := &Summary{
+		Took: milliseconds(took), Differed: r.differed, All: r.all.finish(),
+		Rate: float64(r.all.Sent) / took.Seconds(),
+		Cost: r.settings.Price * took.Hours(),
+	}
+	if s.All.Met > 0 {
+		s.CostPer = s.Cost / float64(s.All.Met) * 1000
+	}
+	for _, p := range r.calls {
+		s.Calls = append(s.Calls, p.finish())
+	}
+	for _, p := range r.customers {
+		s.Customers = append(s.Customers, p.finish())
+	}
+	return s
+}
+
+func (p *part) finish() Part {
+	p.First, p.Next, p.Total = percentiles(p.first), percentiles(p.next), percentiles(p.total)
+	if p.Sent > 0 {
+		p.MetShare = float64(p.Met) / float64(p.Sent)
+	}
+	return p.Part
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func (s *Summary) parts() []Part {
+	return append(append([]Part{s.All}, s.Calls...), s.Customers...)
+}
+
+// WriteText writes the summary as a table.
+func (s *Summary) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "%.1f requests/s for %.1f s, %d resent got another answer\n", s.Rate, s.Took/1000, s.Differed)
+	fmt.Fprintf(w, "cost %.6f, %.4f per thousand requests met\n", s.Cost, s.CostPer)
+	format := "%-12s %7s %7s %7s %7s %7s %7s %7s %9s %9s %9s %9s %9s\n"
+	fmt.Fprintf(w, format, "part", "sent", "whole", "met", "notrun", "unknown", "failed", "bad", "worth", "first50", "first95", "next95", "total95")
+	for _, p := range s.parts() {
+		bad := p.Outcomes[Cut] + p.Outcomes[Wrong] + p.Outcomes[Late]
+		fmt.Fprintf(w, "%-12s %7d %7d %7d %7d %7d %7d %7d %9.1f %9.2f %9.2f %9.2f %9.2f\n", p.Name, p.Sent,
+			p.Outcomes[Whole], p.Met, p.Outcomes[Refused], p.Outcomes[Unknown], p.Outcomes[Failed], bad,
+			p.Worth, p.First.P50, p.First.P95, p.Next.P95, p.Total.P95)
+	}
+}
+
+// WriteCSV writes one line for each part.
+func (s *Summary) WriteCSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	_ = out.Write([]string{
+		"part", "sent", "whole", "met", "notrun", "unknown", "failed", "cut", "wrong", "late", "worth", "offered", "tokens",
+		"first_p50_ms", "first_p95_ms", "first_p99_ms", "next_p50_ms", "next_p95_ms", "next_p99_ms", "total_p50_ms", "total_p95_ms", "total_p99_ms",
+	})
+	for _, p := range s.parts() {
+		line := []string{p.Name, strconv.Itoa(p.Sent)}
+		counts := []int{
+			p.Outcomes[Whole], p.Met, p.Outcomes[Refused], p.Outcomes[Unknown], p.Outcomes[Failed],
+			p.Outcomes[Cut], p.Outcomes[Wrong], p.Outcomes[Late],
+		}
+		for _, n := range counts {
+			line = append(line, strconv.Itoa(n))
+		}
+		values := []float64{p.Worth, p.Offered, float64(p.Tokens)}
+		for _, t := range []Percentiles{p.First, p.Next, p.Total} {
+			values = append(values, t.P50, t.P95, t.P99)
+		}
+		for _, v := range values {
+			line = append(line, strconv.FormatFloat(v, 'g', 8, 64))
+		}
+		_ = out.Write(line)
+	}
+	out.Flush()
+	return out.Error()
+}
