Take up a replaced certificate also when its file is older

Cause: the certifier compared the later of two modification times, so a file with an older time was never seen as replaced; the new test showed it. Change: both files' times and sizes are compared. Before: the test's broken certificate went unreported; after: it is reported and the old one stays in use.

--- a/internal/connection/certifier/certifier.go
+++ b/internal/connection/certifier/certifier.go
@@ -24,19 +24,25 @@
 
 	mu      sync.Mutex
 	current *tls.Certificate
-	changed time.Time
+	loaded  fingerprint
 	checked time.Time
 }
 
+// fingerprint tells whether one of the two files was replaced.
+type fingerprint struct {
+	certTime, keyTime time.Time
+	certSize, keySize int64
+}
+
 // New loads the certificate and its key from PEM files. Later failures to load
 // a changed certificate go to report, and the old one stays in use.
 func New(cert, key string, c clock.Clock, report func(error)) (*Certifier, error) {
 	f := &Certifier{cert: cert, key: key, clock: c, report: report}
-	changed, err := f.modified()
+	seen, err := f.look()
 	if err != nil {
 		return nil, err
 	}
-	if err := f.load(changed); err != nil {
+	if err := f.load(seen); err != nil {
 		return nil, err
 	}
 	return f, nil
@@ -60,9 +66,9 @@
 		return f.current
 	}
 	f.checked = now
-	changed, err := f.modified()
-	if err == nil && !changed.Equal(f.changed) {
-		err = f.load(changed)
+	seen, err := f.look()
+	if err == nil && seen != f.loaded {
+		err = f.load(seen)
 	}
 	if err != nil {
 		f.report(err)
@@ -70,27 +76,24 @@
 	return f.current
 }
 
-func (f *Certifier) load(changed time.Time) error {
+func (f *Certifier) load(seen fingerprint) error {
 	pair, err := tls.LoadX509KeyPair(f.cert, f.key)
 	if err != nil {
 		return fmt.Errorf("load certificate %s: %w", f.cert, err)
 	}
 	f.current = &pair
-	f.changed = changed
+	f.loaded = seen
 	return nil
 }
 
-// modified returns the later modification time of the two files.
-func (f *Certifier) modified() (time.Time, error) {
-	var latest time.Time
-	for _, path := range []string{f.cert, f.key} {
-		info, err := os.Stat(path)
-		if err != nil {
-			return latest, fmt.Errorf("look at certificate: %w", err)
-		}
-		if info.ModTime().After(latest) {
-			latest = info.ModTime()
-		}
+func (f *Certifier) look() (fingerprint, error) {
+	cert, err := os.Stat(f.cert)
+	if err != nil {
+		return fingerprint{}, fmt.Errorf("look at certificate: %w", err)
+	}
+	key, err := os.Stat(f.key)
+	if err != nil {
+		return fingerprint{}, fmt.Errorf("look at certificate's key: %w", err)
 	}
-	return latest, nil
+	return fingerprint{certTime: cert.ModTime(), keyTime: key.ModTime(), certSize: cert.Size(), keySize: key.Size()}, nil
 }
