--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -45,6 +45,7 @@
 	running []*sequence
 	queue   []*sequence
 	cache   *cache
+	work    uint64 // words and tokens computed for prefill so far
 }
 
 func newBatch(spec Spec, report func(change)) *Batch {
@@ -115,6 +116,7 @@
 		}
 	}
 	b.running = slices.DeleteFunc(b.running, func(s *sequence) bool { return s.filled && s.position >= s.job.Max })
+	b.work += uint64(computed)
 	return b.duration(decoding, computed), outputs
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -49,7 +49,6 @@
 	serving   string
 	weights   map[string]bool
 	tokens    uint64
-	computed  uint64
 }
 
 // call is one generation in progress.
@@ -133,7 +132,7 @@
 func (e *Engine) Counts() (generated, computed uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.tokens, e.computed
+	return e.tokens, e.batch.work
 }
 
 // run makes the steps of the batch.
@@ -203,9 +202,6 @@
 		if !ok {
 			continue
 		}
-		if output.Position == c.job.After {
-			e.computed += uint64(output.Computed)
-		}
 		c.outputs <- output
 	}
 }
--- a/internal/standin/loader/load.go
+++ b/internal/standin/loader/load.go
@@ -22,6 +22,7 @@
 	client   *http.Client
 	balancer *balancer
 	running  sync.WaitGroup
+	counted  time.Time // requests before it are not in the summary
 
 	mu      sync.Mutex
 	results []Result
@@ -39,6 +40,7 @@
 	l.balancer = newBalancer(s, l.client, c)
 	defer l.balancer.stop()
 	start := c.Now()
+	l.counted = start.Add(s.Warm)
 	sched := newSchedule(s)
 	for {
 		o, ok := sched.next()
@@ -48,7 +50,7 @@
 		l.send(ctx, o)
 	}
 	l.running.Wait()
-	took := min(c.Now().Sub(start), s.Duration)
+	took := min(c.Now().Sub(start), s.Duration) - s.Warm
 	return l.summary.finish(took), l.results, nil
 }
 
@@ -92,7 +94,9 @@
 func (l *Load) collect(r *Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.summary.add(r)
+	if !r.At.Before(l.counted) {
+		l.summary.add(r)
+	}
 	kept := *r
 	kept.gaps = nil
 	l.results = append(l.results, kept)
--- a/internal/standin/loader/settings.go
+++ b/internal/standin/loader/settings.go
@@ -23,6 +23,7 @@
 	Entries   []string      `toml:"entries"` // IP addresses and ports
 	Rate      float64       `toml:"rate"`    // requests per second, all entries together
 	Duration  time.Duration `toml:"duration"`
+	Warm      time.Duration `toml:"warm"` // requests sent in it, from the start, are not counted
 	Seed      uint64        `toml:"seed"`
 	Scale     float64       `toml:"scale"`
 	Ready     string        `toml:"ready"` // path that tells whether an entry is ready; empty: all are
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -84,6 +84,8 @@
 	loading  map[string]bool // by instance and version
 	faulted  map[string][]faulter.Fault
 	spent    float64 // by instances that are gone
+
+	generated, computed uint64 // by instances that are gone
 }
 
 // Start runs the platform and its first fleet.
@@ -247,8 +249,42 @@
 	p.mu.Unlock()
 	if ok {
 		u.process.kill()
+		p.count(u)
 	}
 	return ok
 }
 
+func (p *Platform) count(u *unit) {
+	generated, computed := u.process.counts()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generated += generated
+	p.computed += computed
+}
+
+// Counts returns the tokens generated and the words and tokens computed for
+// prefill so far, by instances that are gone too.
+func (p *Platform) Counts() (generated, computed uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	generated, computed = p.generated, p.computed
+	for _, u := range p.units {
+		g, c := u.process.counts()
+		generated += g
+		computed += c
+	}
+	return generated, computed
+}
+
+// Price returns the price per hour of the instances of a service.
+func (p *Platform) Price(service string) float64 {
+	sum := 0.0
+	for _, i := range p.Instances() {
+		if i.Service == service {
+			sum += i.Price
+		}
+	}
+	return sum
+}
+
 func (u *unit) cost(now time.Time) float64 { return u.instance.Price * now.Sub(u.started).Hours() }
--- a/internal/standin/platform/process.go
+++ b/internal/standin/platform/process.go
@@ -17,6 +17,7 @@
 	load    func(version string, took time.Duration)
 	took    time.Duration // of one load
 	serving func() string
+	counts  func() (generated, computed uint64)
 	kill    func()
 	stop    func(context.Context)
 }
@@ -34,7 +35,8 @@
 		}
 		return &process{
 			address: s.Address(), faults: s.Faults(), serving: s.Serving, kill: s.Kill, stop: s.Stop,
-			load: func(string, time.Duration) {},
+			load:   func(string, time.Duration) {},
+			counts: func() (uint64, uint64) { return 0, 0 },
 		}, nil
 	}
 	spec := p.settings.engineSpec(service, i)
@@ -48,6 +50,6 @@
 	}
 	return &process{
 		address: e.Address(), faults: e.Faults(), serving: e.Serving, kill: e.Kill, stop: e.Stop,
-		load: e.Load, took: spec.Load,
+		load: e.Load, took: spec.Load, counts: e.Counts,
 	}, nil
 }
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -53,6 +53,7 @@
 	Slots   int     `toml:"slots"`
 	Prefill float64 `toml:"prefill"`
 	Decode  float64 `toml:"decode"`
+	Chunk   int     `toml:"chunk"` // words of prefill in one step at most
 	Cache   int     `toml:"cache"`
 }
 
@@ -146,7 +147,7 @@
 	}
 	for _, m := range s.Machines {
 		if m.Class == i.Class {
-			spec.Slots, spec.Prefill, spec.Decode, spec.Cache = m.Slots, m.Prefill, m.Decode, m.Cache
+			spec.Slots, spec.Prefill, spec.Decode, spec.Chunk, spec.Cache = m.Slots, m.Prefill, m.Decode, m.Chunk, m.Cache
 		}
 	}
 	return spec
