Choose endpoints by predicted time and observe their load

Cause: calls must go to engines by what they will take there, from own calls, lagged reports and other entries' digests, without all entries choosing the same engine.

Change: each entry assumes that the others have done since their digests what it has done itself; large groups are sampled.

--- /dev/null
+++ b/internal/process/observer/observer_test.go
@@ -0,0 +1,144 @@
+package observer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/observer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+// Own counts equal those of a naive list of the calls, in any order of events, with
+// events repeated and after the end.
+func TestOwnCallsMatchNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := observer.New(epoch)
+		now := epoch
+		type naive struct {
+			call  *observer.Call
+			id    string
+			ended bool
+		}
+		var calls []naive
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "wait")) * time.Millisecond)
+			if len(calls) == 0 || rapid.Bool().Draw(t, "start") {
+				id := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "id"))
+				work := observer.Work{Prompt: rapid.IntRange(0, 100).Draw(t, "prompt"), Decode: rapid.IntRange(0, 9).Draw(t, "decode")}
+				calls = append(calls, naive{call: o.Start(now, id, work), id: id})
+				continue
+			}
+			c := &calls[rapid.IntRange(0, len(calls)-1).Draw(t, "call")]
+			if rapid.Bool().Draw(t, "token") {
+				c.call.Token(now, rapid.IntRange(0, 12).Draw(t, "tokens"))
+				continue
+			}
+			c.call.End(now, observer.Result(rapid.IntRange(0, 3).Draw(t, "result")))
+			c.ended = true
+		}
+		for i := range 4 {
+			running := 0
+			for _, c := range calls {
+				if c.id == fmt.Sprint(i) && !c.ended {
+					running++
+				}
+			}
+			load := o.Load(fmt.Sprint(i))
+			require.Equal(t, running, load.Own())
+			require.GreaterOrEqual(t, load.First(now, observer.Work{Prompt: 1, Decode: 1}), time.Duration(0))
+		}
+	})
+}
+
+// The others' calls are the sum of the newest digest of each entry, whatever the
+// order in which digests come, and they vanish when an entry falls silent.
+func TestDigestsMergeToTheNewestOfEachEntry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader := observer.New(epoch)
+		type sent struct {
+			node  int
+			data  []byte
+			calls int
+			at    int
+		}
+		var all []sent
+		tables := []*observer.Observer{observer.New(epoch), observer.New(epoch), observer.New(epoch)}
+		counts := make([]int, len(tables))
+		for i := range rapid.IntRange(1, 20).Draw(t, "digests") {
+			node := rapid.IntRange(0, 2).Draw(t, "node")
+			for range rapid.IntRange(0, 3).Draw(t, "calls") {
+				tables[node].Start(epoch, "a", observer.Work{})
+				counts[node]++
+			}
+			data, err := tables[node].Digest(epoch.Add(time.Duration(i + 1)))
+			require.NoError(t, err)
+			all = append(all, sent{node: node, data: data, calls: counts[node], at: i})
+		}
+		newest := make(map[int]sent)
+		for _, s := range rapid.Permutation(all).Draw(t, "order") {
+			require.NoError(t, reader.Merge(epoch, fmt.Sprint(s.node), s.data))
+			if old, ok := newest[s.node]; !ok || s.at > old.at {
+				newest[s.node] = s
+			}
+		}
+		want := 0
+		for _, s := range newest {
+			want += s.calls
+		}
+		load := reader.Load("a")
+		require.InDelta(t, float64(want), load.Running(epoch), 1e-9)
+		reader.Sweep(epoch.Add(time.Minute))
+		load = reader.Load("a")
+		require.InDelta(t, 0, load.Running(epoch.Add(time.Minute)), 1e-9)
+		require.Zero(t, reader.Peers())
+	})
+}
+
+func TestBrokenDigestIsAnError(t *testing.T) {
+	require.Error(t, observer.New(epoch).Merge(epoch, "b", []byte{0xc1}))
+}
+
+func TestLearnsTheTimeOfASlowEndpoint(t *testing.T) {
+	o := observer.New(epoch)
+	now := epoch
+	work := observer.Work{Prompt: 100, Decode: 20}
+	fresh := o.Load("slow")
+	for range 20 {
+		call := o.Start(now, "slow", work)
+		now = now.Add(time.Second)
+		call.Token(now, 1)
+		for range 19 {
+			now = now.Add(100 * time.Millisecond)
+			call.Token(now, 1)
+		}
+		call.End(now, observer.Done)
+	}
+	load := o.Load("slow")
+	require.InDelta(t, 1.0, load.First(now, work).Seconds(), 0.3)
+	require.InDelta(t, 0.1, load.Next(now, 1).Seconds(), 0.03)
+	require.Less(t, fresh.First(epoch, work), load.First(now, work))
+}
+
+func TestSilentEndpointIsPredictedToBeLate(t *testing.T) {
+	o := observer.New(epoch)
+	call := o.Start(epoch, "frozen", observer.Work{Prompt: 10, Decode: 50})
+	call.Token(epoch.Add(10*time.Millisecond), 1)
+	before := o.Load("frozen")
+	after := before
+	require.Greater(t, after.First(epoch.Add(5*time.Second), observer.Work{}), before.First(epoch, observer.Work{})+3*time.Second)
+}
--- /dev/null
+++ b/internal/request/router/room.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"hyssoprudder/internal/process/observer"
+)
+
+// Room is what a service can still take within its latency target.
+type Room struct {
+	free  float64
+	limit float64
+	own   float64
+	total float64
+	first time.Duration
+	next  time.Duration
+}
+
+// Free returns how many more calls may start now.
+func (r Room) Free() float64 { return r.free }
+
+// Limit returns how many calls may run at once, of all entries.
+func (r Room) Limit() float64 { return r.limit }
+
+// Share returns the part of the calls that run which are this entry's own.
+func (r Room) Share() float64 {
+	if r.total <= 0 {
+		return 0
+	}
+	return r.own / r.total
+}
+
+// First returns the shortest predicted time to the first byte, of a call without work.
+func (r Room) First() time.Duration { return r.first }
+
+// Next returns the predicted time between two tokens at the limit.
+func (r Room) Next() time.Duration { return r.next }
+
+// Room returns what a service can still take. Endpoints that are leaving or ejected
+// take nothing.
+func (r *Router) Room(now time.Time, service string) Room {
+	g, ok := r.table.Load().groups[service]
+	if !ok {
+		return Room{}
+	}
+	room := Room{first: math.MaxInt64}
+	r.observer.Visit(g.handles, g.all, func(i int, load *observer.Load) {
+		running := load.Running(now)
+		room.own += float64(load.Own())
+		room.total += running
+		if load.Leaving() || load.Ejected(now) || r.unweighted(service, g, i) {
+			return
+		}
+		limit := limitOf(now, load, g.target)
+		room.limit += limit
+		first := load.First(now, observer.Work{})
+		room.first = min(room.first, first)
+		room.next = max(room.next, g.target.Next, load.Next(now, 0))
+		if g.target.First == 0 || first < g.target.First {
+			room.free += max(limit-running, 0)
+		}
+	})
+	return room
+}
+
+func (r *Router) unweighted(service string, g *group, i int) bool {
+	return r.Weigh != nil && r.Weigh(service, "", g.versions[g.version[i]]) <= 0
+}
+
+// limitOf returns how many calls an endpoint runs within the target.
+func limitOf(now time.Time, load *observer.Load, target Target) float64 {
+	slots := float64(load.Slots())
+	if target.Next == 0 {
+		return slots
+	}
+	growth := load.Growth().Seconds()
+	if growth <= 0 {
+		return slots
+	}
+	spare := target.Next.Seconds() - load.Next(now, 0).Seconds()
+	return min(max(math.Floor(load.Running(now)+spare/growth), 1), slots)
+}
--- /dev/null
+++ b/internal/request/router/router.go
@@ -0,0 +1,196 @@
+// Package router chooses an endpoint for each call. A decision takes the time of
+// the event and what the observer's table and the prefix index hold; it does no
+// input or output.
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/observer"
+)
+
+// Target is the latency target of one service; 0 means none.
+type Target struct {
+	First time.Duration // to the first byte
+	Next  time.Duration // between two tokens
+}
+
+// Call is what the choice depends on.
+type Call struct {
+	Service  string
+	Route    string
+	Prefixes []uint64 // of the prompt, see Prefixes
+	Words    int      // of the prompt
+	Decode   int      // tokens expected; 0 for a plain service
+	Exclude  []string // endpoints already tried
+	Avoid    string   // failure domain to avoid where there is another
+}
+
+// Choice is the endpoint that was chosen, with the predictions for it.
+type Choice struct {
+	endpoint lister.Endpoint
+	first    time.Duration
+	next     time.Duration
+	cached   int
+	work     observer.Work
+}
+
+// Endpoint returns the chosen endpoint.
+func (c Choice) Endpoint() lister.Endpoint { return c.endpoint }
+
+// First returns the predicted time to the first byte.
+func (c Choice) First() time.Duration { return c.first }
+
+// Next returns the predicted time between two tokens.
+func (c Choice) Next() time.Duration { return c.next }
+
+// Cached returns the words of the prompt that are expected in the prefix cache.
+func (c Choice) Cached() int { return c.cached }
+
+// Work returns the work to record with the observer.
+func (c Choice) Work() observer.Work { return c.work }
+
+// Time returns the predicted time of the whole call.
+func (c Choice) Time() time.Duration {
+	return c.first + time.Duration(max(c.work.Decode-1, 0))*c.next
+}
+
+// Router chooses endpoints. It is safe for concurrent use. The function fields
+// must not be changed after the first call.
+type Router struct {
+	// Weigh returns the share of calls of a route that a version may get; shares
+	// are relative. A version with share 0 gets none. Nil means no preference.
+	Weigh func(service, route, version string) float64
+	// Distance returns the cost of calling a failure domain, as time.
+	Distance func(domain string) time.Duration
+	// Random returns a number in [0, 1).
+	Random func() float64
+
+	policy   Policy
+	observer *observer.Observer
+	index    *index
+	popular  *sketch
+	table    atomic.Pointer[table]
+	scratch  sync.Pool
+}
+
+// FarCost is the cost of another failure domain that New sets.
+const FarCost = 10 * time.Millisecond
+
+// New returns a router of an entry in a failure domain, without endpoints.
+func New(o *observer.Observer, domain string, policy Policy) *Router {
+	r := &Router{
+		Distance: func(other string) time.Duration {
+			if other == domain {
+				return 0
+			}
+			return FarCost
+		},
+		Random:   rand.Float64,
+		policy:   policy,
+		observer: o,
+		index:    newIndex(),
+		popular:  &sketch{},
+	}
+	r.scratch.New = func() any { return &view{} }
+	r.table.Store(&table{})
+	return r
+}
+
+type table struct {
+	groups map[string]*group
+}
+
+// group is the endpoints of one service, in the order of the observer's shards.
+type group struct {
+	endpoints []lister.Endpoint
+	handles   []observer.Handle
+	slots     map[uint32]int // from the prefix index to endpoints
+	seeds     []uint64
+	far       []float64 // cost in seconds
+	versions  []string
+	version   []int // by endpoint
+	all       []int
+	target    Target
+	turn      atomic.Uint64
+	arrived   counter
+}
+
+// Update replaces the endpoints and targets. Rows of the observer are kept.
+func (r *Router) Update(endpoints []lister.Endpoint, targets map[string]Target) {
+	next := &table{groups: make(map[string]*group)}
+	type row struct {
+		endpoint lister.Endpoint
+		handle   observer.Handle
+	}
+	rows := make([]row, 0, len(endpoints))
+	for _, e := range endpoints {
+		rows = append(rows, row{endpoint: e, handle: r.observer.Handle(e.ID())})
+	}
+	slices.SortStableFunc(rows, func(a, b row) int { return a.handle.Shard() - b.handle.Shard() })
+	for _, row := range rows {
+		e := row.endpoint
+		g, ok := next.groups[e.Service()]
+		if !ok {
+			g = &group{target: targets[e.Service()], slots: make(map[uint32]int)}
+			next.groups[e.Service()] = g
+		}
+		g.add(e, row.handle, r.index.slot(e.ID()), r.Distance(e.Domain()))
+	}
+	r.table.Store(next)
+}
+
+func (g *group) add(e lister.Endpoint, h observer.Handle, slot uint32, far time.Duration) {
+	g.all = append(g.all, len(g.all))
+	g.endpoints = append(g.endpoints, e)
+	g.handles = append(g.handles, h)
+	g.slots[slot] = len(g.endpoints) - 1
+	g.seeds = append(g.seeds, xxhash.Sum64String(e.ID()))
+	g.far = append(g.far, far.Seconds())
+	v := slices.Index(g.versions, e.Version())
+	if v < 0 {
+		v = len(g.versions)
+		g.versions = append(g.versions, e.Version())
+	}
+	g.version = append(g.version, v)
+}
+
+// Choose returns the endpoint for a call, or false if there is none that may get it.
+func (r *Router) Choose(now time.Time, call Call) (Choice, bool) {
+	g, ok := r.table.Load().groups[call.Service]
+	if !ok {
+		return Choice{}, false
+	}
+	v := r.scratch.Get().(*view)
+	defer r.scratch.Put(v)
+	v.reset(r, now, g, call)
+	r.index.match(v, call.Prefixes)
+	v.popularity()
+	v.sample()
+	if !v.collect() && !v.collectAll() {
+		return Choice{}, false
+	}
+	v.dropAvoided()
+	picked := v.options[r.policy.pick(v)]
+	cached := v.cached[picked.index]
+	return Choice{
+		endpoint: g.endpoints[picked.index],
+		first:    picked.first,
+		next:     picked.next,
+		cached:   cached,
+		work:     observer.Work{Prompt: max(call.Words-cached, 0), Decode: call.Decode},
+	}, true
+}
+
+// Learn records that an endpoint has computed a prompt and so has cached its prefixes.
+func (r *Router) Learn(endpoint string, prefixes []uint64) { r.index.learn(endpoint, prefixes) }
+
+// Events takes in cache events of an endpoint. They may be late, repeated or have gaps.
+func (r *Router) Events(endpoint string, events []Event) { r.index.events(endpoint, events) }
--- /dev/null
+++ b/internal/request/router/router_test.go
@@ -0,0 +1,298 @@
+package router_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/request/router"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+var domains = []string{"focsani", "adjud", "panciu"}
+
+func endpoints(n int, service string) []lister.Endpoint {
+	list := make([]lister.Endpoint, n)
+	for i := range list {
+		list[i] = lister.NewEndpoint(lister.Spec{
+			ID: fmt.Sprintf("%s-%d", service, i), Service: service, Version: fmt.Sprint(12 + i%2),
+			Domain: domains[i%len(domains)], Class: "a", Price: 1,
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+	}
+	return list
+}
+
+var targets = map[string]router.Target{"pumice": {First: 1300 * time.Millisecond, Next: 52 * time.Millisecond}}
+
+func policies() map[string]router.Policy {
+	all := make(map[string]router.Policy)
+	for _, p := range []router.Policy{router.Predictive(), router.RoundRobin(), router.LeastInflight(), router.TwoChoices()} {
+		all[p.Name()] = p
+	}
+	return all
+}
+
+func prompt(seed, words int) string {
+	var b strings.Builder
+	for i := range words {
+		fmt.Fprintf(&b, "w%d-%d ", seed, i)
+	}
+	return b.String()
+}
+
+func callOf(text string) router.Call {
+	words, prefixes := router.Prefixes(text)
+	return router.Call{Service: "pumice", Route: "answers", Words: words, Prefixes: prefixes, Decode: 64}
+}
+
+// Whatever the state, a choice is an endpoint of the service that is not leaving, not
+// excluded and not of a version without a share; and there is a choice if
+// there is such an endpoint.
+func TestChooseKeepsToAllowedEndpoints(t *testing.T) {
+	for name, policy := range policies() {
+		t.Run(name, rapid.MakeCheck(func(t *rapid.T) {
+			o := observer.New(epoch)
+			r := router.New(o, "focsani", policy)
+			all := endpoints(rapid.IntRange(1, 12).Draw(t, "n"), "pumice")
+			r.Update(append(endpoints(3, "bookings"), all...), targets)
+			closed := rapid.SampledFrom([]string{"", "12", "13"}).Draw(t, "closed")
+			r.Weigh = func(_, _, version string) float64 {
+				if version == closed {
+					return 0
+				}
+				return 1
+			}
+			call := callOf(prompt(rapid.IntRange(0, 5).Draw(t, "prompt"), rapid.IntRange(0, 200).Draw(t, "words")))
+			allowed := make(map[string]bool)
+			for _, e := range all {
+				id := e.ID()
+				leaving := rapid.Bool().Draw(t, "leaving")
+				o.SetLeaving(id, leaving)
+				if excluded := rapid.Bool().Draw(t, "excluded"); excluded {
+					call.Exclude = append(call.Exclude, id)
+				}
+				for range rapid.IntRange(0, 5).Draw(t, "failures") {
+					o.Start(epoch, id, observer.Work{Prompt: 10, Decode: 5}).End(epoch, observer.Failed)
+				}
+				for range rapid.IntRange(0, 5).Draw(t, "running") {
+					o.Start(epoch, id, observer.Work{Prompt: 10, Decode: 5})
+				}
+				allowed[id] = !leaving && !slices.Contains(call.Exclude, id) && e.Version() != closed
+			}
+			call.Avoid = rapid.SampledFrom(append([]string{""}, domains...)).Draw(t, "avoid")
+			choice, ok := r.Choose(epoch.Add(time.Millisecond), call)
+			if !ok {
+				for id, may := range allowed {
+					require.False(t, may, "no choice, but %s may be chosen", id)
+				}
+				return
+			}
+			require.True(t, allowed[choice.Endpoint().ID()], choice.Endpoint().ID())
+		}))
+	}
+}
+
+func TestEjectedEndpointsGetNothingUntilTooManyAre(t *testing.T) {
+	o := observer.New(epoch)
+	r := router.New(o, "focsani", router.Predictive())
+	r.Update(endpoints(6, "pumice"), targets)
+	eject := func(id string) { o.Start(epoch, id, observer.Work{}).End(epoch, observer.Refused) }
+	chosen := func() map[string]bool {
+		ids := make(map[string]bool)
+		for i := range 200 {
+			choice, ok := r.Choose(epoch.Add(time.Millisecond), callOf(prompt(i, 20)))
+			require.True(t, ok)
+			ids[choice.Endpoint().ID()] = true
+		}
+		return ids
+	}
+	eject("pumice-0")
+	eject("pumice-1")
+	eject("pumice-2")
+	require.Equal(t, map[string]bool{"pumice-3": true, "pumice-4": true, "pumice-5": true}, chosen())
+	for i := range 6 {
+		eject(fmt.Sprintf("pumice-%d", i))
+	}
+	require.Len(t, chosen(), 6, "the floor keeps endpoints in use when most have failed")
+}
+
+// Against a naive model with exact knowledge of what was sent: the longest cached
+// prefix is never overestimated.
+func TestLearntPrefixesMatchNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := router.New(observer.New(epoch), "focsani", router.Predictive())
+		r.Update(endpoints(3, "pumice"), targets)
+		sent := make(map[string]map[uint64]bool)
+		for range rapid.IntRange(0, 20).Draw(t, "sends") {
+			id := fmt.Sprintf("pumice-%d", rapid.IntRange(0, 2).Draw(t, "endpoint"))
+			_, prefixes := router.Prefixes(prompt(rapid.IntRange(0, 3).Draw(t, "prompt"), rapid.IntRange(0, 400).Draw(t, "words")))
+			if sent[id] == nil {
+				sent[id] = make(map[uint64]bool)
+			}
+			for _, p := range prefixes {
+				sent[id][p] = true
+			}
+			r.Learn(id, prefixes)
+		}
+		call := callOf(prompt(rapid.IntRange(0, 3).Draw(t, "prompt"), rapid.IntRange(0, 400).Draw(t, "words")))
+		choice, ok := r.Choose(epoch, call)
+		require.True(t, ok)
+		naive := 0
+		for k, p := range call.Prefixes {
+			if sent[choice.Endpoint().ID()][p] {
+				naive = (k + 1) * router.BlockWords
+			}
+		}
+		require.Equal(t, naive, choice.Cached())
+	})
+}
+
+func TestEventsLateRepeatedAndWithGaps(t *testing.T) {
+	r := router.New(observer.New(epoch), "focsani", router.Predictive())
+	r.Update(endpoints(1, "pumice"), targets)
+	call := callOf(prompt(1, 32))
+	cached := func() int {
+		choice, _ := r.Choose(epoch, call)
+		return choice.Cached()
+	}
+	r.Events("pumice-0", []router.Event{{Sequence: 5, Prefix: call.Prefixes[0]}, {Sequence: 9, Prefix: call.Prefixes[1]}})
+	require.Equal(t, 32, cached())
+	r.Events("pumice-0", []router.Event{{Sequence: 7, Drop: true, Prefix: call.Prefixes[1]}})
+	require.Equal(t, 32, cached(), "a late event changes nothing")
+	r.Events("pumice-0", []router.Event{{Sequence: 12, Drop: true, Prefix: call.Prefixes[1]}})
+	require.Equal(t, 16, cached())
+}
+
+// Entries that share no knowledge send prompts with the same beginning to the same
+// endpoint, and a beginning that all prompts share does not overload it.
+func TestEntriesAgreeOnTheHomeOfAPrefix(t *testing.T) {
+	homes := make(map[string]map[int]bool)
+	for range 6 {
+		r := router.New(observer.New(epoch), "focsani", router.Predictive())
+		r.Distance = func(string) time.Duration { return 0 }
+		r.Update(endpoints(9, "pumice"), targets)
+		for text := range 20 {
+			choice, _ := r.Choose(epoch, callOf(prompt(text, 64)))
+			id := choice.Endpoint().ID()
+			if homes[id] == nil {
+				homes[id] = make(map[int]bool)
+			}
+			homes[id][text] = true
+		}
+	}
+	total := 0
+	for _, texts := range homes {
+		total += len(texts)
+	}
+	require.Equal(t, 20, total, "each prompt has one home")
+	require.Greater(t, len(homes), 4)
+}
+
+// Six entries route at once on knowledge that is refreshed every period calls. The
+// highest load of an endpoint shows how much they herd.
+func peakOverMean(policy router.Policy, seed uint64) float64 {
+	const entries, n, period, rounds = 6, 9, 54, 20
+	random := rand.New(rand.NewPCG(seed, seed))
+	tables := make([]*observer.Observer, entries)
+	routers := make([]*router.Router, entries)
+	for e := range entries {
+		tables[e] = observer.New(epoch)
+		routers[e] = router.New(tables[e], domains[e%3], policy)
+		routers[e].Random = random.Float64
+		routers[e].Update(endpoints(n, "pumice"), targets)
+	}
+	type running struct {
+		call *observer.Call
+		id   string
+	}
+	var live []running
+	loads := make(map[string]int)
+	now, worst := epoch, 0.0
+	for range rounds {
+		for i := range period {
+			now = now.Add(5 * time.Millisecond)
+			e := i % entries
+			choice, _ := routers[e].Choose(now, callOf(prompt(random.IntN(1<<30), 40)))
+			id := choice.Endpoint().ID()
+			live = append(live, running{call: tables[e].Start(now, id, choice.Work()), id: id})
+			loads[id]++
+		}
+		peak := 0
+		for _, load := range loads {
+			peak = max(peak, load)
+		}
+		worst += float64(peak) * n / float64(len(live)) / rounds
+		for len(live) > 2*period {
+			i := random.IntN(len(live))
+			live[i].call.End(now, observer.Done)
+			loads[live[i].id]--
+			live = slices.Delete(live, i, i+1)
+		}
+		for e, o := range tables {
+			data, _ := o.Digest(now)
+			for other, p := range tables {
+				if other != e {
+					_ = p.Merge(now, fmt.Sprint(e), data)
+				}
+			}
+		}
+	}
+	return worst
+}
+
+func TestEntriesWithStaleKnowledgeDoNotHerd(t *testing.T) {
+	means := make(map[string]float64)
+	for name, policy := range policies() {
+		for seed := range uint64(5) {
+			means[name] += peakOverMean(policy, seed) / 5
+		}
+	}
+	t.Logf("highest load over mean load: %v", means)
+	require.Less(t, means["predictive"], 1.25)
+	require.Less(t, means["predictive"], means["twochoices"])
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 810} {
+		for name, policy := range policies() {
+			b.Run(fmt.Sprintf("%s/endpoints=%d", name, n), func(b *testing.B) {
+				o := observer.New(epoch)
+				r := router.New(o, "focsani", policy)
+				list := endpoints(n, "pumice")
+				r.Update(list, targets)
+				calls := make([]router.Call, 64)
+				for i := range calls {
+					calls[i] = callOf(prompt(i%16, 512))
+					r.Learn(list[i%n].ID(), calls[i].Prefixes[:8+i%24])
+				}
+				now := epoch
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Millisecond)
+					_, _ = r.Choose(now, calls[i%len(calls)])
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/router/sketch.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	sketchShards = 16
+	sketchSlots  = 256
+	sketchWindow = 10 * time.Second
+	sketchPrior  = 20.0 // calls; no key is popular before so many
+	rateWindow   = 2 * time.Second
+)
+
+// sketch counts how often keys occur, with exponential forgetting. Keys that fall
+// into the same counter are counted together.
+type sketch struct {
+	shards [sketchShards]sketchShard
+	total  counter
+}
+
+type sketchShard struct {
+	mu     sync.Mutex
+	counts [sketchSlots]float64
+	times  [sketchSlots]time.Time
+}
+
+// add counts a key and returns its share among the calls of the window.
+func (s *sketch) add(now time.Time, key uint64, total float64) float64 {
+	shard := &s.shards[key%sketchShards]
+	slot := key / sketchShards % sketchSlots
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	count := shard.counts[slot]*decay(now.Sub(shard.times[slot]), sketchWindow) + 1
+	shard.counts[slot], shard.times[slot] = count, now
+	return (count - 1) / (total + sketchPrior)
+}
+
+// counter counts events with exponential forgetting. It is safe for concurrent use.
+type counter struct {
+	mu    sync.Mutex
+	at    time.Time
+	count float64
+}
+
+// add counts one event and returns the events of the window.
+func (c *counter) add(now time.Time, window time.Duration) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count = c.count*decay(now.Sub(c.at), window) + 1
+	c.at = now
+	return c.count
+}
+
+func decay(age, window time.Duration) float64 {
+	return math.Exp(-max(age.Seconds(), 0) / window.Seconds())
+}
