Put token streams together from several engines

Cause: an answer must reach its caller with each token once and in order when its engine is replaced, its entry leaves or the caller reconnects. Change: streams with numbered sources, readers with their own position, a choice between waiting, copying the KV cache and prefilling elsewhere, a registry scoped by customer and bounded in memory, records that go to another entry.

--- /dev/null
+++ b/internal/request/streamer/streamer_test.go
@@ -0,0 +1,277 @@
+package streamer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/request/streamer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+func answer(n int) []string {
+	tokens := make([]string, n)
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("t%d", i)
+	}
+	return tokens
+}
+
+type engine struct {
+	source int
+	at     int // tokens put out
+}
+
+// Engines come and go, repeat themselves, skip tokens and go on after they were
+// replaced; the entry hands the stream over; readers read at their own pace and
+// reconnect. Each reader gets each token once and in order, and the whole answer
+// in the end.
+func TestReadersGetEachTokenOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := answer(rapid.IntRange(1, 30).Draw(t, "max"))
+		stream := streamer.New(streamer.Record{Customer: "masons", Name: "n", Prompt: "p", Max: len(want)})
+		var engines []engine
+		got := [][]string{{}, {}, {}}
+		attach := func() {
+			source, after := stream.Attach()
+			require.Equal(t, want[:len(after)], after)
+			engines = append(engines, engine{source: source, at: len(after)})
+		}
+		emit := func(e *engine, position int) {
+			token := "junk"
+			if position <= len(want) {
+				token = want[position-1]
+			}
+			if e != &engines[len(engines)-1] {
+				token = "stale"
+			}
+			if stream.Accept(e.source, position, token) == streamer.Accepted {
+				e.at = position
+			}
+		}
+		attach()
+		t.Repeat(map[string]func(*rapid.T){
+			"attach": func(*rapid.T) { attach() },
+			"token": func(t *rapid.T) {
+				e := &engines[rapid.IntRange(0, len(engines)-1).Draw(t, "engine")]
+				emit(e, max(e.at+rapid.IntRange(-1, 2).Draw(t, "step"), 1))
+			},
+			"finish": func(t *rapid.T) {
+				e := engines[rapid.IntRange(0, len(engines)-1).Draw(t, "engine")]
+				if e.at == len(want) {
+					stream.Finish(epoch, e.source, e.at)
+				}
+			},
+			"read": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(got)-1).Draw(t, "reader")
+				tokens, _, _ := stream.Read(len(got[i]), rapid.IntRange(1, 5).Draw(t, "limit"))
+				got[i] = append(got[i], tokens...)
+			},
+			"hand over": func(t *rapid.T) {
+				record, ok := stream.Move(epoch)
+				if !ok {
+					return
+				}
+				data, err := streamer.Encode(record)
+				require.NoError(t, err)
+				record, err = streamer.Decode(data)
+				require.NoError(t, err)
+				stream = streamer.New(record)
+				engines = engines[:0]
+				attach()
+			},
+			"": func(t *rapid.T) {
+				for _, tokens := range got {
+					require.Equal(t, want[:len(tokens)], tokens)
+				}
+			},
+		})
+		if stream.State() == streamer.Running {
+			attach()
+			e := &engines[len(engines)-1]
+			for e.at < len(want) {
+				emit(e, e.at+1)
+			}
+			require.Equal(t, streamer.Accepted, stream.Finish(epoch, e.source, len(want)))
+		}
+		for i := range got {
+			for {
+				tokens, state, _ := stream.Read(len(got[i]), 4)
+				got[i] = append(got[i], tokens...)
+				if state != streamer.Running {
+					require.Equal(t, streamer.Finished, state)
+					break
+				}
+			}
+			require.Equal(t, want, got[i])
+		}
+	})
+}
+
+func TestFinishNeedsTheWholeAnswer(t *testing.T) {
+	stream := streamer.New(streamer.Record{Max: 3})
+	source, _ := stream.Attach()
+	stream.Accept(source, 1, "a")
+	require.Equal(t, streamer.Gap, stream.Finish(epoch, source, 2))
+	require.Equal(t, streamer.Running, stream.State())
+	require.Equal(t, streamer.Overflow, func() streamer.Verdict {
+		stream.Accept(source, 2, "b")
+		stream.Accept(source, 3, "c")
+		return stream.Accept(source, 4, "d")
+	}())
+}
+
+// naivePlan tries every way and keeps the cheapest that can be taken.
+func naivePlan(s streamer.Situation) streamer.Action {
+	type way struct {
+		action   streamer.Action
+		possible bool
+		cost     time.Duration
+	}
+	const margin = 250 * time.Millisecond
+	fits := func(d time.Duration) bool { return s.Until.IsZero() || s.Until.Sub(s.Now) >= d+margin }
+	wait := s.Silence + time.Duration(s.Left)*s.Next
+	rest := time.Duration(s.Left) * s.NextThere
+	ways := []way{
+		{streamer.Wait, !s.Lost && fits(wait), wait},
+		{streamer.Import, !s.Lost && s.Elsewhere && s.Copy > 0 && fits(s.Copy), s.Copy + s.FirstCopied + rest},
+		{streamer.Prefill, s.Elsewhere, s.First + rest + time.Duration(s.Recomputed)*s.WordCost},
+	}
+	ways = slices.DeleteFunc(ways, func(w way) bool { return !w.possible })
+	if len(ways) == 0 {
+		if s.Lost {
+			return streamer.Abandon
+		}
+		return streamer.Wait
+	}
+	return slices.MinFunc(ways, func(a, b way) int { return int(a.cost - b.cost) }).action
+}
+
+func TestPlanMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		s := streamer.Situation{
+			Now: epoch, Lost: rapid.Bool().Draw(t, "lost"), Silence: ms("silence", 3000),
+			Left: rapid.IntRange(0, 200).Draw(t, "left"), Next: ms("next", 80), Elsewhere: rapid.Bool().Draw(t, "elsewhere"),
+			First: ms("first", 2000), FirstCopied: ms("copied", 300), NextThere: ms("there", 80), Copy: ms("copy", 1000),
+			Recomputed: rapid.IntRange(0, 3000).Draw(t, "words"), WordCost: time.Duration(rapid.IntRange(0, 1000).Draw(t, "cost")) * time.Microsecond,
+		}
+		if rapid.Bool().Draw(t, "leaving") {
+			s.Until = epoch.Add(ms("until", 10000))
+		}
+		require.Equal(t, naivePlan(s), streamer.Choose(s).Action())
+	})
+}
+
+func TestPlans(t *testing.T) {
+	base := streamer.Situation{
+		Now: epoch, Left: 100, Next: 40 * time.Millisecond, Elsewhere: true, First: 800 * time.Millisecond,
+		FirstCopied: 50 * time.Millisecond, NextThere: 40 * time.Millisecond, Copy: 200 * time.Millisecond,
+		Recomputed: 1500, WordCost: 500 * time.Microsecond,
+	}
+	cases := map[string]struct {
+		change func(*streamer.Situation)
+		want   streamer.Action
+	}{
+		"notice long enough to end":    {func(s *streamer.Situation) { s.Until = epoch.Add(10 * time.Second) }, streamer.Wait},
+		"notice long enough to copy":   {func(s *streamer.Situation) { s.Until = epoch.Add(2 * time.Second) }, streamer.Import},
+		"notice too short to copy":     {func(s *streamer.Situation) { s.Until = epoch.Add(300 * time.Millisecond) }, streamer.Prefill},
+		"killed":                       {func(s *streamer.Situation) { s.Lost = true }, streamer.Prefill},
+		"killed and nowhere to go":     {func(s *streamer.Situation) { s.Lost, s.Elsewhere = true, false }, streamer.Abandon},
+		"leaving and nowhere to go":    {func(s *streamer.Situation) { s.Until, s.Elsewhere = epoch, false }, streamer.Wait},
+		"silent for a moment":          {func(s *streamer.Situation) { s.Silence, s.Copy = 300*time.Millisecond, 0 }, streamer.Wait},
+		"silent longer than a prefill": {func(s *streamer.Situation) { s.Silence, s.Copy = 2*time.Second, 0 }, streamer.Prefill},
+		"slow":                         {func(s *streamer.Situation) { s.Next, s.Copy = 400*time.Millisecond, 0 }, streamer.Prefill},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := base
+			tc.change(&s)
+			require.Equal(t, tc.want, streamer.Choose(s).Action())
+		})
+	}
+}
+
+func TestRegistryKeepsCustomersApart(t *testing.T) {
+	r := streamer.NewRegistry(1 << 20)
+	first, joining := r.Begin(streamer.Record{Customer: "masons", Name: "key:1", Prompt: "a", Max: 2})
+	require.Equal(t, streamer.Started, joining)
+	other, joining := r.Begin(streamer.Record{Customer: "depots", Name: "key:1", Prompt: "a", Max: 2})
+	require.Equal(t, streamer.Started, joining)
+	require.NotSame(t, first, other)
+	again, joining := r.Begin(streamer.Record{Customer: "masons", Name: "key:1", Prompt: "a", Max: 2})
+	require.Equal(t, streamer.Joined, joining)
+	require.Same(t, first, again)
+	_, joining = r.Begin(streamer.Record{Customer: "masons", Name: "key:1", Prompt: "b", Max: 2})
+	require.Equal(t, streamer.Mismatch, joining)
+	_, found := r.Find("clerks", "key:1")
+	require.False(t, found)
+	first.Fail(epoch)
+	require.Len(t, r.Running(), 1)
+	r.Sweep(epoch.Add(streamer.EndedHold + time.Second))
+	_, found = r.Find("masons", "key:1")
+	require.False(t, found)
+}
+
+func TestRegistryMemoryIsBounded(t *testing.T) {
+	const limit = 16 << 10
+	r := streamer.NewRegistry(limit)
+	full := 0
+	for i := range 2000 {
+		stream, joining := r.Begin(streamer.Record{Customer: "masons", Name: fmt.Sprint(i), Prompt: string(make([]byte, 100)), Max: 2})
+		if joining == streamer.Full {
+			full++
+			continue
+		}
+		if i%2 == 0 {
+			stream.Fail(epoch.Add(time.Duration(i)))
+		}
+	}
+	require.Positive(t, full)
+	require.LessOrEqual(t, len(r.Running())*100, limit+16*100)
+}
+
+func TestHomesAgreeAndMoveLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.StringMatching(`e[0-9]{1,3}`), 2, 8, rapid.ID).Draw(t, "nodes")
+		name := rapid.String().Draw(t, "name")
+		homes := streamer.Homes(nodes, "masons", name)
+		require.Equal(t, homes, streamer.Homes(rapid.Permutation(nodes).Draw(t, "order"), "masons", name))
+		gone := rapid.SampledFrom(nodes).Draw(t, "gone")
+		rest := slices.DeleteFunc(slices.Clone(homes), func(n string) bool { return n == gone })
+		require.Equal(t, rest, streamer.Homes(slices.DeleteFunc(slices.Clone(nodes), func(n string) bool { return n == gone }), "masons", name))
+	})
+}
+
+func ExampleStream() {
+	stream := streamer.New(streamer.Record{Customer: "masons", Name: "key:7", Prompt: "a b c", Max: 3})
+	first, _ := stream.Attach()
+	stream.Accept(first, 1, "red")
+	second, after := stream.Attach() // the first engine was lost
+	fmt.Println("go on behind", after)
+	fmt.Println("late token dropped:", stream.Accept(first, 2, "junk") == streamer.Stale)
+	stream.Accept(second, 2, "stone")
+	tokens, _, _ := stream.Read(0, 10)
+	fmt.Println(tokens)
+	// Output:
+	// go on behind [red]
+	// late token dropped: true
+	// [red stone]
+}
