--- /dev/null
+++ b/internal/request/retrier/retrier_test.go
@@ -0,0 +1,104 @@
+package retrier_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/request/retrier"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+// Whatever fails and how: a call that may not be repeated is sent at most once, what
+// may have run is never called not run, and the attempts that put load on
+// endpoints stay within the budget.
+func TestRetriesAreBoundedAndTruthful(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, reserve = 0.1, 5.0
+		budget := retrier.NewBudget(ratio, reserve)
+		calls, sent, successes := 0, 0, 0
+		for range rapid.IntRange(1, 60).Draw(t, "calls") {
+			calls++
+			once := rapid.Bool().Draw(t, "once")
+			deadline := epoch.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "deadline")) * time.Second)
+			r := retrier.New(budget, !once, deadline)
+			bytes := 0
+			for {
+				result := rapid.IntRange(-1, 2).Draw(t, "result")
+				if result < 0 {
+					sent++
+					bytes++
+					successes++
+					budget.Success()
+					break
+				}
+				failure := retrier.Failure(result)
+				if failure != retrier.Unsent {
+					sent++
+				}
+				if failure == retrier.Lost {
+					bytes++
+				}
+				now := epoch.Add(time.Duration(r.Attempts()) * time.Second)
+				outcome := r.Fail(now, fmt.Sprint(r.Attempts()), "focsani", failure, 500*time.Millisecond)
+				if outcome.Retry() {
+					require.False(t, now.Add(500*time.Millisecond).After(deadline))
+					continue
+				}
+				require.Equal(t, bytes > 0, outcome.Truth() == retrier.Unknown)
+				break
+			}
+			require.LessOrEqual(t, r.Attempts(), retrier.MaxAttempts)
+			if once {
+				require.LessOrEqual(t, bytes, 1)
+			}
+		}
+		require.LessOrEqual(t, float64(sent), float64(calls)+ratio*float64(successes)+reserve+1e-9)
+	})
+}
+
+// With every endpoint failing after the first byte, the calls sent per call of a caller
+// approach one; without a budget they are as many as the attempts.
+func TestAmplificationOfAnOutage(t *testing.T) {
+	amplification := func(budget *retrier.Budget) float64 {
+		const calls = 2000
+		sent := 0
+		for range calls {
+			r := retrier.New(budget, true, time.Time{})
+			for more := true; more; {
+				sent++
+				more = r.Fail(epoch, "a", "focsani", retrier.Lost, 0).Retry()
+			}
+		}
+		return float64(sent) / calls
+	}
+	bounded := amplification(retrier.NewBudget(retrier.DefaultRatio, retrier.DefaultReserve))
+	unbounded := amplification(retrier.NewBudget(0, 1e9))
+	t.Logf("calls sent per call: budget %.3f, no budget %.3f", bounded, unbounded)
+	require.Less(t, bounded, 1.05)
+	require.InDelta(t, retrier.MaxAttempts, unbounded, 0.01)
+}
+
+func ExampleRetrier_Fail() {
+	r := retrier.New(retrier.NewBudget(0.1, 10), false, epoch.Add(time.Minute))
+	fmt.Println("connect failed, retry:", r.Fail(epoch, "a", "focsani", retrier.Unsent, time.Second).Retry())
+	lost := r.Fail(epoch, "b", "adjud", retrier.Lost, time.Second)
+	fmt.Println("lost after a byte, retry:", lost.Retry(), lost.Reason(), lost.Truth() == retrier.Unknown)
+	// Output:
+	// connect failed, retry: true
+	// lost after a byte, retry: false once true
+}
