Add the judge of version moves

An e-process per route, kind and quantile compares both versions over the same spans; entries count, guard themselves and publish mergeable digests.

--- /dev/null
+++ b/internal/version/judge/recorder.go
@@ -0,0 +1,187 @@
+package judge
+
+import "sync"
+
+// Subject is the move that an entry counts for one service.
+type Subject struct {
+	// Move identifies the move; a move with other versions or another deadline
+	// has another identity.
+	Move uint64
+	// Epoch rises each time the shares change.
+	Epoch uint64
+	// Service is the service that moves.
+	Service string
+	// From and To are the old and the new version.
+	From, To string
+	// Routes are the names of the routes to the service.
+	Routes []string
+}
+
+// GuardConfig returns the bounds of the guard of one entry out of at most the
+// given number: all guards of a cell together stay within alpha.
+func GuardConfig(alpha float64, entries int) Config {
+	return Config{Alpha: alpha / float64(entries), Suspicion: 10, FailureCap: maxBlockValue, LatencyCap: 1}
+}
+
+// Recorder counts the calls of one entry for each service that moves, and
+// holds the entry's own guard: an entry that sees a clear fault stops sending
+// to the new version by itself. It is safe for concurrent use; each service has
+// its own lock.
+type Recorder struct {
+	entry       string
+	incarnation uint64
+	guard       Config
+
+	mu       sync.RWMutex
+	services map[string]*ledger
+}
+
+type ledger struct {
+	mu      sync.Mutex
+	subject Subject
+	table   Table
+	seq     uint64
+	guard   *Judge
+	tripped *Fault
+}
+
+// NewRecorder returns a recorder for an incarnation of an entry.
+func NewRecorder(entry string, incarnation uint64, guard Config) *Recorder {
+	return &Recorder{entry: entry, incarnation: incarnation, guard: guard, services: make(map[string]*ledger)}
+}
+
+// Follow starts the counters of a service for a move, or for a new epoch of it.
+// A guard that has tripped stays so for the whole move.
+func (r *Recorder) Follow(s Subject) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.services[s.Service]
+	if l == nil || l.subject.Move != s.Move {
+		r.services[s.Service] = &ledger{subject: s, table: make(Table), guard: New(r.guard, s.Routes)}
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Epoch > l.subject.Epoch {
+		l.subject = s
+		l.table = make(Table)
+		l.seq = 0
+	}
+}
+
+// Forget ends the counting for a service.
+func (r *Recorder) Forget(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.services, service)
+}
+
+// Begin counts a call that is sent to a version.
+func (r *Recorder) Begin(service, route, version string) {
+	r.count(service, route, version, func(c *Counts) { c.started++ })
+}
+
+// Record counts how a call to a version ended.
+func (r *Recorder) Record(service, route, version string, result Result) {
+	r.count(service, route, version, func(c *Counts) {
+		if result.Excused {
+			c.started -= min(c.started, 1)
+			return
+		}
+		c.record(result)
+	})
+}
+
+// Check runs the guards. It is called a few times a second and returns the
+// faults that were found since the last call.
+func (r *Recorder) Check() []Fault {
+	var found []Fault
+	for _, l := range r.ledgers() {
+		if f, ok := l.check(); ok {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+// Tripped reports whether the guard of a service has found a fault in the move.
+func (r *Recorder) Tripped(service string, move uint64) bool {
+	l := r.ledger(service)
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.subject.Move == move && l.tripped != nil
+}
+
+// Digest returns what the entry tells the others.
+func (r *Recorder) Digest() *Digest {
+	d := &Digest{Entry: r.entry, Incarnation: r.incarnation}
+	for _, l := range r.ledgers() {
+		d.Moves = append(d.Moves, l.digest())
+	}
+	return d
+}
+
+func (r *Recorder) ledger(service string) *ledger {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.services[service]
+}
+
+func (r *Recorder) ledgers() []*ledger {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]*ledger, 0, len(r.services))
+	for _, l := range r.services {
+		all = append(all, l)
+	}
+	return all
+}
+
+func (r *Recorder) count(service, route, version string, change func(*Counts)) {
+	l := r.ledger(service)
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seq++
+	switch version {
+	case l.subject.From:
+		change(&l.table.pair(route).old)
+	case l.subject.To:
+		change(&l.table.pair(route).latest)
+	}
+}
+
+func (l *ledger) check() (Fault, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tripped != nil {
+		return Fault{}, false
+	}
+	l.guard.Observe(l.subject.Epoch, l.table)
+	v := l.guard.Verdict(nil)
+	if v.Outcome() != Bad {
+		return Fault{}, false
+	}
+	f := v.Fault()
+	f.Entry = true
+	l.tripped = &f
+	return f, true
+}
+
+func (l *ledger) digest() MoveDigest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return MoveDigest{
+		Service: l.subject.Service,
+		Move:    l.subject.Move,
+		Epoch:   l.subject.Epoch,
+		Seq:     l.seq,
+		Tripped: l.tripped,
+		Routes:  digestTable(l.table),
+	}
+}
--- /dev/null
+++ b/internal/version/judge/tally.go
@@ -0,0 +1,107 @@
+package judge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const maxIncarnations = 8
+
+// Tally merges the digests of all entries for one move in one epoch. Counters
+// are cumulative for each incarnation of an entry, so digests may be lost,
+// repeated or overtaken. A Tally is not safe for concurrent use.
+type Tally struct {
+	move    uint64
+	epoch   uint64
+	entries map[string]map[uint64]report
+	tripped map[string]Fault
+}
+
+// NewTally returns an empty tally for a move in an epoch.
+func NewTally(move, epoch uint64) *Tally {
+	return &Tally{
+		move:    move,
+		epoch:   epoch,
+		entries: make(map[string]map[uint64]report),
+		tripped: make(map[string]Fault),
+	}
+}
+
+// Epoch returns the epoch that is counted.
+func (t *Tally) Epoch() uint64 { return t.epoch }
+
+// Reset empties the counters for another epoch of the same move. Faults that
+// entries have reported are kept.
+func (t *Tally) Reset(epoch uint64) {
+	t.epoch = epoch
+	clear(t.entries)
+}
+
+// Merge takes in the digest of an entry. Counters of other epochs and of other
+// moves are passed over, a reported fault counts for the whole move.
+func (t *Tally) Merge(d *Digest) error {
+	for _, m := range d.Moves {
+		if m.Move != t.move {
+			continue
+		}
+		if m.Tripped != nil {
+			t.tripped[d.Entry] = *m.Tripped
+		}
+		if m.Epoch != t.epoch {
+			continue
+		}
+		table, err := tableOf(m.Routes)
+		if err != nil {
+			return fmt.Errorf("merge digest of entry %s: %w", d.Entry, err)
+		}
+		t.keep(d.Entry, d.Incarnation, report{seq: m.Seq, table: table})
+	}
+	return nil
+}
+
+// Table returns the sums over all entries.
+func (t *Tally) Table() Table {
+	sum := make(Table)
+	for _, incarnations := range t.entries {
+		for _, r := range incarnations {
+			for route, p := range r.table {
+				sum.pair(route).merge(p)
+			}
+		}
+	}
+	return sum
+}
+
+// Tripped returns the fault that an entry's guard has reported, if any.
+func (t *Tally) Tripped() (Fault, bool) {
+	var found Fault
+	for _, f := range t.tripped {
+		if f.Value > found.Value {
+			found = f
+		}
+	}
+	return found, len(t.tripped) > 0
+}
+
+// report is the latest state of the counters of one incarnation.
+type report struct {
+	seq   uint64
+	table Table
+}
+
+func (t *Tally) keep(entry string, incarnation uint64, r report) {
+	incarnations := t.entries[entry]
+	if incarnations == nil {
+		incarnations = make(map[uint64]report)
+		t.entries[entry] = incarnations
+	}
+	held, ok := incarnations[incarnation]
+	if ok && held.seq >= r.seq {
+		return
+	}
+	incarnations[incarnation] = r
+	if len(incarnations) > maxIncarnations {
+		delete(incarnations, slices.Min(slices.Collect(maps.Keys(incarnations))))
+	}
+}
