--- /dev/null
+++ b/internal/standin/trial/leader.go
@@ -0,0 +1,107 @@
+package trial
+
+import (
+	"time"
+
+	"hyssoprudder/internal/version/judge"
+	"hyssoprudder/internal/version/mover"
+)
+
+const (
+	thresholdFailures = 0.05
+	thresholdLatency  = 1.5
+	thresholdCalls    = 20
+)
+
+// leader decides on the move by the policy of the scenario.
+type leader struct {
+	world *world
+	mover *mover.Mover
+	tally *judge.Tally
+}
+
+func newLeader(w *world) *leader {
+	return &leader{
+		world: w,
+		mover: mover.New(w.scenario.Config, w.state, moverRoutes(), w.term),
+		tally: judge.NewTally(w.state.ID(), w.state.Epoch),
+	}
+}
+
+func (l *leader) hear(d *judge.Digest) {
+	if err := l.mover.Merge(d); err != nil {
+		panic(err)
+	}
+	if err := l.tally.Merge(d); err != nil {
+		panic(err)
+	}
+}
+
+func (l *leader) next(s mover.State) mover.State {
+	w := l.world
+	if w.scenario.Policy == Product {
+		return l.mover.Next(s, mover.Observation{Now: w.now, Ready: w.ready})
+	}
+	return l.byThreshold(s)
+}
+
+// byThreshold grows by time alone and judges by fixed bounds.
+func (l *leader) byThreshold(s mover.State) mover.State {
+	if s.Final() {
+		return s
+	}
+	if l.tally.Epoch() != s.Epoch {
+		l.tally.Reset(s.Epoch)
+	}
+	now := l.world.now
+	length := time.Duration(float64(s.By.Sub(s.Begun)) * 0.8 / float64(len(s.Steps)))
+	ended := now.Sub(s.Since) >= length
+	if (l.world.scenario.Policy == Threshold || ended) && l.beyond() {
+		s.Phase, s.Reason, s.Declared = mover.TakenBack, mover.Faulty, now
+		s.Epoch++
+		return s
+	}
+	if !ended {
+		return s
+	}
+	s.Epoch++
+	if s.At+1 < len(s.Steps) {
+		s.At++
+		s.Since = now
+		return s
+	}
+	s.Phase, s.Declared = mover.Done, now
+	return s
+}
+
+// beyond reports whether the new version has passed a fixed bound in the
+// present stage.
+func (l *leader) beyond() bool {
+	var calls, failed uint64
+	var latency [2]float64
+	for _, p := range l.tally.Table() {
+		calls += p.New().Finished()
+		failed += p.New().Failed()
+	}
+	for _, p := range l.tally.Table() {
+		if p.New().Latency(judge.First).Total() == 0 {
+			continue
+		}
+		latency[0] += mean(p.Old().Latency(judge.First))
+		latency[1] += mean(p.New().Latency(judge.First))
+	}
+	if calls < thresholdCalls {
+		return false
+	}
+	return float64(failed) > thresholdFailures*float64(calls) || latency[1] > thresholdLatency*latency[0]
+}
+
+func mean(h *judge.Histogram) float64 {
+	var sum float64
+	for b := range judge.Buckets {
+		if n := h.Above(b-1) - h.Above(b); n > 0 {
+			sum += float64(n) * judge.Edge(b).Seconds()
+		}
+	}
+	return sum / float64(max(h.Total(), 1))
+}
--- a/internal/version/judge/evidence.go
+++ b/internal/version/judge/evidence.go
@@ -12,6 +12,7 @@
 	maxBaseRate   = 0.95
 	maxBlockValue = 1e6
 	maxEvidence   = 1e12
+	withinHorizon = 0.9
 )
 
 // block is the outcome of a two-valued observation on both versions over the
@@ -46,11 +47,25 @@
 	effects []float64
 	sums    []float64
 	blocks  float64
+	horizon float64 // number of blocks that are expected
+	waiting float64 // weight of the faults that have not begun
 	limit   float64 // largest value that one block may contribute
 }
 
-func newEvidence(effects []float64, limit float64) *evidence {
-	return &evidence{effects: effects, sums: make([]float64, len(effects)), limit: limit}
+func newEvidence(effects []float64, horizon int, limit float64) *evidence {
+	return &evidence{
+		effects: effects, sums: make([]float64, len(effects)),
+		horizon: float64(max(horizon, 1)), waiting: 1, limit: limit,
+	}
+}
+
+// start returns the weight of a fault that begins at the present block: even up
+// to the horizon, and falling behind it so that all weights add up to one.
+func (e *evidence) start() float64 {
+	if e.blocks <= e.horizon {
+		return withinHorizon / e.horizon
+	}
+	return (1 - withinHorizon) * e.horizon / (e.blocks * (e.blocks - 1))
 }
 
 // observe takes in the blocks of several routes over the same span of time. The
@@ -61,7 +76,8 @@
 		return
 	}
 	e.blocks++
-	start := 1 / (e.blocks * (e.blocks + 1))
+	start := e.start()
+	e.waiting -= start
 	for i, effect := range e.effects {
 		v := 1.0
 		for _, b := range strata {
@@ -73,10 +89,9 @@
 
 // value returns the e-value up to now.
 func (e *evidence) value() float64 {
-	unstarted := 1 / (e.blocks + 1)
 	var sum float64
 	for _, s := range e.sums {
 		sum += s
 	}
-	return sum/float64(len(e.sums)) + unstarted
+	return sum/float64(len(e.sums)) + e.waiting
 }
--- a/internal/version/judge/judge.go
+++ b/internal/version/judge/judge.go
@@ -1,6 +1,9 @@
 package judge
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Outcome is what the evidence says at a moment.
 type Outcome int
@@ -48,6 +51,9 @@
 // Fault returns the failed comparison of a Bad verdict.
 func (v Verdict) Fault() Fault { return v.fault }
 
+// Found returns the Bad verdict for a fault that was found elsewhere.
+func Found(f Fault) Verdict { return Verdict{outcome: Bad, fault: f} }
+
 // Config holds the bounds of a judge.
 type Config struct {
 	// Alpha bounds the probability of a Bad verdict on a version that is no
@@ -63,18 +69,15 @@
 	// FailureCap and LatencyCap bound what one block may contribute, against
 	// outcomes within a block that depend on each other.
 	FailureCap, LatencyCap float64
-	// Calls is the number of finished calls on the new version that Good needs
-	// in an epoch.
-	Calls uint64
-	// RouteCalls is the number that Good needs on each busy route.
-	RouteCalls uint64
+	// Blocks is the number of blocks that a move is expected to have.
+	Blocks int
 }
 
 // DefaultConfig returns the bounds that the product uses on the leader.
 func DefaultConfig() Config {
 	return Config{
 		Alpha: 0.005, Latency: true, Shift: 2, Suspicion: 10,
-		FailureCap: maxBlockValue, LatencyCap: 6, Calls: 60, RouteCalls: 20,
+		FailureCap: maxBlockValue, LatencyCap: 6, Blocks: 1000,
 	}
 }
 
@@ -104,8 +107,12 @@
 	fault       *Fault
 }
 
-// A route is busy if it has at least one in busyRoute of the calls.
-const busyRoute = 20
+const (
+	// A route is busy if it has at least one in busyRoute of the calls.
+	busyRoute = 20
+	// A busy route needs one in routePart of the calls that all need together.
+	routePart = 3
+)
 
 var (
 	failureEffects = []float64{0.04, 0.2, 0.7}
@@ -128,7 +135,7 @@
 		limit *= 2
 	}
 	for _, route := range scopes {
-		j.add(route, Failure, 0, limit, newEvidence(failureEffects, config.FailureCap))
+		j.add(route, Failure, 0, limit, newEvidence(failureEffects, config.Blocks, config.FailureCap))
 	}
 	if !config.Latency {
 		return j
@@ -137,7 +144,7 @@
 	for _, route := range scopes {
 		for _, kind := range latencyKinds {
 			for _, q := range quantiles {
-				j.add(route, kind, q, limit, newEvidence(latencyEffects, config.LatencyCap))
+				j.add(route, kind, q, limit, newEvidence(latencyEffects, config.Blocks, config.LatencyCap))
 			}
 		}
 	}
@@ -150,6 +157,9 @@
 	})
 }
 
+// Interval is the time between two blocks: judges and guards look once in it.
+const Interval = time.Second
+
 // Observe takes in the cumulative counters of an epoch as one more block.
 // Counters of a new epoch start from zero. The block stays open, and nothing
 // is taken in, until both versions have finished a call in it.
@@ -175,13 +185,14 @@
 }
 
 // Verdict returns Bad once a comparison has failed. Otherwise it returns Good
-// if the routes have shown enough calls in the present epoch and no comparison
-// is under suspicion.
-func (j *Judge) Verdict(routes []string) Verdict {
+// if the routes have shown so many finished calls on the new version in the
+// present epoch, each busy route a part of them, and no comparison is under
+// suspicion.
+func (j *Judge) Verdict(routes []string, calls uint64) Verdict {
 	if j.fault != nil {
 		return Verdict{outcome: Bad, fault: *j.fault}
 	}
-	if j.enough(routes) && !j.suspects() {
+	if j.enough(routes, calls) && !j.suspects() {
 		return Verdict{outcome: Good}
 	}
 	return Verdict{}
@@ -205,14 +216,14 @@
 
 // enough also asks that calls to the new version do not hang: about as many of
 // those that were sent must have ended as on the old version.
-func (j *Judge) enough(routes []string) bool {
+func (j *Judge) enough(routes []string, calls uint64) bool {
 	var sum Pair
 	for _, route := range routes {
 		if p := j.seen[route]; p != nil {
 			sum.merge(p)
 		}
 	}
-	if sum.latest.finished < j.config.Calls || hangs(&sum) {
+	if sum.latest.finished < calls || hangs(&sum) {
 		return false
 	}
 	all := sum.old.finished + sum.latest.finished
@@ -221,7 +232,7 @@
 		if p == nil || (p.old.finished+p.latest.finished)*busyRoute < all {
 			continue
 		}
-		if p.latest.finished < j.config.RouteCalls || hangs(p) {
+		if p.latest.finished < calls/routePart || hangs(p) {
 			return false
 		}
 	}
--- a/internal/version/judge/judge_test.go
+++ b/internal/version/judge/judge_test.go
@@ -42,7 +42,7 @@
 			}
 		}
 		j.Observe(1, table)
-		if j.Verdict(nil).Outcome() == Bad {
+		if j.Verdict(nil, 0).Outcome() == Bad {
 			return i
 		}
 	}
@@ -104,7 +104,7 @@
 				return good, tt.bad
 			})
 			require.GreaterOrEqual(t, at, tt.begin)
-			f := j.Verdict(nil).Fault()
+			f := j.Verdict(nil, 0).Fault()
 			require.GreaterOrEqual(t, f.Value, f.Limit)
 			if tt.kind != "" {
 				require.Equal(t, tt.kind, f.Kind)
@@ -225,7 +225,7 @@
 		p.latest.record(Result{Failed: true})
 		j.Observe(1, table)
 	}
-	v := j.Verdict([]string{"answers"})
+	v := j.Verdict([]string{"answers"}, 60)
 	fmt.Println(v.Outcome(), v.Fault().Route, v.Fault().Kind)
 	// Output: bad answers failure
 }
--- a/internal/version/judge/recorder.go
+++ b/internal/version/judge/recorder.go
@@ -1,6 +1,9 @@
 package judge
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Subject is the move that an entry counts for one service.
 type Subject struct {
@@ -15,6 +18,13 @@
 	From, To string
 	// Routes are the names of the routes to the service.
 	Routes []string
+	// Window is the time from the begin of the move to its deadline.
+	Window time.Duration
+}
+
+func (s Subject) bounds(guard Config) Config {
+	guard.Blocks = int(s.Window / Interval)
+	return guard
 }
 
 // GuardConfig returns the bounds of the guard of one entry out of at most the
@@ -57,7 +67,7 @@
 	defer r.mu.Unlock()
 	l := r.services[s.Service]
 	if l == nil || l.subject.Move != s.Move {
-		r.services[s.Service] = &ledger{subject: s, table: make(Table), guard: New(r.guard, s.Routes)}
+		r.services[s.Service] = &ledger{subject: s, table: make(Table), guard: New(s.bounds(r.guard), s.Routes)}
 		return
 	}
 	l.mu.Lock()
@@ -92,7 +102,7 @@
 	})
 }
 
-// Check runs the guards. It is called a few times a second and returns the
+// Check runs the guards. It is called once in each Interval and returns the
 // faults that were found since the last call.
 func (r *Recorder) Check() []Fault {
 	var found []Fault
@@ -163,7 +173,7 @@
 		return Fault{}, false
 	}
 	l.guard.Observe(l.subject.Epoch, l.table)
-	v := l.guard.Verdict(nil)
+	v := l.guard.Verdict(nil, 0)
 	if v.Outcome() != Bad {
 		return Fault{}, false
 	}
