--- a/internal/process/gossiper/member.go
+++ b/internal/process/gossiper/member.go
@@ -179,3 +179,12 @@
 // Running returns the revision of the configuration that the member has in
 // force, or 0 if none is known.
 func (m Member) Running() uint64 { return m.record.Running }
+
+// GoneAt returns when the member left or was found dead, to the second, or the
+// zero time.
+func (m Member) GoneAt() time.Time {
+	if m.IsLive() {
+		return time.Time{}
+	}
+	return time.Unix(m.record.At, 0)
+}
--- a/internal/process/gossiper/prober.go
+++ b/internal/process/gossiper/prober.go
@@ -67,7 +67,7 @@
 	p := &c.prober
 	done := p.current
 	p.current = nil
-	p.results = append(p.results, probeResult{at: now, target: done.target, answered: done.answered})
+	p.results = append(p.results, probeResult{at: done.started, target: done.target, answered: done.answered})
 	if len(p.results) > probeLog {
 		p.results = p.results[1:]
 	}
@@ -251,12 +251,16 @@
 // Peers returns the number of other members that have not left.
 func (c Contact) Peers() int { return c.peers }
 
-// HasMost reports whether most peers are thought alive, and most of those that
-// were probed lately answered.
+// HasMost reports whether this node and the peers that are thought alive are
+// the majority, and likewise among those that were probed lately.
 func (c Contact) HasMost() bool {
-	return 2*c.live > c.peers && c.probed > 0 && 2*c.answered > c.probed
+	return isMajority(c.live, c.peers) && c.probed > 0 && isMajority(c.answered, c.probed)
 }
 
+// isMajority reports whether this node with some of its peers is more than
+// half of this node with all of them.
+func isMajority(some, all int) bool { return 2*(some+1) > all+1 }
+
 // Contact returns how far this node was in touch within the last bound. Dead
 // members count as peers out of touch.
 func (c *Core) Contact(now time.Time, bound time.Duration) Contact {
