--- /dev/null
+++ b/internal/process/runner/operators.go
@@ -0,0 +1,158 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hyssoprudder/internal/connection/operator"
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/process/proposer"
+)
+
+// currentRules returns the rules in force at this node.
+func (r *Runner) currentRules(context.Context) (operator.Rules, error) {
+	current := r.rules.current.Load()
+	if current == nil {
+		return operator.Rules{Lines: []operator.Line{}}, nil
+	}
+	return operator.Rules{Revision: current.revision, Text: current.rules.Text(), Lines: operatorLines(current.rules)}, nil
+}
+
+func operatorLines(rules *parser.Rules) []operator.Line {
+	lines := make([]operator.Line, 0, len(rules.Lines()))
+	for _, l := range rules.Lines() {
+		lines = append(lines, operator.Line{Number: l.Number(), Rule: l.Rule(), Asker: l.Asker(), Firm: l.Firm()})
+	}
+	return lines
+}
+
+// applyRules proposes new rules. The change id makes a repeated call safe.
+func (r *Runner) applyRules(ctx context.Context, change operator.Change) (operator.Changed, error) {
+	if _, err := parser.Parse(change.Text); err != nil {
+		return operator.Changed{}, &operator.Fault{Code: operator.CodeInvalid, Message: err.Error()}
+	}
+	result, err := r.state.proposer.Propose(ctx, applier.Command{RuleApply: &applier.RuleApply{
+		ChangeID: change.ID, Base: change.Base, Text: change.Text, By: change.By,
+	}})
+	if err != nil {
+		return operator.Changed{}, proposeFault(err)
+	}
+	if result.Rule.Outcome == applier.RuleConflict {
+		return operator.Changed{}, r.conflict(ctx, change.Base, result.Rule)
+	}
+	return operator.Changed{Revision: result.Rule.Revision}, nil
+}
+
+// conflict tells what changed since the base of a refused change.
+func (r *Runner) conflict(ctx context.Context, base uint64, result *applier.RuleResult) error {
+	fault := &operator.Fault{
+		Code:    operator.CodeConflict,
+		Message: fmt.Sprintf("revision %d by %s came first; nothing was changed", result.Revision, result.By),
+		Current: result.Revision,
+	}
+	revisions, err := r.state.proposer.History(ctx)
+	if err != nil {
+		return fault
+	}
+	texts := make(map[uint64]string, len(revisions))
+	for _, revision := range revisions {
+		texts[revision.Number] = revision.Text
+	}
+	added, removed := difference(texts[base], texts[result.Revision])
+	fault.Changes = &operator.Fields{Added: added, Removed: removed}
+	return fault
+}
+
+// history returns the accepted changes with the lines that each added and
+// removed. The lines of revisions that were compacted are gone.
+func (r *Runner) history(ctx context.Context) ([]operator.Revision, error) {
+	revisions, err := r.state.proposer.History(ctx)
+	if err != nil {
+		return nil, proposeFault(err)
+	}
+	out := make([]operator.Revision, 0, len(revisions))
+	before := ""
+	for _, revision := range revisions {
+		added, removed := difference(before, revision.Text)
+		out = append(out, operator.Revision{
+			Revision: revision.Number, At: time.Unix(0, revision.At).UTC(), By: revision.By,
+			Change: revision.ChangeID, Added: added, Removed: removed,
+		})
+		before = revision.Text
+	}
+	return out, nil
+}
+
+// difference returns the lines of rules that only one of two texts has.
+func difference(before, after string) (added, removed []operator.Line) {
+	old, fresh := parsedLines(before), parsedLines(after)
+	return without(fresh, old), without(old, fresh)
+}
+
+func parsedLines(text string) []operator.Line {
+	rules, err := parser.Parse(text)
+	if err != nil {
+		return nil
+	}
+	return operatorLines(rules)
+}
+
+// without returns the lines whose text is not among the others.
+func without(lines, others []operator.Line) []operator.Line {
+	seen := make(map[operator.Line]bool, len(others))
+	for _, l := range others {
+		l.Number = 0
+		seen[l] = true
+	}
+	rest := []operator.Line{}
+	for _, l := range lines {
+		key := l
+		key.Number = 0
+		if !seen[key] {
+			rest = append(rest, l)
+		}
+	}
+	return rest
+}
+
+func (r *Runner) endpoints() []operator.Endpoint {
+	all := r.table.All()
+	out := make([]operator.Endpoint, 0, len(all))
+	for _, e := range all {
+		out = append(out, operator.Endpoint{
+			ID: e.ID(), Service: e.Service(), Version: e.Version(), Domain: e.Domain(), Address: e.Address().String(),
+			Class: e.Class(), Market: string(e.Market()), Price: e.Price(), Leaving: r.table.Leaving(e.ID()),
+		})
+	}
+	return out
+}
+
+func (r *Runner) claim(ctx context.Context, customer, key string) (operator.Claim, error) {
+	claim, ok, err := r.state.proposer.Claim(ctx, customer, key)
+	if err != nil {
+		return operator.Claim{}, proposeFault(err)
+	}
+	if !ok {
+		return operator.Claim{}, &operator.Fault{Code: operator.CodeMissing, Message: "no claim of that customer with that key; it may have expired"}
+	}
+	out := operator.Claim{
+		Customer: customer, Key: key, State: string(claim.Outcome), Entry: claim.Entry, Request: claim.Request,
+		Expires: time.Unix(0, claim.Expires).UTC(),
+	}
+	if claim.Answer != nil {
+		out.Status = claim.Answer.Status
+	}
+	return out, nil
+}
+
+// proposeFault says what an error of the replicated state means to an operator.
+func proposeFault(err error) error {
+	code := operator.CodeUnavailable
+	if errors.Is(err, proposer.ErrUnknown) {
+		code = operator.CodeUnknown
+	}
+	return &operator.Fault{Code: code, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/process/runner/platform.go
@@ -0,0 +1,95 @@
+package runner
+
+import (
+	"context"
+	"sync"
+
+	"hyssoprudder/internal/connection/provisioner"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+)
+
+// watcher polls the platform's list and notices, and marks leaving endpoints
+// in the table.
+type watcher struct {
+	runner *Runner
+	client *provisioner.Client
+	after  uint64
+	// marked is told of each endpoint that was newly found to be leaving.
+	marked func(id string)
+
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+func (w *watcher) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.group.Add(1)
+	go w.run(ctx)
+}
+
+func (w *watcher) stop() {
+	w.cancel()
+	w.group.Wait()
+	w.client.Close()
+}
+
+func (w *watcher) run(ctx context.Context) {
+	defer w.group.Done()
+	for {
+		w.poll(ctx)
+		if !clock.Sleep(w.runner.clock, w.runner.settings.Limits().Poll(), ctx.Done()) {
+			return
+		}
+	}
+}
+
+func (w *watcher) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.runner.settings.Limits().Poll()*pollPatience)
+	defer cancel()
+	w.pollNotices(ctx)
+	list, err := w.client.Instances(ctx)
+	if err != nil {
+		w.runner.log.Warn("platform list kept", "err", err)
+		return
+	}
+	listed := make([]lister.Listed, 0, len(list.Instances))
+	for _, instance := range list.Instances {
+		endpoint, err := instance.Endpoint()
+		if err != nil {
+			w.runner.log.Warn("instance passed over", "id", instance.ID, "err", err)
+			continue
+		}
+		listed = append(listed, lister.Listed{Endpoint: endpoint, Leaving: instance.Leaving()})
+	}
+	for _, id := range w.runner.table.SetListed(listed, w.runner.clock.Now()) {
+		w.report(id, "list")
+	}
+}
+
+// pollPatience bounds one poll, in poll intervals.
+const pollPatience = 5
+
+// pollNotices marks the endpoints whose reclaim was announced. A notice may
+// come twice; the second one is no news.
+func (w *watcher) pollNotices(ctx context.Context) {
+	notices, err := w.client.Notices(ctx, w.after)
+	if err != nil {
+		w.runner.log.Warn("notices not read", "err", err)
+		return
+	}
+	for _, notice := range notices {
+		w.after = max(w.after, notice.Seq)
+		if w.runner.table.Mark(notice.ID, w.runner.clock.Now()) {
+			w.report(notice.ID, "notice")
+		}
+	}
+}
+
+func (w *watcher) report(id, source string) {
+	w.runner.log.Info("endpoint leaving", "endpoint", id, "source", source)
+	if w.marked != nil {
+		w.marked(id)
+	}
+}
--- /dev/null
+++ b/internal/process/runner/runner.go
@@ -0,0 +1,201 @@
+// Package runner assembles a node from its parts, starts it and stops it
+// without cutting calls.
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"hyssoprudder/internal/connection/certifier"
+	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/connection/messenger"
+	"hyssoprudder/internal/connection/operator"
+	"hyssoprudder/internal/connection/server"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/meter"
+	"hyssoprudder/internal/process/settings"
+)
+
+// Runner is one node.
+type Runner struct {
+	settings    *settings.Settings
+	clock       clock.Clock
+	log         *log.Logger
+	registry    *prometheus.Registry
+	incarnation uint64
+	failed      chan error
+	stopping    atomic.Bool
+
+	rules     holder
+	table     *lister.Table
+	dialer    *dialer.Dialer
+	messenger *messenger.Messenger
+	state     *stateParts
+	callers   *server.Server // nil without the role entry
+	operators *operator.Server
+}
+
+// New makes a node from its settings. Nothing listens yet.
+func New(s *settings.Settings, c clock.Clock, l *log.Logger) (*Runner, error) {
+	r := &Runner{
+		settings: s, clock: c, log: l,
+		registry:    prometheus.NewRegistry(),
+		incarnation: uint64(c.Now().UnixNano()),
+		failed:      make(chan error, 1),
+		table:       lister.NewTable(),
+		dialer:      dialer.New(),
+	}
+	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	cert, err := r.certifier()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.buildMessenger(); err != nil {
+		return nil, err
+	}
+	if err := r.buildState(); err != nil {
+		return nil, err
+	}
+	if s.Has(settings.RoleEntry) {
+		r.buildCallers(cert)
+	}
+	return r, r.buildOperators(cert)
+}
+
+func (r *Runner) certifier() (*certifier.Certifier, error) {
+	cert, key := r.settings.Certificate()
+	if cert == "" {
+		return nil, nil //nolint:nilnil // no certificate means no TLS
+	}
+	return certifier.New(cert, key, r.clock, func(err error) { r.log.Error("certificate kept", "err", err) })
+}
+
+func (r *Runner) buildMessenger() error {
+	keys, err := readKeys(r.settings.Key())
+	if err != nil {
+		return err
+	}
+	r.messenger, err = messenger.New(messenger.Config{
+		ID: r.settings.ID(), Incarnation: r.incarnation, Listen: r.settings.Nodes(),
+		Key: keys[0], Accepted: keys[1:], Clock: r.clock, Log: r.log.With("part", "messenger"), Registerer: r.registry,
+	})
+	return err
+}
+
+// readKeys returns the keys of the file, one a line; the first one signs.
+func readKeys(path string) ([][]byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read the deployment's key: %w", err)
+	}
+	var keys [][]byte
+	for _, line := range strings.Fields(string(raw)) {
+		keys = append(keys, []byte(line))
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("%s holds no key; make one with \"hyssoprudder key create\"", path)
+	}
+	return keys, nil
+}
+
+func (r *Runner) buildCallers(cert *certifier.Certifier) {
+	r.callers = server.New(server.Config{
+		Listen: r.settings.Callers(), Limits: r.settings.Limits(), Certifier: cert,
+		Clock: r.clock, Log: r.log, Meter: meter.NewCalls(r.registry),
+		Rules: r.rules.rules, Ready: r.ready, Serve: r.newHandler().Serve,
+	})
+}
+
+func (r *Runner) buildOperators(cert *certifier.Certifier) error {
+	token, err := os.ReadFile(r.settings.Token())
+	if err != nil {
+		return fmt.Errorf("read the operators' token: %w", err)
+	}
+	if strings.TrimSpace(string(token)) == "" {
+		return fmt.Errorf("%s holds no token; make one with \"hyssoprudder key create\"", r.settings.Token())
+	}
+	r.operators = operator.NewServer(operator.Config{
+		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Log: r.log,
+		Metrics: promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}),
+		Rules:   r.currentRules, Apply: r.applyRules, History: r.history, Waiting: r.waiting,
+		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, State: r.dump,
+	})
+	return nil
+}
+
+// Start listens and begins to take part. It returns once every port is bound;
+// readiness follows when the rules in force are known.
+func (r *Runner) Start() error {
+	// The keeper offers its services to the messenger, so it comes first.
+	if err := r.startKeeper(); err != nil {
+		return err
+	}
+	if err := r.messenger.Start(); err != nil {
+		return err
+	}
+	r.startState()
+	if r.callers != nil {
+		if err := r.callers.Start(); err != nil {
+			return err
+		}
+	}
+	if err := r.operators.Start(); err != nil {
+		return err
+	}
+	r.log.Info("started", "nodes", r.messenger.Address(), "callers", r.callersAddress(), "operators", r.operators.Address())
+	return nil
+}
+
+func (r *Runner) callersAddress() netip.AddrPort {
+	if r.callers == nil {
+		return netip.AddrPort{}
+	}
+	return r.callers.Address()
+}
+
+// Failed returns a channel that receives the error of a part that cannot go on.
+func (r *Runner) Failed() <-chan error { return r.failed }
+
+var errStopping = errors.New("the node is stopping")
+
+// ready returns why the node should get no calls, or nil.
+func (r *Runner) ready() error {
+	if r.stopping.Load() {
+		return errStopping
+	}
+	return r.inForce()
+}
+
+// Stop ends the node without cutting calls: it reports itself not ready, waits
+// until the balancer has surely seen it, finishes what runs, hands leadership
+// over and leaves. When ctx ends first, what still runs is cut and counted in
+// the log.
+func (r *Runner) Stop(ctx context.Context) error {
+	r.stopping.Store(true)
+	var cut int64
+	if r.callers != nil {
+		r.callers.Drain()
+		clock.Sleep(r.clock, r.settings.Limits().Lame(), ctx.Done())
+		cut = r.callers.Stop(ctx)
+	}
+	r.stopState(ctx)
+	r.operators.Stop(ctx)
+	err := r.messenger.Stop(ctx)
+	r.dialer.Close()
+	r.log.Info("stopped", "cut", cut)
+	if cut > 0 {
+		return fmt.Errorf("%d calls were cut at the end of the time to stop", cut)
+	}
+	return err
+}
