Claim calls that run once and send commands from every node

Cause: entries without a disk change and read the replicated state too, and a call that must not be repeated needs its key claimed before the first byte.

Ruled out: treating a proposal of which some commands were overwritten as not committed (it is unknown); waiting in the joiner for an entry that has restarted (it can never send the call, so the status path or 'unknown' answers at once).

--- a/internal/process/applier/applier.go
+++ b/internal/process/applier/applier.go
@@ -20,6 +20,8 @@
 	MaxKeep = 24 * time.Hour
 	// MinKeep is the shortest time by which a claim outlives its deadline.
 	MinKeep = time.Minute
+	// ForbidKeep is how long a request is refused whose grant was never seen.
+	ForbidKeep = time.Hour
 	// MaxAnswer is the size in bytes up to which the body of an answer is kept.
 	MaxAnswer = 64 << 10
 	// MaxClaimBytes bounds the memory of all claims, in bytes.
--- a/internal/process/applier/claims.go
+++ b/internal/process/applier/claims.go
@@ -205,9 +205,12 @@
 		t.put(&next)
 		return &ClaimResult{Outcome: ClaimRecorded}
 	}
+	if t.bytes > MaxClaimBytes {
+		return &ClaimResult{Outcome: ClaimFull}
+	}
 	t.put(&Claim{
 		Customer: f.Customer, Key: f.Key, Request: f.Request, Outcome: OutcomeNotRun, Keep: MinKeep,
-		Expires: now + int64(MaxKeep), Released: []string{f.Request},
+		Expires: now + int64(ForbidKeep), Released: []string{f.Request},
 	})
 	return &ClaimResult{Outcome: ClaimRecorded}
 }
--- a/internal/process/applier/command.go
+++ b/internal/process/applier/command.go
@@ -224,3 +224,17 @@
 	Deadline int64        `msgpack:"d,omitempty"`
 	Answer   *Answer      `msgpack:"a,omitempty"`
 }
+
+// ClaimKey returns the customer and key of a command on a claim, else empty
+// strings.
+func (c Command) ClaimKey() (customer, key string) {
+	switch {
+	case c.ClaimGrant != nil:
+		return c.ClaimGrant.Customer, c.ClaimGrant.Key
+	case c.ClaimFinish != nil:
+		return c.ClaimFinish.Customer, c.ClaimFinish.Key
+	case c.ClaimResolve != nil:
+		return c.ClaimResolve.Customer, c.ClaimResolve.Key
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/process/journaler/journaler_test.go
@@ -0,0 +1,252 @@
+package journaler_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/journaler"
+)
+
+func entry(index, term uint64) journaler.Entry {
+	return journaler.Entry{Index: index, Term: term, Kind: journaler.KindCommand, Data: []byte(fmt.Sprint("entry ", index, " of ", term))}
+}
+
+func open(t require.TestingT, folder string, o journaler.Options) *journaler.Journal {
+	j, err := journaler.Open(folder, o)
+	require.NoError(t, err)
+	return j
+}
+
+// filled returns a folder with a state and ten entries in groups of two.
+func filled(t *testing.T, o journaler.Options) string {
+	folder := filepath.Join(t.TempDir(), "log")
+	j := open(t, folder, o)
+	require.NoError(t, j.SaveState(journaler.State{Identity: "id", Cluster: "c", Term: 3, Vote: "other"}))
+	for i := uint64(1); i <= 10; i += 2 {
+		require.NoError(t, j.Append([]journaler.Entry{entry(i, 1), entry(i+1, 1)}))
+	}
+	require.NoError(t, j.Close())
+	return folder
+}
+
+func segments(t *testing.T, folder string) []string {
+	list, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	return list
+}
+
+func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	folder := filled(t, journaler.Options{})
+	path := segments(t, folder)[0]
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	last := len(whole) / 5 * 4 // all groups have nearly the same size
+	for size := last + 8; size < len(whole); size++ {
+		require.NoError(t, os.WriteFile(path, whole[:size], 0o600))
+		j := open(t, folder, journaler.Options{})
+		require.Len(t, j.TakeEntries(), 8, "cut at byte %d of %d", size, len(whole))
+		require.NoError(t, j.Append([]journaler.Entry{entry(9, 2)}))
+		require.NoError(t, j.Close())
+		j = open(t, folder, journaler.Options{})
+		require.Equal(t, uint64(2), j.TakeEntries()[8].Term)
+		require.NoError(t, j.Close())
+	}
+}
+
+func TestDamageIsRefused(t *testing.T) {
+	tests := map[string]func(t *testing.T, folder string){
+		"a bit in an earlier record": func(t *testing.T, folder string) { flip(t, segments(t, folder)[0], 40) },
+		"a length in an earlier record": func(t *testing.T, folder string) {
+			flip(t, segments(t, folder)[0], 6)
+		},
+		"the state":            func(t *testing.T, folder string) { flip(t, filepath.Join(folder, "state"), 20) },
+		"the state is missing": func(t *testing.T, folder string) { require.NoError(t, os.Remove(filepath.Join(folder, "state"))) },
+		"the end of an older segment": func(t *testing.T, folder string) {
+			require.NoError(t, os.Truncate(segments(t, folder)[0], 30))
+		},
+		"a missing segment": func(t *testing.T, folder string) { require.NoError(t, os.Remove(segments(t, folder)[1])) },
+		"the first segment is missing": func(t *testing.T, folder string) {
+			require.NoError(t, os.Remove(segments(t, folder)[0]))
+		},
+	}
+	for name, damage := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := filled(t, journaler.Options{SegmentSize: 100})
+			require.Greater(t, len(segments(t, folder)), 2)
+			damage(t, folder)
+			_, err := journaler.Open(folder, journaler.Options{})
+			var damaged *journaler.DamageError
+			require.ErrorAs(t, err, &damaged)
+			require.NotEmpty(t, damaged.File)
+		})
+	}
+}
+
+func TestDamageInsideTheLastSegmentIsRefused(t *testing.T) {
+	folder := filled(t, journaler.Options{})
+	flip(t, segments(t, folder)[0], 40)
+	_, err := journaler.Open(folder, journaler.Options{})
+	var damaged *journaler.DamageError
+	require.ErrorAs(t, err, &damaged)
+	require.Zero(t, damaged.Offset)
+}
+
+func flip(t *testing.T, path string, at int) {
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	data[at] ^= 0x10
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+}
+
+// faulty is a file whose operations fail when told to.
+type faulty struct {
+	journaler.File
+	faults *faults
+}
+
+type faults struct {
+	write, sync error
+	partial     bool
+}
+
+func (f *faulty) Write(p []byte) (int, error) {
+	if f.faults.write == nil {
+		return f.File.Write(p)
+	}
+	if f.faults.partial {
+		p = p[:len(p)/2]
+	} else {
+		p = nil
+	}
+	n, _ := f.File.Write(p)
+	return n, f.faults.write
+}
+
+func (f *faulty) Sync() error {
+	if f.faults.sync != nil {
+		return f.faults.sync
+	}
+	return f.File.Sync()
+}
+
+func TestNothingIsAcknowledgedAfterAFailure(t *testing.T) {
+	broken := errors.New("broken")
+	tests := map[string]faults{
+		"full disk":       {write: broken},
+		"partial write":   {write: broken, partial: true},
+		"failing sync":    {sync: broken},
+		"state not saved": {},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := filled(t, journaler.Options{})
+			files, active := journaler.SystemFiles(), &faults{}
+			appendTo, replace := files.Append, files.Replace
+			files.Append = func(path string, size int64) (journaler.File, error) {
+				f, err := appendTo(path, size)
+				return &faulty{File: f, faults: active}, err
+			}
+			files.Replace = func(path string, data []byte) error {
+				if fault == (faults{}) {
+					return broken
+				}
+				return replace(path, data)
+			}
+			j := open(t, folder, journaler.Options{Files: files})
+			*active = fault
+			if fault == (faults{}) {
+				require.ErrorIs(t, j.SaveState(journaler.State{Identity: "id", Term: 9}), broken)
+			} else {
+				require.ErrorIs(t, j.Append([]journaler.Entry{entry(11, 3)}), broken)
+			}
+			*active = faults{}
+			require.ErrorIs(t, j.Append([]journaler.Entry{entry(11, 3)}), journaler.ErrFailed, "the failure is final")
+			require.ErrorIs(t, j.SaveState(journaler.State{}), journaler.ErrFailed)
+			require.NoError(t, j.Close())
+			j = open(t, folder, journaler.Options{})
+			require.GreaterOrEqual(t, len(j.TakeEntries()), 10)
+			require.NoError(t, j.Close())
+		})
+	}
+}
+
+func TestFolderIsUsedByOneProcess(t *testing.T) {
+	folder := filled(t, journaler.Options{})
+	j := open(t, folder, journaler.Options{})
+	_, err := journaler.Open(folder, journaler.Options{})
+	require.Error(t, err)
+	require.NoError(t, j.Close())
+}
+
+// TestJournalAgreesWithPlainSlice compares a journal, reopened at random, with
+// a slice: appends that replace a suffix, snapshots, compaction and reset.
+func TestJournalAgreesWithPlainSlice(t *testing.T) {
+	base := t.TempDir()
+	run := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run++
+		folder := filepath.Join(base, fmt.Sprint(run))
+		o := journaler.Options{SegmentSize: 150}
+		j := open(t, folder, o)
+		state := journaler.State{Identity: "id", Term: 1}
+		require.NoError(t, j.SaveState(state))
+		var want []journaler.Entry
+		first, snapTerm := uint64(1), uint64(0) // of the entries in want
+		for range 40 {
+			last := first + uint64(len(want)) - 1
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				if len(want) == 0 {
+					continue
+				}
+				at := rapid.IntRange(0, len(want)-1).Draw(t, "snapshot")
+				snapTerm = want[at].Term
+				s := journaler.Snapshot{Index: want[at].Index, Term: snapTerm, Data: []byte("s")}
+				require.NoError(t, j.WriteSnapshot(s))
+				if rapid.Bool().Draw(t, "compact") {
+					require.NoError(t, j.Compact(s.Index))
+				}
+				want, first = want[at+1:], s.Index+1
+				require.NoError(t, j.Close())
+				j = open(t, folder, o)
+				require.Equal(t, s, j.TakeSnapshot())
+			case 1:
+				s := journaler.Snapshot{Index: last + uint64(rapid.IntRange(1, 5).Draw(t, "ahead")), Term: state.Term}
+				require.NoError(t, j.WriteSnapshot(s))
+				if rapid.Bool().Draw(t, "crash before reset") {
+					require.NoError(t, j.Close())
+					j = open(t, folder, o)
+				} else {
+					require.NoError(t, j.Reset(s.Index))
+				}
+				want, first = nil, s.Index+1
+			case 2:
+				state.Term++
+				require.NoError(t, j.SaveState(state))
+			default:
+				at := first + uint64(rapid.IntRange(0, len(want)).Draw(t, "at"))
+				var group []journaler.Entry
+				for i := range uint64(rapid.IntRange(1, 4).Draw(t, "group")) {
+					group = append(group, entry(at+i, state.Term))
+				}
+				require.NoError(t, j.Append(group))
+				want = append(want[:at-first:at-first], group...)
+			}
+			require.NoError(t, j.Close())
+			j = open(t, folder, o)
+			require.Equal(t, state, j.State())
+			got := j.TakeEntries()
+			require.Len(t, got, len(want))
+			for i := range want {
+				require.Equal(t, want[i], got[i])
+			}
+		}
+		require.NoError(t, j.Close())
+	})
+}
--- a/internal/process/keeper/propose.go
+++ b/internal/process/keeper/propose.go
@@ -14,7 +14,7 @@
 	done     chan error
 	results  []applier.Result
 	open     int
-	lost     bool
+	lost     int
 }
 
 // waiter is the place of one command of a proposal in the log.
@@ -29,16 +29,19 @@
 	if own {
 		p.results[position] = result
 	} else {
-		p.lost = true
+		p.lost++
 	}
 	if p.open > 0 {
 		return
 	}
-	if p.lost {
+	switch p.lost {
+	case 0:
+		p.finish(nil)
+	case len(p.results):
 		p.finish(ErrOverwritten)
-		return
+	default:
+		p.finish(ErrUnknown) // some commands were executed
 	}
-	p.finish(nil)
 }
 
 func (p *proposal) finish(err error) {
--- /dev/null
+++ b/internal/process/proposer/read.go
@@ -0,0 +1,93 @@
+package proposer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/keeper"
+)
+
+// Rules returns the newest committed revision of the rules.
+func (p *Proposer) Rules(ctx context.Context) (applier.Revision, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Rules: true})
+	return reply.Rules, err
+}
+
+// History returns the kept revisions of the rules, the oldest first.
+func (p *Proposer) History(ctx context.Context) ([]applier.Revision, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{History: true})
+	return reply.History, err
+}
+
+// Moves returns the states of all version moves.
+func (p *Proposer) Moves(ctx context.Context) ([]applier.Move, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Moves: true})
+	return reply.Moves, err
+}
+
+// Intents returns all capacity intents.
+func (p *Proposer) Intents(ctx context.Context) ([]applier.Intent, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Intents: true})
+	return reply.Intents, err
+}
+
+// Claim returns the record of a customer's key, if there is one.
+func (p *Proposer) Claim(ctx context.Context, customer, key string) (applier.Claim, bool, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Claim: &keeper.ClaimQuery{Customer: customer, Key: key}})
+	if err != nil || reply.Claim == nil {
+		return applier.Claim{}, false, err
+	}
+	return *reply.Claim, true, nil
+}
+
+// read asks leaders until one answers or ctx ends.
+func (p *Proposer) read(ctx context.Context, args keeper.ReadArgs) (keeper.ReadReply, error) {
+	ctx, cancel := withDefault(ctx)
+	defer cancel()
+	for {
+		var reply keeper.ReadReply
+		args.Wait = p.attemptWait(ctx)
+		to, err := p.ask(ctx, keeper.ReadMethod(p.config.Journal), &args, &reply)
+		if err == nil && reply.Answer == keeper.AnswerOK {
+			return reply, nil
+		}
+		hint := reply.Leader
+		if err != nil {
+			hint = netip.AddrPort{}
+		}
+		p.redirect(to, hint)
+		if ctx.Err() != nil || !clock.Sleep(p.config.Clock, retryPause, ctx.Done()) {
+			return keeper.ReadReply{}, fmt.Errorf("read log %s: %w", p.config.Journal, ctx.Err())
+		}
+	}
+}
+
+// Spread divides claims over several logs by a hash of customer and key. The
+// number and order of the logs must be the same at all nodes.
+type Spread struct {
+	logs []*Proposer
+}
+
+// NewSpread returns a spread over logs.
+func NewSpread(logs ...*Proposer) *Spread { return &Spread{logs: logs} }
+
+// Pick returns the log that holds the claims of a customer's key.
+func (s *Spread) Pick(customer, key string) *Proposer {
+	return s.logs[xxhash.Sum64String(customer+"\x00"+key)%uint64(len(s.logs))]
+}
+
+// Propose has a command on a claim executed in the log of its customer and key.
+func (s *Spread) Propose(ctx context.Context, c applier.Command) (applier.Result, error) {
+	customer, key := c.ClaimKey()
+	return s.Pick(customer, key).Propose(ctx, c)
+}
+
+// Claim returns the record of a customer's key, if there is one.
+func (s *Spread) Claim(ctx context.Context, customer, key string) (applier.Claim, bool, error) {
+	return s.Pick(customer, key).Claim(ctx, customer, key)
+}
