--- a/internal/standin/trial/world.go
+++ b/internal/standin/trial/world.go
@@ -222,7 +222,7 @@
 		if w.chance(w.scenario.Chaos.DigestLoss) {
 			continue
 		}
-		b, err := e.recorder.Digest().Encode()
+		b, err := e.recorder.Encode(1000)
 		if err != nil {
 			panic(err)
 		}
--- a/internal/version/judge/counts.go
+++ b/internal/version/judge/counts.go
@@ -111,6 +111,7 @@
 
 // Pair holds what the old and the new version showed on one route.
 type Pair struct {
+	events uint64
 	old    Counts
 	latest Counts
 }
@@ -122,12 +123,13 @@
 func (p *Pair) New() *Counts { return &p.latest }
 
 func (p *Pair) merge(other *Pair) {
+	p.events += other.events
 	p.old.merge(&other.old)
 	p.latest.merge(&other.latest)
 }
 
 func (p *Pair) since(earlier *Pair) Pair {
-	return Pair{old: p.old.since(&earlier.old), latest: p.latest.since(&earlier.latest)}
+	return Pair{events: p.events - min(earlier.events, p.events), old: p.old.since(&earlier.old), latest: p.latest.since(&earlier.latest)}
 }
 
 // Table holds one Pair a route.
--- a/internal/version/judge/digest.go
+++ b/internal/version/judge/digest.go
@@ -30,7 +30,6 @@
 	Service string
 	Move    uint64
 	Epoch   uint64
-	Seq     uint64 // number of events that were counted in the epoch
 	Tripped *Fault
 	Routes  []RouteDigest
 }
@@ -40,6 +39,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
 	Route string
+	Seq   uint64 // number of events that were counted on the route in the epoch
 	Old   CountsDigest
 	New   CountsDigest
 }
@@ -68,6 +68,58 @@
 	return buf.Bytes(), nil
 }
 
+// within returns the encoded part of the digest that fits into limit bytes,
+// beginning with the given route, and the number of routes in it. What does not
+// fit has its turn in a later digest.
+func (d *Digest) within(limit, first int) ([]byte, int, error) {
+	part := &Digest{Entry: d.Entry, Incarnation: d.Incarnation}
+	type place struct{ move, route int }
+	var places []place
+	for i, m := range d.Moves {
+		for k := range m.Routes {
+			places = append(places, place{move: i, route: k})
+		}
+		m.Routes = nil
+		part.Moves = append(part.Moves, m)
+	}
+	encoded, err := part.Encode()
+	if err != nil {
+		return nil, 0, err
+	}
+	for n := range places {
+		at := places[(first+n)%len(places)]
+		m := &part.Moves[at.move]
+		m.Routes = append(m.Routes, d.Moves[at.move].Routes[at.route])
+		longer, err := part.fit(m, limit, n == 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		if len(longer) > limit {
+			return encoded, n, nil
+		}
+		encoded = longer
+	}
+	return encoded, len(places), nil
+}
+
+// fit encodes the digest. If the last route is alone and too long, it leaves
+// out latencies; as counters only grow, the same ones stay out from then on.
+func (d *Digest) fit(m *MoveDigest, limit int, alone bool) ([]byte, error) {
+	r := &m.Routes[len(m.Routes)-1]
+	shorter := []func(){
+		func() { r.Old.Next, r.New.Next = nil, nil },
+		func() { r.Old.First, r.New.First = nil, nil },
+		func() { r.Old.Total, r.New.Total = nil, nil },
+	}
+	encoded, err := d.Encode()
+	for alone && err == nil && len(encoded) > limit && len(shorter) > 0 {
+		shorter[0]()
+		shorter = shorter[1:]
+		encoded, err = d.Encode()
+	}
+	return encoded, err
+}
+
 // DecodeDigest reads what Encode wrote.
 func DecodeDigest(b []byte) (*Digest, error) {
 	var d Digest
@@ -85,7 +137,9 @@
 func digestTable(t Table) []RouteDigest {
 	routes := make([]RouteDigest, 0, len(t))
 	for route, p := range t {
-		routes = append(routes, RouteDigest{Route: route, Old: digestCounts(&p.old), New: digestCounts(&p.latest)})
+		routes = append(routes, RouteDigest{
+			Route: route, Seq: p.events, Old: digestCounts(&p.old), New: digestCounts(&p.latest),
+		})
 	}
 	slices.SortFunc(routes, func(a, b RouteDigest) int {
 		return cmp.Compare(a.Route, b.Route)
@@ -115,7 +169,7 @@
 		if err != nil {
 			return nil, err
 		}
-		t[r.Route] = &Pair{old: old, latest: latest}
+		t[r.Route] = &Pair{events: r.Seq, old: old, latest: latest}
 	}
 	return t, nil
 }
--- a/internal/version/judge/judge_test.go
+++ b/internal/version/judge/judge_test.go
@@ -152,6 +152,7 @@
 func TestTallyDoesNotDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var sent [][]byte
+		limit := rapid.SampledFrom([]int{100, 1000}).Draw(t, "limit")
 		naive := make(Table)
 		for i := range rapid.IntRange(1, 5).Draw(t, "incarnations") {
 			r := NewRecorder(fmt.Sprintf("entry%d", i%2), uint64(i), GuardConfig(0.005, 16))
@@ -163,10 +164,15 @@
 				r.Record("pumice", route, "13", result)
 				naive.pair(route).latest.started++
 				naive.pair(route).latest.record(result)
-				b, err := r.Digest().Encode()
+				naive.pair(route).events += 2
+				b, err := r.Encode(limit)
 				require.NoError(t, err)
+				require.LessOrEqual(t, len(b), limit)
 				sent = append(sent, b)
 			}
+			b, err := r.Encode(limit)
+			require.NoError(t, err)
+			sent = append(sent, b)
 		}
 		tally := NewTally(9, 2)
 		for _, b := range rapid.Permutation(append(sent, sent...)).Draw(t, "order") {
@@ -229,3 +235,34 @@
 	fmt.Println(v.Outcome(), v.Fault().Route, v.Fault().Kind)
 	// Output: bad answers failure
 }
+
+// The digest of a busy entry fits into one datagram of the gossip.
+func TestDigestFits(t *testing.T) {
+	const limit = 1000 // bytes
+	r := NewRecorder("entry-reykjavik-a-1", 1<<60, GuardConfig(0.005, 16))
+	rng := rand.New(rand.NewPCG(1, 1))
+	tally := NewTally(9, 1)
+	routes := []string{"answers", "summaries", "drafts", "notes"}
+	r.Follow(Subject{Move: 9, Epoch: 1, Service: "pumice", From: "12", To: "13", Routes: routes})
+	for range 20000 {
+		first := time.Duration(float64(100*time.Millisecond) * (0.3 + rng.ExpFloat64()))
+		for i, version := range []string{"12", "13"} {
+			r.Begin("pumice", routes[i], version)
+			r.Record("pumice", routes[rng.IntN(4)], version, Result{First: first, Next: first / 8, Total: 9 * first})
+		}
+	}
+	for range 4 {
+		b, err := r.Encode(limit)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(b), limit)
+		d, err := DecodeDigest(b)
+		require.NoError(t, err)
+		require.NoError(t, tally.Merge(d))
+	}
+	want, err := tableOf(r.Digest().Moves[0].Routes)
+	require.NoError(t, err)
+	require.Equal(t, want, tally.Table())
+	whole, err := r.Digest().Encode()
+	require.NoError(t, err)
+	t.Logf("all %d routes take %d bytes", len(routes), len(whole))
+}
--- a/internal/version/judge/recorder.go
+++ b/internal/version/judge/recorder.go
@@ -1,6 +1,8 @@
 package judge
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,13 +46,13 @@
 
 	mu       sync.RWMutex
 	services map[string]*ledger
+	cursor   int // route with which the next digest begins
 }
 
 type ledger struct {
 	mu      sync.Mutex
 	subject Subject
 	table   Table
-	seq     uint64
 	guard   *Judge
 	tripped *Fault
 }
@@ -75,7 +77,6 @@
 	if s.Epoch > l.subject.Epoch {
 		l.subject = s
 		l.table = make(Table)
-		l.seq = 0
 	}
 }
 
@@ -134,6 +135,17 @@
 	return d
 }
 
+// Encode returns a digest of at most limit bytes. If not all routes fit, they
+// take turns.
+func (r *Recorder) Encode(limit int) ([]byte, error) {
+	d := r.Digest()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	encoded, taken, err := d.within(limit, r.cursor)
+	r.cursor += taken
+	return encoded, err
+}
+
 func (r *Recorder) ledger(service string) *ledger {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -144,8 +156,8 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	all := make([]*ledger, 0, len(r.services))
-	for _, l := range r.services {
-		all = append(all, l)
+	for _, service := range slices.Sorted(maps.Keys(r.services)) {
+		all = append(all, r.services[service])
 	}
 	return all
 }
@@ -157,12 +169,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seq++
+	p := l.table.pair(route)
+	p.events++
 	switch version {
 	case l.subject.From:
-		change(&l.table.pair(route).old)
+		change(&p.old)
 	case l.subject.To:
-		change(&l.table.pair(route).latest)
+		change(&p.latest)
 	}
 }
 
@@ -190,7 +203,6 @@
 		Service: l.subject.Service,
 		Move:    l.subject.Move,
 		Epoch:   l.subject.Epoch,
-		Seq:     l.seq,
 		Tripped: l.tripped,
 		Routes:  digestTable(l.table),
 	}
--- a/internal/version/judge/tally.go
+++ b/internal/version/judge/tally.go
@@ -14,7 +14,7 @@
 type Tally struct {
 	move    uint64
 	epoch   uint64
-	entries map[string]map[uint64]report
+	entries map[string]map[uint64]Table
 	tripped map[string]Fault
 }
 
@@ -23,7 +23,7 @@
 	return &Tally{
 		move:    move,
 		epoch:   epoch,
-		entries: make(map[string]map[uint64]report),
+		entries: make(map[string]map[uint64]Table),
 		tripped: make(map[string]Fault),
 	}
 }
@@ -55,7 +55,7 @@
 		if err != nil {
 			return fmt.Errorf("merge digest of entry %s: %w", d.Entry, err)
 		}
-		t.keep(d.Entry, d.Incarnation, report{seq: m.Seq, table: table})
+		t.keep(d.Entry, d.Incarnation, table)
 	}
 	return nil
 }
@@ -65,7 +65,7 @@
 	sum := make(Table)
 	for _, incarnations := range t.entries {
 		for _, r := range incarnations {
-			for route, p := range r.table {
+			for route, p := range r {
 				sum.pair(route).merge(p)
 			}
 		}
@@ -84,23 +84,22 @@
 	return found, len(t.tripped) > 0
 }
 
-// report is the latest state of the counters of one incarnation.
-type report struct {
-	seq   uint64
-	table Table
-}
-
-func (t *Tally) keep(entry string, incarnation uint64, r report) {
+func (t *Tally) keep(entry string, incarnation uint64, table Table) {
 	incarnations := t.entries[entry]
 	if incarnations == nil {
-		incarnations = make(map[uint64]report)
+		incarnations = make(map[uint64]Table)
 		t.entries[entry] = incarnations
 	}
-	held, ok := incarnations[incarnation]
-	if ok && held.seq >= r.seq {
-		return
+	held := incarnations[incarnation]
+	if held == nil {
+		held = make(Table)
+		incarnations[incarnation] = held
+	}
+	for route, p := range table {
+		if held.pair(route).events < p.events {
+			held[route] = p
+		}
 	}
-	incarnations[incarnation] = r
 	if len(incarnations) > maxIncarnations {
 		delete(incarnations, slices.Min(slices.Collect(maps.Keys(incarnations))))
 	}
