Prove racing operators, lost disks and frozen leaders with real processes

Change: a deployment of real processes for tests, each on a loopback address of its own; tests for equal bases, repeated changes after a leader's death, restarts without disk, a frozen leader, a wiped keeper and a second loss.

--- /dev/null
+++ b/internal/process/runner/deployment_test.go
@@ -0,0 +1,362 @@
+package runner_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/connection/operator"
+)
+
+// patience bounds every wait for a condition; only a fault can reach it.
+const patience = 60 * time.Second
+
+// operatorsToken is the token of every deployment's operators.
+const operatorsToken = "operators"
+
+// deployments counts the deployments of this test run.
+var deployments atomic.Uint32
+
+// programs is the folder of the programs under test, built once.
+var programs string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "hyssoprudder-")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	programs = folder
+	build := exec.Command("go", "build", "-race", "-o", folder+"/", "hyssoprudder/cmd/hyssoprudder", "hyssoprudder/cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Printf("%s%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one program of a deployment.
+type process struct {
+	command *exec.Cmd
+	log     *os.File
+}
+
+func (p *process) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	require.NoError(t, p.command.Process.Signal(s))
+}
+
+// wait returns the exit code; -1 after a signal.
+func (p *process) wait() int {
+	err := p.command.Wait()
+	p.command = nil
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return 0
+}
+
+// deployment is a number of nodes and one booking service on a loopback
+// address of its own.
+type deployment struct {
+	t       *testing.T
+	folder  string
+	host    string
+	nodes   map[string]*process
+	names   []string
+	service string // address
+	engine  string // address
+	others  []*process
+}
+
+// start begins a deployment of nodes, of which the first are keepers, and puts
+// rules in force.
+func start(t *testing.T, nodes, keepers int) *deployment {
+	t.Helper()
+	t.Parallel()
+	d := &deployment{t: t, folder: t.TempDir(), nodes: make(map[string]*process)}
+	// An address per test keeps tests that run at once apart.
+	d.host = fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()>>8&0x3f, os.Getpid()&0xff, deployments.Add(1))
+	t.Cleanup(d.stopAll)
+	d.write("deployment.key", strings.Repeat("k", 64))
+	d.write("operators.token", operatorsToken)
+	d.service = d.standin("service", "-id", "b", "-service", "bookings", "-version", "3", "-took", "20ms")
+	d.engine = d.standin("engine", "-id", "e", "-service", "pumice", "-version", "12")
+	for i := range nodes {
+		name := fmt.Sprintf("n%d", i+1)
+		d.names = append(d.names, name)
+		d.write(name+".toml", d.settings(i, keepers))
+		d.run(name)
+	}
+	d.write("rules.txt", d.rules(""))
+	d.eventually("rules accepted", func() bool { return d.command("rule", "apply", d.path("rules.txt")).code == 0 })
+	for _, name := range d.names {
+		d.ready(name)
+	}
+	return d
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.folder, name) }
+
+func (d *deployment) write(name, text string) {
+	d.t.Helper()
+	require.NoError(d.t, os.WriteFile(d.path(name), []byte(text), 0o600))
+}
+
+// settings returns the settings of the i-th node, from 0.
+func (d *deployment) settings(i, keepers int) string {
+	var b strings.Builder
+	roles := `"entry"`
+	if i < keepers {
+		roles += `, "keeper"`
+	}
+	domains := []string{"focsani", "adjud", "panciu"}
+	fmt.Fprintf(&b, "id = \"n%d\"\nfirm = \"vrancea\"\ndomain = %q\ndomains = [\"focsani\", \"adjud\", \"panciu\"]\nroles = [%s]\n", i+1, domains[i%3], roles)
+	fmt.Fprintf(&b, "data = \"data-n%d\"\nkey = \"deployment.key\"\ntoken = \"operators.token\"\n", i+1)
+	fmt.Fprintf(&b, "[listen]\ncallers = \"%s:%d\"\nnodes = \"%s:%d\"\noperators = \"%s:%d\"\n", d.host, 8101+i, d.host, 7101+i, d.host, 9101+i)
+	fmt.Fprintf(&b, "[limits]\nlame = \"500ms\"\n")
+	for k := range keepers {
+		fmt.Fprintf(&b, "[[keepers]]\nid = \"n%d\"\naddress = \"%s:%d\"\n", k+1, d.host, 7101+k)
+	}
+	return b.String()
+}
+
+// rules returns rules that serve the stand-ins, and further lines.
+func (d *deployment) rules(more string) string {
+	return strings.Join([]string{
+		"customer masons token=sha256:" + sum("masons-demo") + " # desk, Vrancea",
+		"service bookings kind=plain status=/bookings/{key} # desk, Vrancea",
+		"service pumice kind=model timeout=60s # desk, Vrancea",
+		"route orders path=/orders service=bookings once=true # desk, Vrancea",
+		"route answers path=/v1/answers service=pumice # desk, Vrancea",
+		"endpoint b service=bookings version=3 domain=adjud address=" + d.service + " # desk, Vrancea",
+		"endpoint e service=pumice version=12 domain=adjud address=" + d.engine + " # desk, Vrancea",
+		more,
+	}, "\n")
+}
+
+// run starts a node; its log is appended to.
+func (d *deployment) run(name string) {
+	d.t.Helper()
+	d.nodes[name] = d.spawn(name, nil, "hyssoprudder", "node", "run", "-config", d.path(name+".toml"))
+}
+
+func (d *deployment) spawn(name string, out *os.File, program string, args ...string) *process {
+	d.t.Helper()
+	log, err := os.OpenFile(d.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(d.t, err)
+	command := exec.Command(filepath.Join(programs, program), args...)
+	command.Stderr = log
+	command.Stdout = out
+	require.NoError(d.t, command.Start())
+	return &process{command: command, log: log}
+}
+
+// standin starts a stand-in on a free port and returns its address.
+func (d *deployment) standin(kind string, args ...string) string {
+	d.t.Helper()
+	read, write, err := os.Pipe()
+	require.NoError(d.t, err)
+	defer read.Close()
+	p := d.spawn(kind, write, "standin", append([]string{kind, "-listen", "127.0.0.1:0"}, args...)...)
+	write.Close()
+	d.others = append(d.others, p)
+	line, err := bufio.NewReader(read).ReadString('\n')
+	require.NoError(d.t, err)
+	_, address, ok := strings.Cut(strings.TrimSpace(line), "address=")
+	require.True(d.t, ok, line)
+	return address
+}
+
+func (d *deployment) stopAll() {
+	all := d.others
+	for _, p := range d.nodes {
+		all = append(all, p)
+	}
+	for _, p := range all {
+		if p.command != nil {
+			_ = p.command.Process.Signal(syscall.SIGCONT)
+			_ = p.command.Process.Kill()
+			p.wait()
+		}
+		p.log.Close()
+	}
+	if d.t.Failed() {
+		for _, name := range d.names {
+			raw, _ := os.ReadFile(d.path(name + ".log"))
+			d.t.Logf("log of %s:\n%s", name, tail(raw, 4000))
+		}
+	}
+}
+
+func tail(raw []byte, n int) []byte { return raw[max(0, len(raw)-n):] }
+
+// kill ends a node at once.
+func (d *deployment) kill(name string) {
+	d.t.Helper()
+	d.nodes[name].signal(d.t, syscall.SIGKILL)
+	d.nodes[name].wait()
+}
+
+func (d *deployment) operators(name string) netip.AddrPort {
+	var i int
+	_, err := fmt.Sscanf(name, "n%d", &i)
+	require.NoError(d.t, err)
+	return netip.MustParseAddrPort(fmt.Sprintf("%s:%d", d.host, 9100+i))
+}
+
+func (d *deployment) client(name string) *operator.Client {
+	return operator.NewClient(d.operators(name), operatorsToken, nil)
+}
+
+// ranCommand is what an operator's command gave.
+type ranCommand struct {
+	code     int
+	out, err string
+}
+
+// command runs an operator's command against the first node.
+func (d *deployment) command(args ...string) ranCommand { return d.commandAt(d.names[0], args...) }
+
+func (d *deployment) commandAt(node string, args ...string) ranCommand {
+	command := exec.Command(filepath.Join(programs, "hyssoprudder"), args...)
+	command.Env = append(os.Environ(), "HYSSOPRUDDER_ADDRESS="+d.operators(node).String(), "HYSSOPRUDDER_TOKEN="+d.path("operators.token"))
+	var stdout, stderr bytes.Buffer
+	command.Stdout, command.Stderr = &stdout, &stderr
+	err := command.Run()
+	code := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		code = exit.ExitCode()
+	}
+	return ranCommand{code: code, out: stdout.String(), err: stderr.String()}
+}
+
+// state is the part of a state dump that tests look at.
+type state struct {
+	Ready    string `json:"ready"`
+	Revision uint64 `json:"revision"`
+	Keeper   *struct {
+		Role     string `json:"role"`
+		Identity string `json:"identity"`
+		Leader   string `json:"leader"`
+		Members  []struct {
+			ID    string `json:"id"`
+			Name  string `json:"name"`
+			Voter bool   `json:"voter"`
+		} `json:"members"`
+	} `json:"keeper"`
+}
+
+// dump reads a node's state; ok is false when it does not answer.
+func (d *deployment) dump(name string) (s state, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var raw bytes.Buffer
+	if err := d.client(name).State(ctx, &raw); err != nil {
+		return s, false
+	}
+	require.NoError(d.t, json.Unmarshal(raw.Bytes(), &s))
+	return s, true
+}
+
+// eventually waits for a condition that must become true.
+func (d *deployment) eventually(what string, condition func() bool) {
+	d.t.Helper()
+	require.Eventually(d.t, condition, patience, 50*time.Millisecond, what)
+}
+
+func (d *deployment) ready(name string) {
+	d.t.Helper()
+	d.eventually(name+" ready", func() bool {
+		s, ok := d.dump(name)
+		return ok && s.Ready == "ready"
+	})
+}
+
+// leader waits for a leader among the named nodes and returns it.
+func (d *deployment) leader(among ...string) string {
+	d.t.Helper()
+	var leader string
+	d.eventually("a leader", func() bool {
+		for _, name := range among {
+			if s, ok := d.dump(name); ok && s.Keeper != nil && s.Keeper.Leader == name {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// load is a run of the load generator.
+type load struct {
+	d       *deployment
+	process *process
+	log     string
+}
+
+// load starts bookings, some of them resent or sent twice at once, over all
+// entries behind a balancer that asks whether they are ready.
+func (d *deployment) load(duration time.Duration, rate float64, calls string) *load {
+	d.t.Helper()
+	var entries []string
+	for i := range d.names {
+		entries = append(entries, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", d.host, 8101+i)))
+	}
+	d.write("load.toml", fmt.Sprintf("entries = [%s]\nrate = %g\nduration = %q\nready = \"/readyz\"\n[[customer]]\nname = \"masons\"\ntoken = \"masons-demo\"\nshare = 1.0\n%s",
+		strings.Join(entries, ", "), rate, duration, calls))
+	l := &load{d: d, log: d.path("outcomes.jsonl")}
+	l.process = d.spawn("load", nil, "standin", "load", "-config", d.path("load.toml"), "-log", l.log)
+	d.others = append(d.others, l.process)
+	return l
+}
+
+const bookingCalls = `
+[[call]]
+name = "order"
+kind = "plain"
+path = "/orders"
+share = 1.0
+timeout = "10s"
+once = true
+resend = 0.2
+twin = 0.2
+`
+
+// audit waits for the end of the load and compares its log with the record of
+// the booking service.
+func (l *load) audit() ranCommand {
+	l.d.t.Helper()
+	l.process.wait()
+	command := exec.Command(filepath.Join(programs, "standin"), "audit", "-log", l.log, "-record", l.d.service)
+	out, err := command.CombinedOutput()
+	code := 0
+	if err != nil {
+		code = 1
+	}
+	return ranCommand{code: code, out: string(out)}
+}
--- /dev/null
+++ b/internal/process/runner/rules_process_test.go
@@ -0,0 +1,161 @@
+package runner_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/connection/operator"
+)
+
+func sum(token string) string {
+	s := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(s[:])
+}
+
+// racer sends one change and keeps its answer.
+type racer struct {
+	d      *deployment
+	node   string
+	change operator.Change
+	done   chan error
+}
+
+func (r *racer) run() {
+	_, err := r.d.client(r.node).Apply(context.Background(), r.change)
+	r.done <- err
+}
+
+// changed returns rules that name a customer of their own.
+func (d *deployment) changed(name string) string {
+	return d.rules("customer " + name + " token=sha256:" + sum(name) + " # desk, Vrancea")
+}
+
+func TestOperatorsWithEqualBasesRace(t *testing.T) {
+	d := start(t, 3, 3)
+	const racers = 4
+	all := make([]*racer, racers)
+	for i := range all {
+		all[i] = &racer{d: d, node: d.names[i%len(d.names)], done: make(chan error, 1),
+			change: operator.Change{ID: fmt.Sprintf("change-%d", i), Base: 1, Text: d.changed(fmt.Sprintf("racer%d", i)), By: "test"}}
+		go all[i].run()
+	}
+	var winner *racer
+	for _, r := range all {
+		err := <-r.done
+		if err == nil {
+			require.Nil(t, winner, "two changes with equal bases were accepted")
+			winner = r
+			continue
+		}
+		var fault *operator.Fault
+		require.ErrorAs(t, err, &fault)
+		require.Equal(t, operator.CodeConflict, fault.Code)
+		require.NotEmpty(t, fault.Changes.Added)
+	}
+	require.NotNil(t, winner)
+
+	// A change whose answer was lost gets the first answer again, also from the
+	// next leader.
+	leader := d.leader(d.names...)
+	d.kill(leader)
+	for _, name := range d.names {
+		if name != leader {
+			d.eventually("the answer again", func() bool {
+				changed, err := d.client(name).Apply(context.Background(), winner.change)
+				return err == nil && changed.Revision == 2
+			})
+		}
+	}
+}
+
+func TestConflictHasItsOwnExitCode(t *testing.T) {
+	d := start(t, 1, 1)
+	d.write("other.txt", d.changed("other"))
+	require.Equal(t, 0, d.command("rule", "apply", "-base", "1", "-wait", "11s", d.path("other.txt")).code)
+	d.write("late.txt", d.changed("late"))
+	late := d.command("rule", "apply", "-base", "1", d.path("late.txt"))
+	require.Equal(t, 3, late.code)
+	require.Contains(t, late.err, "+ customer other")
+	require.Contains(t, d.command("rule", "history").out, "customer other")
+	require.NotContains(t, d.command("rule", "list").out, "customer late")
+}
+
+// An accepted change is in force at every node that reports itself ready,
+// whatever was restarted or frozen in the meantime.
+func TestAcceptedRulesNeverRevert(t *testing.T) {
+	d := start(t, 4, 3)
+	frozen := d.leader("n1", "n2", "n3")
+	d.nodes[frozen].signal(t, syscall.SIGSTOP)
+	d.kill("n4")
+	awake := "n1"
+	if frozen == "n1" {
+		awake = "n2"
+	}
+	d.write("next.txt", d.changed("next"))
+	d.eventually("a change without the frozen leader", func() bool {
+		return d.commandAt(awake, "rule", "apply", "-id", "c2", "-base", "1", d.path("next.txt")).code == 0
+	})
+	d.run("n4")
+	d.nodes[frozen].signal(t, syscall.SIGCONT)
+	// n4 has no disk: what it reports as ready must be the accepted revision.
+	d.eventually("n4 ready with revision 2", func() bool {
+		s, ok := d.dump("n4")
+		if ok && s.Ready == "ready" {
+			require.GreaterOrEqual(t, s.Revision, uint64(2), "a restarted node was ready with old rules")
+			return true
+		}
+		return false
+	})
+	for _, name := range d.names {
+		d.eventually(name+" runs revision 2", func() bool {
+			s, ok := d.dump(name)
+			return ok && s.Revision == 2 && s.Ready == "ready"
+		})
+	}
+}
+
+// A keeper whose folder was lost comes back under a new identity; another one
+// may be lost right after the repair and nothing accepted is missing.
+func TestWipedKeeperThenSecondLoss(t *testing.T) {
+	d := start(t, 3, 3)
+	before, ok := d.dump("n2")
+	require.True(t, ok)
+	d.kill("n2")
+	d.write("next.txt", d.changed("next"))
+	d.eventually("a change by two keepers", func() bool {
+		return d.command("rule", "apply", "-id", "c2", "-base", "1", d.path("next.txt")).code == 0
+	})
+	require.NoError(t, os.RemoveAll(d.path("data-n2")))
+	d.run("n2")
+	var identity string
+	d.eventually("n2 votes again", func() bool {
+		s, ok := d.dump("n2")
+		if !ok || s.Keeper == nil {
+			return false
+		}
+		identity = s.Keeper.Identity
+		for _, m := range s.Keeper.Members {
+			if m.ID == identity && m.Voter {
+				return true
+			}
+		}
+		return false
+	})
+	require.NotEqual(t, before.Keeper.Identity, identity, "an empty folder must not vote as the one it replaces")
+
+	d.kill("n3")
+	d.write("third.txt", d.changed("third"))
+	d.eventually("a change after the second loss", func() bool {
+		return d.commandAt("n2", "rule", "apply", "-id", "c3", "-base", "2", d.path("third.txt")).code == 0
+	})
+	history := d.commandAt("n2", "rule", "history")
+	require.Contains(t, history.out, "customer next")
+	require.Contains(t, history.out, "customer third")
+}
