Carry calls by the decisions: limit, admit, claim, route, retry, continue

Cause: the thin round-robin lost a stream with its engine and sent nothing twice only by luck. Change: answers of models are streams of the entry, generated on one engine after another and read by any number of connections; leaving, silent and lost engines are left by the cheapest way; streams go over to another entry; calls that run once are claimed first and a lost answer is asked for at the status path. Found by the tests: a new customer's bucket held one token and refused an allowed burst (now full at its share); calls were refused as late on default speeds of unknown engines (now nothing is refused on defaults).

--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -135,6 +135,11 @@
 // Growth predicts by how much one more call lengthens the time between tokens.
 func (l *Load) Growth() time.Duration { return toDuration(l.step(2) - l.step(1)) }
 
+// Known reports whether predictions for the endpoint rest on anything but defaults.
+func (l *Load) Known() bool {
+	return l.report.Decode > 0 || l.gap.weight >= regressionTrust || l.duration > 0
+}
+
 // PrefillRate returns the words per second of a prefill.
 func (l *Load) PrefillRate() float64 {
 	if l.report.Prefill > 0 {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -18,6 +18,7 @@
 	Priority int     // 0 is the most urgent
 	Deadline time.Time
 	Run      time.Duration // predicted time of the call once it has started
+	Patience time.Duration // longest wait of use to the caller; 0 means that of the limits
 	Bytes    int           // of memory while it waits
 }
 
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -82,13 +82,21 @@
 
 // lateness returns by how much a call misses its deadline, or the bound on waiting.
 func (a *Admitter) lateness(now time.Time, r Request, wait time.Duration) time.Duration {
-	late := wait - a.limits.Wait
+	late := wait - a.patience(r)
 	if !r.Deadline.IsZero() {
 		late = max(late, now.Add(wait+r.Run).Sub(r.Deadline))
 	}
 	return late
 }
 
+// patience returns how long a call may wait.
+func (a *Admitter) patience(r Request) time.Duration {
+	if r.Patience > 0 {
+		return min(r.Patience, a.limits.Wait)
+	}
+	return a.limits.Wait
+}
+
 // predict returns how long a new call would wait: the work that goes before it, over
 // the calls that run at once. While it waits, each other flow of its
 // priority gets its share only.
@@ -236,7 +244,7 @@
 
 // noteDue keeps the time at which the next call in the queue becomes late.
 func (a *Admitter) noteDue(since time.Time, r Request) {
-	due := since.Add(a.limits.Wait)
+	due := since.Add(a.patience(r))
 	if !r.Deadline.IsZero() && r.Deadline.Add(-r.Run).Before(due) {
 		due = r.Deadline.Add(-r.Run)
 	}
@@ -271,7 +279,7 @@
 		for i := len(f.queue) - 1; i >= 0; i-- {
 			w := f.queue[i]
 			waited := now.Sub(w.since)
-			if late := max(a.lateness(now, w.request, 0), waited-a.limits.Wait); late > 0 {
+			if late := max(a.lateness(now, w.request, 0), waited-a.patience(w.request)); late > 0 {
 				a.take(f, i)
 				decisions = append(decisions, refuseLate(w, late, waited))
 				continue
--- a/internal/request/handler/call.go
+++ b/internal/request/handler/call.go
@@ -107,3 +107,8 @@
 
 // After returns the last event that the caller has seen, 0 for none.
 func (c *Call) After() int { return c.after }
+
+// Once reports whether the call may run at most once.
+func (c *Call) Once() bool {
+	return c.route.Once() && c.method != http.MethodGet && c.method != http.MethodHead
+}
--- a/internal/request/handler/model.go
+++ b/internal/request/handler/model.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
-	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/request/streamer"
 )
 
 const (
 	defaultMaxTokens = 128
 	maxTokens        = 32768
+	readBatch        = 64               // tokens
+	writeLimit       = 30 * time.Second // for a caller to take a batch
 )
 
 // Prompt is the body of a call to a model service.
@@ -43,63 +46,227 @@
 	return p, nil
 }
 
-type tokenData struct {
-	Token string `json:"token"`
-}
-
-type doneData struct {
-	Count int `json:"count"`
+// streamName is the name by which a customer finds a stream again: its key, or the
+// id of the request that began it.
+func streamName(call *Call) string {
+	if call.key != "" {
+		return "key:" + call.key
+	}
+	if id := call.header.Get(HeaderRequest); id != "" && call.after > 0 {
+		return "request:" + id
+	}
+	return "request:" + call.id
 }
 
+// serveModel joins the call to its stream, which it begins if there is none.
 func (h *Handler) serveModel(ctx context.Context, w http.ResponseWriter, call *Call) Result {
 	prompt, err := ParsePrompt(call.body)
 	if err != nil {
 		return h.fail(w, call, NewProblem(http.StatusBadRequest, OutcomeNotRun, "Bad body", err.Error()), Result{Err: err})
 	}
-	endpoint, ok := h.cfg.Pick(call, nil)
-	if !ok {
-		return h.fail(w, call, noEndpointProblem(), Result{})
+	f := &follower{handler: h, call: call, writer: w, out: http.NewResponseController(w), after: call.after, streamed: prompt.Streamed()}
+	record := streamer.Record{
+		Customer: call.customer.Name(), Name: streamName(call), Request: call.id, Route: call.route.Name(),
+		Service: call.service.Name(), Prompt: prompt.Prompt, Max: prompt.Max, Priority: call.route.Priority(), Deadline: call.deadline,
 	}
-	stream, err := h.cfg.Generate(ctx, endpoint, dialer.Generation{Request: call.id, Prompt: prompt.Prompt, Max: prompt.Max, Priority: call.route.Priority()})
-	if err != nil {
-		return h.fail(w, call, noEndpointProblem(), Result{Endpoint: endpoint.ID(), Attempts: 1, Err: err})
+	if stream, ok := h.cfg.Streams.Find(record.Customer, record.Name); !ok || stream.State() == streamer.Moved {
+		if followed := h.followPeer(ctx, f, record); followed {
+			return f.result
+		}
 	}
-	defer stream.Close()
-	result := Result{Outcome: OutcomeDone, Status: http.StatusOK, Endpoint: endpoint.ID(), Attempts: 1}
-	result.Err = copyEvents(w, call, stream)
-	if result.Err != nil {
-		result.Outcome = OutcomeUnknown
+	stream, joining := h.cfg.Streams.Begin(record)
+	switch joining {
+	case streamer.Mismatch:
+		return h.fail(w, call, NewProblem(http.StatusUnprocessableEntity, OutcomeNotRun, "Key in use",
+			"the Idempotency-Key belongs to a call with another body"), Result{})
+	case streamer.Full:
+		return h.fail(w, call, NewProblem(http.StatusServiceUnavailable, OutcomeNotRun, "No room",
+			"the entry holds too many answers").RetryAfter(time.Second), Result{})
+	case streamer.Started:
+		h.start(stream, call)
+	case streamer.Joined:
 	}
-	return result
+	f.followStream(ctx, stream)
+	return f.result
+}
+
+// start generates the answer of a new stream.
+func (h *Handler) start(stream *streamer.Stream, call *Call) {
+	h.running.Add(1)
+	g := newGeneration(h, stream, call)
+	go g.run()
+}
+
+// batch is what a reader of a stream gets next.
+type batch struct {
+	tokens     []string
+	state      streamer.State
+	failure    streamer.Failure
+	recomputed int
 }
 
-// copyEvents passes the events of an engine on to the caller.
-func copyEvents(w http.ResponseWriter, call *Call, stream *dialer.Stream) error {
-	out := http.NewResponseController(w)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(HeaderRequest, call.id)
-	w.Header().Set(HeaderOutcome, string(OutcomeDone))
+// follower passes a stream on to one caller, at the caller's pace.
+type follower struct {
+	handler  *Handler
+	call     *Call
+	writer   http.ResponseWriter
+	out      *http.ResponseController
+	after    int
+	streamed bool
+	begun    bool
+	kept     []string // of an answer that is not streamed
+	request  string   // that began the stream
+	result   Result
+}
+
+// followStream passes on a stream of this entry until it ends or the caller leaves.
+func (f *follower) followStream(ctx context.Context, stream *streamer.Stream) {
+	stream.Join()
+	f.request = stream.Request()
+	if !f.streamed {
+		f.after = 0
+	}
 	for {
-		event, err := stream.Next()
-		if err != nil {
-			return err
+		tokens, state, changed := stream.Read(f.after, readBatch)
+		b := batch{tokens: tokens, state: state, failure: stream.Failure(), recomputed: stream.Recomputed()}
+		if f.pass(b) {
+			break
 		}
-		if event.Kind == dialer.EventDone {
-			return writeEvent(w, out, "event: done\n", doneData{Count: event.Count})
+		if len(tokens) > 0 {
+			continue
 		}
-		if err := writeEvent(w, out, fmt.Sprintf("id: %d\n", event.ID), tokenData{Token: event.Token}); err != nil {
+		select {
+		case <-changed:
+			continue
+		case <-ctx.Done():
+			f.result.Outcome, f.result.Err = OutcomeUnknown, ctx.Err()
+		}
+		break
+	}
+	f.result.Endpoint, f.result.Attempts = stream.Endpoint()
+	stream.Leave(f.handler.cfg.Clock.Now())
+}
+
+// pass writes a batch to the caller and reports whether that was the last one.
+func (f *follower) pass(b batch) bool {
+	if f.streamed {
+		if err := f.writeTokens(b.tokens); err != nil {
+			f.result = Result{Outcome: OutcomeUnknown, Status: http.StatusOK, Err: err}
+			return true
+		}
+	} else {
+		f.kept = append(f.kept, b.tokens...)
+	}
+	f.after += len(b.tokens)
+	switch b.state {
+	case streamer.Running:
+		return false
+	case streamer.Finished:
+		f.finish(b)
+	case streamer.Failed:
+		f.fail(b.failure)
+	case streamer.Moved:
+		f.move()
+	}
+	return true
+}
+
+type tokenData struct {
+	Token string `json:"token"`
+}
+
+type doneData struct {
+	Count int `json:"count"`
+}
+
+type wholeData struct {
+	Tokens []string `json:"tokens"`
+	Count  int      `json:"count"`
+}
+
+func (f *follower) writeTokens(tokens []string) error {
+	if len(tokens) == 0 {
+		return nil
+	}
+	f.begin()
+	for i, token := range tokens {
+		if err := f.writeEvent(fmt.Sprintf("id: %d\n", f.after+i+1), tokenData{Token: token}); err != nil {
 			return err
 		}
 	}
+	return f.out.Flush()
+}
+
+func (f *follower) begin() {
+	// A caller that takes nothing for a while is cut; its stream is kept.
+	_ = f.out.SetWriteDeadline(f.handler.cfg.Clock.Now().Add(writeLimit))
+	if f.begun {
+		return
+	}
+	f.begun = true
+	header := f.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderRequest, f.request)
+	header.Set(HeaderOutcome, string(OutcomeDone))
 }
 
-func writeEvent(w http.ResponseWriter, out *http.ResponseController, head string, data any) error {
+func (f *follower) writeEvent(head string, data any) error {
 	raw, err := json.Marshal(data)
 	if err != nil {
 		return fmt.Errorf("encode event: %w", err)
 	}
-	if _, err := fmt.Fprintf(w, "%sdata: %s\n\n", head, raw); err != nil {
+	if _, err := fmt.Fprintf(f.writer, "%sdata: %s\n\n", head, raw); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
-	return out.Flush()
+	return nil
+}
+
+func (f *follower) finish(b batch) {
+	f.result = Result{Outcome: OutcomeDone, Status: http.StatusOK, Recomputed: b.recomputed}
+	if f.streamed {
+		f.begin()
+		if f.result.Err = f.writeEvent("event: done\n", doneData{Count: f.after}); f.result.Err == nil {
+			f.result.Err = f.out.Flush()
+		}
+		return
+	}
+	header := f.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRequest, f.request)
+	header.Set(HeaderOutcome, string(OutcomeDone))
+	f.result.Err = json.NewEncoder(f.writer).Encode(wholeData{Tokens: f.kept, Count: len(f.kept)})
+}
+
+// fail tells the caller that the answer does not become whole.
+func (f *follower) fail(failure streamer.Failure) {
+	outcome := OutcomeNotRun
+	if failure.Sent {
+		outcome = OutcomeUnknown
+	}
+	problem := NewProblem(failure.Status, outcome, "Not answered", failure.Detail).RetryAfter(failure.RetryAfter)
+	f.result = Result{Outcome: outcome, Status: failure.Status, Err: problem}
+	if !f.begun {
+		problem.Write(f.writer, f.request)
+		return
+	}
+	f.endWith("event: error\n", problemBody{Type: "about:blank", Title: problem.title, Status: problem.status,
+		Detail: problem.detail, Outcome: OutcomeUnknown, Request: f.request})
+}
+
+// move tells the caller that another entry goes on with the stream.
+func (f *follower) move() {
+	f.result = Result{Outcome: OutcomeUnknown, Status: http.StatusServiceUnavailable, Err: errMoved}
+	if !f.begun {
+		NewProblem(http.StatusServiceUnavailable, OutcomeUnknown, "Moved",
+			"another entry goes on with the answer; repeat the call to join it").RetryAfter(time.Second).Write(f.writer, f.request)
+		return
+	}
+	f.endWith("event: moved\n", doneData{Count: f.after})
+}
+
+func (f *follower) endWith(head string, data any) {
+	// The caller may be gone; there is nobody left to tell.
+	_ = f.writeEvent(head, data)
+	_ = f.out.Flush()
 }
--- /dev/null
+++ b/internal/request/handler/plain.go
@@ -0,0 +1,193 @@
+package handler
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/request/retrier"
+	"hyssoprudder/internal/request/router"
+)
+
+// reply is what a plain call came to: an answer or a problem.
+type reply struct {
+	answer  dialer.Answer
+	problem *Problem
+	result  Result
+}
+
+// write sends the reply to the caller.
+func (r reply) write(w http.ResponseWriter, call *Call) Result {
+	result := r.result
+	if r.problem != nil {
+		r.problem.Write(w, call.id)
+		result.Outcome, result.Status = r.problem.outcome, r.problem.status
+		return result
+	}
+	writeAnswer(w, call, r.answer)
+	result.Outcome, result.Status = OutcomeDone, r.answer.Status
+	return result
+}
+
+func (r reply) outcome() Outcome {
+	if r.problem != nil {
+		return r.problem.outcome
+	}
+	return OutcomeDone
+}
+
+// servePlain limits, admits and sends a call.
+func (h *Handler) servePlain(ctx context.Context, call *Call) reply {
+	if problem := h.limit(call); problem != nil {
+		return reply{problem: problem, result: Result{Err: problem}}
+	}
+	if problem := h.admit(ctx, call, plainRoute(call)); problem != nil {
+		return reply{problem: problem, result: Result{Err: problem}}
+	}
+	defer h.service(call.service).gate.Leave()
+	return h.send(ctx, call)
+}
+
+func plainRoute(call *Call) router.Call {
+	return router.Call{Service: call.service.Name(), Route: call.route.Name()}
+}
+
+// send tries endpoints until one has answered or the retrier gives up.
+func (h *Handler) send(ctx context.Context, call *Call) reply {
+	budget := h.service(call.service).budget
+	retry := retrier.New(budget, !call.Once(), call.deadline)
+	route := plainRoute(call)
+	for {
+		route.Exclude, route.Avoid = retry.Tried(), retry.Avoid()
+		choice, ok := h.cfg.Router.Choose(h.cfg.Clock.Now(), route)
+		if !ok {
+			return giveUp(retry.Truth(), Result{Attempts: retry.Attempts()})
+		}
+		endpoint := choice.Endpoint()
+		answer, err := h.try(ctx, call, choice)
+		result := Result{Endpoint: endpoint.ID(), Attempts: retry.Attempts() + 1, Err: err}
+		failed := err == nil && answer.Status >= http.StatusInternalServerError
+		if err == nil && (!failed || call.Once()) {
+			budget.Success()
+			return reply{answer: answer, result: result}
+		}
+		outcome := retry.Fail(h.cfg.Clock.Now(), endpoint.ID(), endpoint.Domain(), failureOf(err), choice.Time())
+		if outcome.Retry() && ctx.Err() == nil {
+			continue
+		}
+		if failed {
+			return reply{answer: answer, result: result}
+		}
+		return giveUp(outcome.Truth(), result)
+	}
+}
+
+func giveUp(truth retrier.Truth, result Result) reply {
+	if truth == retrier.Unknown {
+		return reply{problem: unknownProblem(), result: result}
+	}
+	return reply{problem: noEndpointProblem(), result: result}
+}
+
+func failureOf(err error) retrier.Failure {
+	switch {
+	case errors.Is(err, dialer.ErrNotRun):
+		return retrier.NotRun
+	case err != nil && !dialer.MayHaveRun(err):
+		return retrier.Unsent
+	}
+	return retrier.Lost
+}
+
+// try sends the call to one endpoint and records what came of it.
+func (h *Handler) try(ctx context.Context, call *Call, choice router.Choice) (dialer.Answer, error) {
+	endpoint, start := choice.Endpoint(), h.cfg.Clock.Now()
+	h.began(endpoint, call.route.Name())
+	observed := h.cfg.Observer.Start(start, endpoint.ID(), choice.Work())
+	answer, err := h.cfg.Do(ctx, endpoint.Address(), dialer.Request{
+		ID: call.id, Key: call.key, Method: call.method, Path: call.path, Header: call.header, Body: call.body,
+	})
+	now := h.cfg.Clock.Now()
+	if err == nil {
+		observed.Token(now, 0)
+	}
+	gone := errors.Is(ctx.Err(), context.Canceled)
+	failed := err != nil || answer.Status >= http.StatusInternalServerError
+	observed.End(now, observedResult(err, failed, gone))
+	h.ended(endpoint, call.route.Name(), Attempt{Failed: failed, Excused: gone, First: now.Sub(start), Total: now.Sub(start)})
+	return answer, err
+}
+
+func observedResult(err error, failed, gone bool) observer.Result {
+	switch {
+	case gone:
+		return observer.Canceled
+	case err != nil && failureOf(err) == retrier.Unsent:
+		return observer.Refused
+	case failed:
+		return observer.Failed
+	}
+	return observer.Done
+}
+
+var droppedHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Date", HeaderRequest, HeaderOutcome}
+
+func writeAnswer(w http.ResponseWriter, call *Call, answer dialer.Answer) {
+	h := w.Header()
+	for name, values := range answer.Header {
+		if !slices.Contains(droppedHeaders, name) {
+			h[name] = values
+		}
+	}
+	h.Set(HeaderRequest, call.id)
+	h.Set(HeaderOutcome, string(OutcomeDone))
+	w.WriteHeader(answer.Status)
+	// The caller may be gone; the call has run all the same.
+	_, _ = w.Write(answer.Body)
+}
+
+const (
+	statusPause = 100 * time.Millisecond
+	statusLimit = 2 * time.Second // of one question
+)
+
+// resolve asks the service's status path whether a call that was lost has run. It
+// asks until the answer is certain or ctx ends.
+func (h *Handler) resolve(ctx context.Context, call *Call) (reply, bool) {
+	if call.service.Status() == "" || h.cfg.Status == nil {
+		return reply{}, false
+	}
+	route := plainRoute(call)
+	for ctx.Err() == nil {
+		choice, ok := h.cfg.Router.Choose(h.cfg.Clock.Now(), route)
+		if !ok {
+			route.Exclude = nil
+		} else if found, certain := h.askStatus(ctx, call, choice.Endpoint()); certain {
+			return found, true
+		} else {
+			route.Exclude = append(route.Exclude, choice.Endpoint().ID())
+		}
+		clock.Sleep(h.cfg.Clock, statusPause, ctx.Done())
+	}
+	return reply{}, false
+}
+
+func (h *Handler) askStatus(ctx context.Context, call *Call, e lister.Endpoint) (reply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	status, err := h.cfg.Status(ctx, e.Address(), call.service.Status(), call.key)
+	var refused *dialer.StatusError
+	switch {
+	case err == nil && status.Done():
+		return reply{answer: dialer.Answer{Status: status.Status, Body: []byte(status.Body)}, result: Result{Endpoint: e.ID()}}, true
+	case errors.As(err, &refused) && refused.Status() == http.StatusNotFound:
+		return reply{problem: noEndpointProblem(), result: Result{Endpoint: e.ID(), Err: err}}, true
+	}
+	return reply{}, false
+}
--- /dev/null
+++ b/internal/request/handler/plain_test.go
@@ -0,0 +1,229 @@
+package handler_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/request/handler"
+	"hyssoprudder/internal/standin/faulter"
+	"hyssoprudder/internal/standin/servicer"
+)
+
+func startServices(t *testing.T, n int) (*servicer.Ledger, []*servicer.Service, []lister.Endpoint) {
+	t.Helper()
+	ledger := servicer.NewLedger()
+	var services []*servicer.Service
+	var fleet []lister.Endpoint
+	for i := range n {
+		spec := servicer.Defaults()
+		spec.ID, spec.Domain, spec.Seed = fmt.Sprintf("service-%d", i), domains[i%3], uint64(i)
+		s, err := servicer.Start("127.0.0.1:0", spec, ledger, clock.System{})
+		require.NoError(t, err)
+		t.Cleanup(s.Kill)
+		services = append(services, s)
+		fleet = append(fleet, endpoint(spec.ID, "bookings", spec.Domain, s.Address()))
+	}
+	return ledger, services, fleet
+}
+
+// claims is a table of claims in memory.
+type claims struct {
+	mu   sync.Mutex
+	held map[string]*held
+}
+
+type held struct {
+	body   string
+	done   chan struct{}
+	answer dialer.Answer
+	grant  handler.Grant
+}
+
+func (c *claims) acquire(ctx context.Context, call *handler.Call) handler.Claim {
+	key := call.Customer().Name() + " " + call.Key()
+	c.mu.Lock()
+	h, ok := c.held[key]
+	if !ok {
+		c.held[key] = &held{body: string(call.Body()), done: make(chan struct{})}
+	}
+	c.mu.Unlock()
+	switch {
+	case !ok:
+		return handler.Claim{Grant: handler.Granted}
+	case h.body != string(call.Body()):
+		return handler.Claim{Grant: handler.Mismatched}
+	}
+	select {
+	case <-h.done:
+		return handler.Claim{Grant: h.grant, Answer: h.answer}
+	case <-ctx.Done():
+		return handler.Claim{Grant: handler.Lost}
+	}
+}
+
+func (c *claims) settle(_ context.Context, call *handler.Call, outcome handler.Outcome, answer dialer.Answer) {
+	key := call.Customer().Name() + " " + call.Key()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.held[key]
+	h.answer = answer
+	switch outcome {
+	case handler.OutcomeDone:
+		h.grant = handler.Replayed
+	case handler.OutcomeUnknown:
+		h.grant = handler.Lost
+	case handler.OutcomeNotRun:
+		delete(c.held, key)
+		h.grant = handler.Unavailable
+	}
+	close(h.done)
+}
+
+func withClaims(cfg *handler.Config) {
+	c := &claims{held: make(map[string]*held)}
+	cfg.Claims = handler.Claims{Acquire: c.acquire, Settle: c.settle}
+}
+
+func (e *entry) call(method, path, key, body string, timeout time.Duration) (outcome string, status int, answer string) {
+	header, status, answer := e.send(method, path, key, body, timeout)
+	return header.Get(handler.HeaderOutcome), status, answer
+}
+
+func (e *entry) send(method, path, key, body string, timeout time.Duration) (header http.Header, status int, answer string) {
+	req, err := http.NewRequest(method, e.server.URL+path, strings.NewReader(body))
+	require.NoError(e.t, err)
+	req.Header.Set("Customer", "masons")
+	req.Header.Set(handler.HeaderKey, key)
+	req.Header.Set(handler.HeaderTimeout, timeout.String())
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(e.t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	require.NoError(e.t, err)
+	return resp.Header, resp.StatusCode, string(raw)
+}
+
+func TestBookingUnderAFault(t *testing.T) {
+	cases := map[string]struct {
+		fault   func(services []*servicer.Service)
+		outcome string
+		runs    int
+	}{
+		"nothing":               {func([]*servicer.Service) {}, "done", 1},
+		"two of three killed":   {func(s []*servicer.Service) { s[0].Kill(); s[1].Kill() }, "done", 1},
+		"all killed":            {func(s []*servicer.Service) { s[0].Kill(); s[1].Kill(); s[2].Kill() }, "notrun", 0},
+		"all refuse":            {all(faulter.Fault{RefuseRate: 1}), "notrun", 0},
+		"answer lost":           {all(faulter.Fault{LoseRate: 1}), "done", 1},
+		"answer after deadline": {all(faulter.Fault{Late: 60_000}), "done", 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			ledger, services, fleet := startServices(t, 3)
+			e := newEntry(t, fleet, withClaims)
+			tc.fault(services)
+			outcome, _, first := e.call(http.MethodPost, "/orders", "k", "bags=5", time.Second)
+			require.Equal(t, tc.outcome, outcome)
+			require.Len(t, ledger.Calls(), tc.runs)
+			again, _, second := e.call(http.MethodPost, "/orders", "k", "bags=5", time.Second)
+			require.Equal(t, tc.outcome, again)
+			require.Len(t, ledger.Calls(), tc.runs, "a resend runs nothing again")
+			if tc.runs > 0 {
+				require.Equal(t, first, second)
+				_, status, _ := e.call(http.MethodPost, "/orders", "k", "bags=6", time.Second)
+				require.Equal(t, http.StatusUnprocessableEntity, status)
+			}
+		})
+	}
+}
+
+func all(fault faulter.Fault) func([]*servicer.Service) {
+	return func(services []*servicer.Service) {
+		for _, s := range services {
+			s.Faults().Put(fault)
+		}
+	}
+}
+
+func TestRepeatableCallIsRetriedAfterAnError(t *testing.T) {
+	_, services, fleet := startServices(t, 3)
+	e := newEntry(t, fleet, nil)
+	services[0].Faults().Put(faulter.Fault{FailRate: 1})
+	services[1].Faults().Put(faulter.Fault{FailRate: 1})
+	for i := range 10 {
+		_, status, _ := e.call(http.MethodPost, "/bookings", fmt.Sprint(i), "x", time.Second)
+		require.Equal(t, http.StatusCreated, status)
+	}
+}
+
+// Many bookings under faults that come and go: each key runs at most once, what is
+// done has run and what is not run has not, by the service's own record.
+func TestOutcomesAgreeWithTheServicesRecord(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			ledger, services, fleet := startServices(t, 3)
+			e := newEntry(t, fleet, withClaims)
+			random := rand.New(rand.NewPCG(seed, 1))
+			b := &booker{entry: e}
+			for i := range 120 {
+				if i%10 == 0 {
+					victim := services[random.IntN(len(services))]
+					victim.Faults().Put([]faulter.Fault{
+						{}, {RefuseRate: 0.7}, {LoseRate: 0.5}, {Freeze: true, For: 300}, {FailRate: 0.3, RefuseRate: 0.3}, {Late: 400},
+					}[random.IntN(6)])
+				}
+				b.wait.Add(1)
+				go b.run(fmt.Sprint(random.IntN(80)))
+			}
+			b.wait.Wait()
+			runs, requests := make(map[string]int), make(map[string]bool)
+			for _, call := range ledger.Calls() {
+				runs[call.Key]++
+				requests[call.Request] = true
+			}
+			for _, o := range b.outcomes {
+				require.LessOrEqual(t, runs[o.key], 1, "key %s", o.key)
+				switch o.outcome {
+				case "done":
+					require.Equal(t, 1, runs[o.key], "key %s is done", o.key)
+				case "notrun":
+					require.False(t, requests[o.request], "request %s did not run", o.request)
+				}
+			}
+		})
+	}
+}
+
+type booked struct {
+	key, request, outcome string
+}
+
+// booker books under keys and keeps the outcomes.
+type booker struct {
+	entry    *entry
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	outcomes []booked
+}
+
+func (b *booker) run(key string) {
+	defer b.wait.Done()
+	header, status, _ := b.entry.send(http.MethodPost, "/orders", key, "bags=5", 800*time.Millisecond)
+	if status == http.StatusInternalServerError {
+		return // the service answered that it failed
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes = append(b.outcomes, booked{key: key, request: header.Get(handler.HeaderRequest), outcome: header.Get(handler.HeaderOutcome)})
+}
--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	b, ok := s.buckets[customer]
 	if !ok {
-		b = &bucket{tokens: 1, at: now, seen: now}
+		b = &bucket{tokens: math.Inf(1), at: now, seen: now}
 		s.buckets[customer] = b
 	}
 	b.observe(now)
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -170,3 +170,13 @@
 func (r *Retrier) stop(reason Reason) Outcome {
 	return Outcome{truth: r.Truth(), reason: reason}
 }
+
+// Budget returns the budget that the retries are paid from.
+func (r *Retrier) Budget() *Budget { return r.budget }
+
+// Forgive lets endpoints that failed be tried again, when there is no other.
+func (r *Retrier) Forgive() { r.tried, r.avoid = nil, "" }
+
+// Renew starts the count of the attempts anew, for a stream that made progress. Each
+// retry is still paid from the budget.
+func (r *Retrier) Renew() { r.attempts = 0 }
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -56,15 +56,14 @@
 }
 
 const (
-	firstMargin  = 0.7 // of the target
-	nextMargin   = 0.85
-	latePenalty  = 4.0
-	boundFactor  = 1.25
-	maxHomes     = 8
-	homeFactor   = 1.5
-	slackLimit   = 3.0 // calls
-	slackFloor   = 0.002
-	decodeFactor = 0.5 // of the most tokens that a call may ask for
+	firstMargin = 0.7 // of the target
+	nextMargin  = 0.85
+	latePenalty = 4.0
+	boundFactor = 1.25
+	maxHomes    = 8
+	homeFactor  = 1.5
+	slackLimit  = 3.0 // calls
+	slackFloor  = 0.002
 )
 
 // Predictive takes the endpoint where the call adds the least delay, to itself and
@@ -92,7 +91,7 @@
 
 // cost is the delay in seconds that the call meets and causes at an endpoint.
 func (v *view) cost(o option) float64 {
-	decode := decodeFactor * float64(v.call.Decode)
+	decode := float64(v.call.Decode)
 	first, next := o.first.Seconds(), o.next.Seconds()
 	cost := first + decode*next + o.running*(o.prefill+decode*o.growth) + o.penalty
 	if target := v.group.target.First.Seconds(); target > 0 {
@@ -165,7 +164,7 @@
 	unknown := v.arrived / rateWindow.Seconds() * peers * staleness / float64(len(v.options))
 	further := math.Inf(1)
 	for _, o := range v.options {
-		further = min(further, o.prefill+2*decodeFactor*float64(v.call.Decode)*o.growth)
+		further = min(further, o.prefill+2*float64(v.call.Decode)*o.growth)
 	}
 	return slackFloor + further*min(math.Sqrt(unknown), slackLimit)
 }
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -39,6 +39,7 @@
 	first    time.Duration
 	next     time.Duration
 	cached   int
+	known    bool
 	work     observer.Work
 }
 
@@ -54,6 +55,9 @@
 // Cached returns the words of the prompt that are expected in the prefix cache.
 func (c Choice) Cached() int { return c.cached }
 
+// Known reports whether the predictions rest on anything but defaults.
+func (c Choice) Known() bool { return c.known }
+
 // Work returns the work to record with the observer.
 func (c Choice) Work() observer.Work { return c.work }
 
@@ -185,6 +189,7 @@
 		first:    picked.first,
 		next:     picked.next,
 		cached:   cached,
+		known:    picked.known,
 		work:     observer.Work{Prompt: max(call.Words-cached, 0), Decode: call.Decode},
 	}, true
 }
--- a/internal/request/router/view.go
+++ b/internal/request/router/view.go
@@ -22,6 +22,7 @@
 	growth  float64 // seconds per token and further call
 	prefill float64 // seconds for the words that are not cached
 	penalty float64 // seconds
+	known   bool
 }
 
 // view is the state of one decision. Views are pooled.
@@ -62,6 +63,7 @@
 		growth:  load.Growth().Seconds(),
 		prefill: float64(work.Prompt) / load.PrefillRate(),
 		penalty: v.group.far[i],
+		known:   load.Known(),
 	}
 }
 
--- a/internal/request/streamer/registry.go
+++ b/internal/request/streamer/registry.go
@@ -15,6 +15,8 @@
 	registryShards = 16
 	// EndedHold is how long a stream can be read again after its end.
 	EndedHold = time.Minute
+	// FailedHold is how long a stream that failed is kept.
+	FailedHold = 5 * time.Second
 )
 
 // Joining is the outcome of Begin.
@@ -97,7 +99,7 @@
 		s := &r.shards[i]
 		s.mu.Lock()
 		for key, stream := range s.streams {
-			if stream.endedBefore(now.Add(-EndedHold)) {
+			if stream.expired(now) {
 				delete(s.streams, key)
 			}
 		}
--- a/internal/request/streamer/stream.go
+++ b/internal/request/streamer/stream.go
@@ -4,8 +4,11 @@
 package streamer
 
 import (
+	"fmt"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State tells how far a stream is.
@@ -65,9 +68,13 @@
 	record     Record // without its tokens
 	text       []byte
 	ends       []int32 // of the tokens in text
-	source     int
+	source     int     // that tokens are taken from
+	sources    int     // that there have been
+	held       bool
 	state      State
 	recomputed int
+	endpoint   string
+	failure    Failure
 	readers    int
 	ended      time.Time
 	changed    chan struct{}
@@ -141,11 +148,16 @@
 }
 
 // Attach makes a new source the only one that the stream takes tokens from. It
-// returns the number of the source and the tokens that it has to go on behind.
+// returns the number of the source and the tokens that it has to go on behind. The
+// number is 0 if the stream is held or has ended.
 func (s *Stream) Attach() (int, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.held || s.state != Running {
+		return 0, nil
+	}
 	s.source++
+	s.sources++
 	return s.source, s.tokens(0, len(s.ends))
 }
 
@@ -182,27 +194,65 @@
 	return Accepted
 }
 
+// Failure says why a stream cannot become whole.
+type Failure struct {
+	Sent       bool          `msgpack:"sent"`   // an engine may have seen a byte of the call
+	Status     int           `msgpack:"status"` // HTTP status for the caller
+	Detail     string        `msgpack:"detail"`
+	RetryAfter time.Duration `msgpack:"retry"`
+}
+
 // Fail ends a stream that cannot become whole. A stream that has ended stays as it is.
-func (s *Stream) Fail(now time.Time) {
+func (s *Stream) Fail(now time.Time, failure Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == Running {
+		s.failure = failure
 		s.end(now, Failed)
 	}
 }
 
-// Move ends a running stream here and returns its record for another entry. It
-// reports false if the stream has ended.
-func (s *Stream) Move(now time.Time) (Record, bool) {
+// Failure returns why a failed stream did not become whole.
+func (s *Stream) Failure() Failure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure
+}
+
+// Hold makes a running stream take no more tokens, and returns its record for
+// another entry. It reports false if the stream has ended. Move or Resume follows.
+func (s *Stream) Hold() (Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != Running {
+	if s.held || s.state != Running {
 		return Record{}, false
 	}
-	r := s.snapshot()
+	s.held = true
 	s.source++
-	s.end(now, Moved)
-	return r, true
+	return s.snapshot(), true
+}
+
+// Held reports whether the stream takes no tokens.
+func (s *Stream) Held() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Resume lets a held stream take tokens again.
+func (s *Stream) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = false
+}
+
+// Move ends a held stream here: another entry goes on with it.
+func (s *Stream) Move(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == Running {
+		s.end(now, Moved)
+	}
 }
 
 // Recompute counts words and tokens that an engine prefilled again.
@@ -288,9 +338,41 @@
 	return len(s.text) + 4*len(s.ends) + len(s.record.Prompt)
 }
 
-// endedBefore reports whether the stream ended before a time.
-func (s *Stream) endedBefore(at time.Time) bool {
+// expired reports whether the stream ended so long ago that it can be dropped.
+func (s *Stream) expired(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.state {
+	case Running:
+		return false
+	case Failed:
+		return now.Sub(s.ended) >= FailedHold
+	}
+	return now.Sub(s.ended) >= EndedHold
+}
+
+// Touch records a reader that comes and goes, such as another entry.
+func (s *Stream) Touch(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = now
+}
+
+// Hash identifies what the stream answers: route, prompt and size.
+func (s *Stream) Hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s", s.record.Route, s.record.Max, s.record.Prompt))
+}
+
+// SetEndpoint records the endpoint that generates the answer now.
+func (s *Stream) SetEndpoint(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoint = id
+}
+
+// Endpoint returns the endpoint that generated last, and how many sources there were.
+func (s *Stream) Endpoint() (string, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state != Running && s.ended.Before(at)
+	return s.endpoint, s.sources
 }
--- a/internal/request/streamer/streamer_test.go
+++ b/internal/request/streamer/streamer_test.go
@@ -49,6 +49,9 @@
 		got := [][]string{{}, {}, {}}
 		attach := func() {
 			source, after := stream.Attach()
+			if source == 0 {
+				return // the stream has ended
+			}
 			require.Equal(t, want[:len(after)], after)
 			engines = append(engines, engine{source: source, at: len(after)})
 		}
@@ -83,10 +86,13 @@
 				got[i] = append(got[i], tokens...)
 			},
 			"hand over": func(t *rapid.T) {
-				record, ok := stream.Move(epoch)
+				record, ok := stream.Hold()
 				if !ok {
 					return
 				}
+				old := &engines[len(engines)-1]
+				require.Equal(t, streamer.Stale, stream.Accept(old.source, old.at+1, "late"))
+				stream.Move(epoch)
 				data, err := streamer.Encode(record)
 				require.NoError(t, err)
 				record, err = streamer.Decode(data)
@@ -223,7 +229,7 @@
 	require.Equal(t, streamer.Mismatch, joining)
 	_, found := r.Find("clerks", "key:1")
 	require.False(t, found)
-	first.Fail(epoch)
+	first.Fail(epoch, streamer.Failure{})
 	require.Len(t, r.Running(), 1)
 	r.Sweep(epoch.Add(streamer.EndedHold + time.Second))
 	_, found = r.Find("masons", "key:1")
@@ -241,7 +247,7 @@
 			continue
 		}
 		if i%2 == 0 {
-			stream.Fail(epoch.Add(time.Duration(i)))
+			stream.Fail(epoch.Add(time.Duration(i)), streamer.Failure{})
 		}
 	}
 	require.Positive(t, full)
