Wire membership, rules in force, decisions and claims into the node

Cause: the thin path took endpoints in turn and ran a booking as often as it was sent. Change: gossiper and fetcher carry rules and leaving marks, the handler decides by router, admitter, limiter and retrier, streams go on at other engines and entries, and calls that run once are claimed in the replicated log; a planned stop drains, hands streams over and leaves.

--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -39,7 +39,7 @@
 	Rules     func(ctx context.Context) (Rules, error)
 	Apply     func(ctx context.Context, change Change) (Changed, error)
 	History   func(ctx context.Context) ([]Revision, error)
-	Waiting   func(revision uint64) Waiting
+	Waiting   func(ctx context.Context, revision uint64) Waiting
 	Members   func() []Member
 	Endpoints func() []Endpoint
 	Moves     func(ctx context.Context) ([]Move, error)
@@ -157,7 +157,7 @@
 	if err != nil {
 		return nil, &Fault{Code: CodeInvalid, Message: "revision must be a whole number"}
 	}
-	return s.cfg.Waiting(revision), nil
+	return s.cfg.Waiting(r.Context(), revision), nil
 }
 
 // answer adapts a function to HTTP: its value becomes JSON, its error a fault.
--- a/internal/process/lister/table.go
+++ b/internal/process/lister/table.go
@@ -25,6 +25,7 @@
 	ruled    map[string]Endpoint
 	listed   map[string]Endpoint
 	leaving  map[string]time.Time // id to the time of the last listing or mark
+	until    map[string]time.Time // id to when a leaving endpoint goes away
 	services map[string][]Endpoint
 	version  uint64
 }
@@ -35,6 +36,7 @@
 		ruled:    make(map[string]Endpoint),
 		listed:   make(map[string]Endpoint),
 		leaving:  make(map[string]time.Time),
+		until:    make(map[string]time.Time),
 		services: make(map[string][]Endpoint),
 	}
 }
@@ -85,6 +87,21 @@
 	return true
 }
 
+// SetUntil notes when a leaving endpoint goes away.
+func (t *Table) SetUntil(id string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until[id] = until
+}
+
+// Until returns when a leaving endpoint goes away, or the zero time if that is
+// not known.
+func (t *Table) Until(id string) time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.until[id]
+}
+
 // Leaving reports whether the endpoint has a leaving mark.
 func (t *Table) Leaving(id string) bool {
 	t.mu.RLock()
@@ -142,6 +159,7 @@
 	for id, last := range t.leaving {
 		if now.Sub(last) > markLifetime {
 			delete(t.leaving, id)
+			delete(t.until, id)
 		}
 	}
 }
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -46,7 +46,7 @@
 		fmt.Println(err)
 		return 1
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	programs = folder
 	build := exec.Command("go", "build", "-race", "-o", folder+"/", "hyssoprudder/cmd/hyssoprudder", "hyssoprudder/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -330,7 +330,10 @@
 	d.write("load.toml", fmt.Sprintf("entries = [%s]\nrate = %g\nduration = %q\nready = \"/readyz\"\n[[customer]]\nname = \"masons\"\ntoken = \"masons-demo\"\nshare = 1.0\n%s",
 		strings.Join(entries, ", "), rate, duration, calls))
 	l := &load{d: d, log: d.path("outcomes.jsonl")}
-	l.process = d.spawn("load", nil, "standin", "load", "-config", d.path("load.toml"), "-log", l.log)
+	out, err := os.Create(d.path("summary.json"))
+	require.NoError(d.t, err)
+	defer out.Close()
+	l.process = d.spawn("load", out, "standin", "load", "-json", "-config", d.path("load.toml"), "-log", l.log)
 	d.others = append(d.others, l.process)
 	return l
 }
@@ -360,3 +363,24 @@
 	}
 	return ranCommand{code: code, out: string(out)}
 }
+
+// outcomes are the totals of a load.
+type outcomes struct {
+	sent, whole int
+	all         map[string]int
+}
+
+// summary returns the totals of a load that has ended.
+func (l *load) summary() outcomes {
+	l.d.t.Helper()
+	raw, err := os.ReadFile(l.d.path("summary.json"))
+	require.NoError(l.d.t, err)
+	var s struct {
+		All struct {
+			Sent     int            `json:"sent"`
+			Outcomes map[string]int `json:"outcomes"`
+		} `json:"all"`
+	}
+	require.NoError(l.d.t, json.Unmarshal(raw, &s))
+	return outcomes{sent: s.All.Sent, whole: s.All.Outcomes["whole"], all: s.All.Outcomes}
+}
--- a/internal/process/runner/dump.go
+++ b/internal/process/runner/dump.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"strings"
 	"time"
 
 	"hyssoprudder/internal/connection/operator"
@@ -46,16 +48,32 @@
 	return d, nil
 }
 
-func (r *Runner) waiting(revision uint64) operator.Waiting {
-	w := operator.Waiting{Revision: revision, Members: []string{}}
-	if r.rules.revision() < revision {
-		w.Members = append(w.Members, r.settings.ID())
+func (r *Runner) waiting(ctx context.Context, revision uint64) operator.Waiting {
+	w := operator.Waiting{Revision: revision, Members: r.fetcher.Waiting(ctx, revision)}
+	if w.Members == nil {
+		w.Members = []string{}
 	}
 	return w
 }
 
 func (r *Runner) members() []operator.Member {
-	return []operator.Member{{ID: r.settings.ID(), Address: r.messenger.Address().String(), Domain: r.settings.Domain(), State: "alive", Revision: r.rules.revision()}}
+	leader, _, _ := r.leader()
+	members := []operator.Member{}
+	for _, m := range r.gossiper.Members() {
+		members = append(members, operator.Member{
+			ID: m.ID(), Address: m.Address().String(), Domain: m.Domain(), Roles: strings.Split(m.Roles().String(), ","),
+			State: m.State().String(), Incarnation: m.Incarnation(), Revision: m.Running(), Leader: m.ID() == leader,
+		})
+	}
+	return members
+}
+
+// leader returns the leader as far as this node knows it; only keepers do.
+func (r *Runner) leader() (string, netip.AddrPort, bool) {
+	if r.state.keeper == nil {
+		return "", netip.AddrPort{}, false
+	}
+	return r.state.keeper.Leader()
 }
 
 func (r *Runner) moves(context.Context) ([]operator.Move, error) { return []operator.Move{}, nil }
--- /dev/null
+++ b/internal/process/runner/entry.go
@@ -0,0 +1,207 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/process/proposer"
+	"hyssoprudder/internal/request/claimer"
+	"hyssoprudder/internal/request/handler"
+	"hyssoprudder/internal/request/limiter"
+	"hyssoprudder/internal/request/router"
+	"hyssoprudder/internal/request/streamer"
+)
+
+const (
+	// maxStreamBytes bounds the answers that an entry holds, in bytes.
+	maxStreamBytes = 256 << 20
+	sweepInterval  = 5 * time.Second
+	digestInterval = 500 * time.Millisecond
+)
+
+// The kinds of digests that nodes publish.
+const (
+	digestLoad uint8 = iota + 1
+	digestDemand
+)
+
+// entry is the part of a node that serves callers.
+type entry struct {
+	runner   *Runner
+	observer *observer.Observer
+	router   *router.Router
+	limiter  *limiter.Limiter
+	claimer  *claimer.Claimer
+	handler  *handler.Handler
+	prober   *prober
+	turns    turns
+
+	serial uint64 // of the digests of this node
+	merged map[digestKey]uint64
+
+	done  chan struct{}
+	group sync.WaitGroup
+}
+
+// digestKey names a digest of another node.
+type digestKey struct {
+	node        string
+	incarnation uint64
+	kind        uint8
+}
+
+func (r *Runner) buildEntry() error {
+	e := &entry{runner: r, limiter: limiter.New(1), merged: make(map[digestKey]uint64), done: make(chan struct{})}
+	e.observer = observer.New(r.clock.Now())
+	e.router = router.New(e.observer, r.settings.Domain(), router.Predictive())
+	e.prober = &prober{entry: e, after: make(map[string]uint64)}
+	e.claimer = claimer.New(claimer.Config{
+		Entry: r.settings.ID(), Propose: r.state.proposer.Propose,
+		IsNotRun: func(err error) bool { return errors.Is(err, proposer.ErrNotRun) },
+		Wait: func(ctx context.Context, node string, args *claimer.WaitArgs, reply *claimer.WaitReply) error {
+			return r.callNode(ctx, node, claimer.WaitMethod, args, reply)
+		},
+		Clock: r.clock, Log: r.log.With("part", "claimer"),
+	})
+	e.handler = handler.New(handler.Config{
+		Clock: r.clock, Router: e.router, Observer: e.observer, Limiter: e.limiter, Streams: streamer.NewRegistry(maxStreamBytes),
+		Do: r.dialer.Do, Status: r.dialer.Status, Generate: r.dialer.Generate, Export: r.dialer.Export, Import: r.dialer.Import,
+		Until:  r.table.Until,
+		Claims: handler.Claims{Acquire: e.acquire, Settle: e.settle},
+		Peers:  handler.Peers{Nodes: r.entries, Read: e.readPeer, Hand: e.handPeer},
+	})
+	r.entry = e
+	if err := r.messenger.Register(claimer.ServiceName, claimer.NewService(e.claimer)); err != nil {
+		return err
+	}
+	return r.messenger.Register(streamService, &StreamService{entry: e})
+}
+
+func (e *entry) start() {
+	e.claimer.Start()
+	e.group.Add(3)
+	go e.sweepLoop()
+	go e.digestLoop()
+	go e.prober.run()
+}
+
+// stop ends the entry's loops. No call runs any more.
+func (e *entry) stop() {
+	close(e.done)
+	e.group.Wait()
+	e.handler.Close()
+	e.claimer.Stop()
+}
+
+func (e *entry) sweepLoop() {
+	defer e.group.Done()
+	for clock.Sleep(e.runner.clock, sweepInterval, e.done) {
+		e.handler.Sweep(e.runner.clock.Now())
+	}
+}
+
+// digestLoop tells the other entries of this one's load and takes in theirs.
+func (e *entry) digestLoop() {
+	defer e.group.Done()
+	for clock.Sleep(e.runner.clock, digestInterval, e.done) {
+		now := e.runner.clock.Now()
+		e.serial++
+		e.publish(digestLoad, now, e.observer.Digest)
+		e.publish(digestDemand, now, e.limiter.Digest)
+		e.limiter.SetEntries(1 + len(e.runner.entries()))
+		e.merge(digestLoad, now, e.observer.Merge)
+		e.merge(digestDemand, now, e.limiter.Merge)
+	}
+}
+
+func (e *entry) publish(kind uint8, now time.Time, encode func(time.Time) ([]byte, error)) {
+	body, err := encode(now)
+	if err == nil {
+		err = e.runner.gossiper.Publish(kind, e.serial, body)
+	}
+	if err != nil {
+		e.runner.log.Error("digest not published", "kind", kind, "err", err)
+	}
+}
+
+// merge takes in the digests that are newer than those taken in before.
+func (e *entry) merge(kind uint8, now time.Time, take func(time.Time, string, []byte) error) {
+	for _, d := range e.runner.gossiper.Digests(kind) {
+		key := digestKey{node: d.Node(), incarnation: d.Incarnation(), kind: kind}
+		if e.merged[key] >= d.Version() {
+			continue
+		}
+		e.merged[key] = d.Version()
+		if err := take(now, d.Node(), d.Body()); err != nil {
+			e.runner.log.Error("digest not read", "kind", kind, "from", d.Node(), "err", err)
+		}
+	}
+}
+
+// refresh takes the endpoints and targets over into the router after a change.
+func (r *Runner) refresh() {
+	rules := r.rules.rules()
+	if r.entry == nil || rules == nil {
+		return
+	}
+	r.refreshing.Lock()
+	defer r.refreshing.Unlock()
+	targets := make(map[string]router.Target, len(rules.Services()))
+	for _, s := range rules.Services() {
+		targets[s.Name()] = router.Target{First: s.First(), Next: s.Next()}
+	}
+	all := r.table.All()
+	keep := make(map[string]bool, len(all))
+	for _, endpoint := range all {
+		keep[endpoint.ID()] = true
+		r.entry.observer.SetLeaving(endpoint.ID(), r.table.Leaving(endpoint.ID()))
+	}
+	r.entry.router.Update(all, targets)
+	r.entry.observer.Forget(keep)
+}
+
+// streamService is the name under which StreamService is registered.
+const streamService = "stream"
+
+// StreamService answers other entries about this entry's streams.
+type StreamService struct {
+	entry *entry
+}
+
+// streamTimeout bounds the answer to one question about a stream.
+const streamTimeout = 2 * time.Second
+
+// Read answers with tokens of a stream.
+func (s *StreamService) Read(args *handler.Query, reply *handler.Batch) error {
+	ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
+	defer cancel()
+	*reply = s.entry.handler.Read(ctx, *args)
+	return nil
+}
+
+// HandArgs carries the record of a stream.
+type HandArgs struct {
+	Record []byte `msgpack:"record"`
+}
+
+// HandReply says that a record was taken over.
+type HandReply struct{}
+
+// Hand takes a stream over from an entry that stops.
+func (s *StreamService) Hand(args *HandArgs, _ *HandReply) error {
+	return s.entry.handler.Adopt(args.Record)
+}
+
+func (e *entry) readPeer(ctx context.Context, node string, q handler.Query) (handler.Batch, error) {
+	var batch handler.Batch
+	err := e.runner.callNode(ctx, node, streamService+".Read", &q, &batch)
+	return batch, err
+}
+
+func (e *entry) handPeer(ctx context.Context, node string, record []byte) error {
+	return e.runner.callNode(ctx, node, streamService+".Hand", &HandArgs{Record: record}, &HandReply{})
+}
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -15,8 +15,6 @@
 	runner *Runner
 	client *provisioner.Client
 	after  uint64
-	// marked is told of each endpoint that was newly found to be leaving.
-	marked func(id string)
 
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -63,9 +61,7 @@
 		}
 		listed = append(listed, lister.Listed{Endpoint: endpoint, Leaving: instance.Leaving()})
 	}
-	for _, id := range w.runner.table.SetListed(listed, w.runner.clock.Now()) {
-		w.report(id, "list")
-	}
+	w.runner.listed(listed)
 }
 
 // pollPatience bounds one poll, in poll intervals.
@@ -81,15 +77,19 @@
 	}
 	for _, notice := range notices {
 		w.after = max(w.after, notice.Seq)
-		if w.runner.table.Mark(notice.ID, w.runner.clock.Now()) {
-			w.report(notice.ID, "notice")
-		}
+		w.runner.table.SetUntil(notice.ID, notice.Until)
+		w.runner.leave(notice.ID, "notice")
 	}
 }
 
-func (w *watcher) report(id, source string) {
-	w.runner.log.Info("endpoint leaving", "endpoint", id, "source", source)
-	if w.marked != nil {
-		w.marked(id)
+// listed takes the platform's list over and spreads the marks that are new.
+func (r *Runner) listed(list []lister.Listed) {
+	marked := r.table.SetListed(list, r.clock.Now())
+	for _, id := range marked {
+		r.log.Info("endpoint leaving", "endpoint", id, "source", "list")
+		r.gossiper.MarkLeaving(id, markIncarnation)
+	}
+	if version := r.table.Version(); version != r.seen.Swap(version) {
+		r.refresh()
 	}
 }
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -9,7 +9,9 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +24,8 @@
 	"hyssoprudder/internal/connection/operator"
 	"hyssoprudder/internal/connection/server"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/fetcher"
+	"hyssoprudder/internal/process/gossiper"
 	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/meter"
 	"hyssoprudder/internal/process/settings"
@@ -36,12 +40,17 @@
 	incarnation uint64
 	failed      chan error
 	stopping    atomic.Bool
+	seen        atomic.Uint64 // version of the table that the router has
+	refreshing  sync.Mutex    // held while the router takes over a change
 
 	rules     holder
 	table     *lister.Table
 	dialer    *dialer.Dialer
 	messenger *messenger.Messenger
+	gossiper  *gossiper.Gossiper
+	fetcher   *fetcher.Fetcher
 	state     *stateParts
+	entry     *entry         // nil without the role entry
 	callers   *server.Server // nil without the role entry
 	operators *operator.Server
 }
@@ -67,7 +76,13 @@
 	if err := r.buildState(); err != nil {
 		return nil, err
 	}
+	if err := r.buildMembership(); err != nil {
+		return nil, err
+	}
 	if s.Has(settings.RoleEntry) {
+		if err := r.buildEntry(); err != nil {
+			return nil, err
+		}
 		r.buildCallers(cert)
 	}
 	return r, r.buildOperators(cert)
@@ -113,7 +128,7 @@
 	r.callers = server.New(server.Config{
 		Listen: r.settings.Callers(), Limits: r.settings.Limits(), Certifier: cert,
 		Clock: r.clock, Log: r.log, Meter: meter.NewCalls(r.registry),
-		Rules: r.rules.rules, Ready: r.ready, Serve: r.newHandler().Serve,
+		Rules: r.rules.rules, Ready: r.ready, Serve: r.entry.handler.Serve,
 	})
 }
 
@@ -146,6 +161,7 @@
 	}
 	r.startState()
 	if r.callers != nil {
+		r.entry.start()
 		if err := r.callers.Start(); err != nil {
 			return err
 		}
@@ -183,11 +199,10 @@
 // the log.
 func (r *Runner) Stop(ctx context.Context) error {
 	r.stopping.Store(true)
+	r.gossiper.Leave()
 	var cut int64
 	if r.callers != nil {
-		r.callers.Drain()
-		clock.Sleep(r.clock, r.settings.Limits().Lame(), ctx.Done())
-		cut = r.callers.Stop(ctx)
+		cut = r.stopEntry(ctx)
 	}
 	r.stopState(ctx)
 	r.operators.Stop(ctx)
@@ -199,3 +214,35 @@
 	}
 	return err
 }
+
+// stopEntry serves what arrives until the balancer has surely seen that the
+// node is not ready, finishes what can be finished in half the time that is
+// left, and hands the other streams over. It returns the number of calls cut.
+func (r *Runner) stopEntry(ctx context.Context) int64 {
+	r.callers.Drain()
+	clock.Sleep(r.clock, r.settings.Limits().Lame(), ctx.Done())
+	h := &handover{entry: r.entry, wait: r.settings.Limits().Stop() / 2, done: make(chan struct{}), ended: make(chan struct{})}
+	go h.run(ctx)
+	cut := r.callers.Stop(ctx)
+	close(h.done)
+	<-h.ended
+	r.entry.stop()
+	return cut
+}
+
+// handover gives the streams that still run to other entries after a while.
+type handover struct {
+	entry *entry
+	wait  time.Duration
+	done  chan struct{}
+	ended chan struct{}
+}
+
+func (h *handover) run(ctx context.Context) {
+	defer close(h.ended)
+	if !clock.Sleep(h.entry.runner.clock, h.wait, h.done) {
+		return
+	}
+	left, err := h.entry.handler.HandOver(ctx)
+	h.entry.runner.log.Info("streams handed over", "left", left, "err", err)
+}
