--- /dev/null
+++ b/internal/process/runner/dump.go
@@ -0,0 +1,83 @@
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"time"
+
+	"hyssoprudder/internal/connection/operator"
+	"hyssoprudder/internal/process/keeper"
+)
+
+// dumpVersion is the version of the layout of state dumps.
+const dumpVersion = 1
+
+// Dump is the state of a node. Each part is consistent in itself; the parts
+// are read one after the other.
+type Dump struct {
+	Version     int                 `json:"version"`
+	At          time.Time           `json:"at"`
+	Node        string              `json:"node"`
+	Incarnation uint64              `json:"incarnation"`
+	Ready       string              `json:"ready"` // "ready", or why it is not
+	Revision    uint64              `json:"revision"`
+	Running     int64               `json:"running"` // calls being served
+	Keeper      *keeper.Status      `json:"keeper,omitempty"`
+	Members     []operator.Member   `json:"members"`
+	Endpoints   []operator.Endpoint `json:"endpoints"`
+	Leaving     []string            `json:"leaving"`
+}
+
+func (r *Runner) dump() (any, error) {
+	d := &Dump{
+		Version: dumpVersion, At: r.clock.Now().UTC(), Node: r.settings.ID(), Incarnation: r.incarnation,
+		Ready: "ready", Revision: r.rules.revision(),
+		Members: r.members(), Endpoints: r.endpoints(), Leaving: r.table.Marks(),
+	}
+	if err := r.ready(); err != nil {
+		d.Ready = err.Error()
+	}
+	if r.callers != nil {
+		d.Running = r.callers.Running()
+	}
+	if r.state.keeper != nil {
+		status := r.state.keeper.Status()
+		d.Keeper = &status
+	}
+	return d, nil
+}
+
+func (r *Runner) waiting(ctx context.Context, revision uint64) operator.Waiting {
+	w := operator.Waiting{Revision: revision, Members: r.fetcher.Waiting(ctx, revision)}
+	if w.Members == nil {
+		w.Members = []string{}
+	}
+	return w
+}
+
+func (r *Runner) members() []operator.Member {
+	leader, _, _ := r.leader()
+	members := []operator.Member{}
+	for _, m := range r.gossiper.Members() {
+		members = append(members, operator.Member{
+			ID: m.ID(), Address: m.Address().String(), Domain: m.Domain(), Roles: strings.Split(m.Roles().String(), ","),
+			State: m.State().String(), Incarnation: m.Incarnation(), Revision: m.Running(), Leader: m.ID() == leader,
+		})
+	}
+	return members
+}
+
+// leader returns the leader as far as this node knows it; only keepers do.
+func (r *Runner) leader() (string, netip.AddrPort, bool) {
+	if r.state.keeper == nil {
+		return "", netip.AddrPort{}, false
+	}
+	return r.state.keeper.Leader()
+}
+
+func (r *Runner) moves(context.Context) ([]operator.Move, error) { return []operator.Move{}, nil }
+
+func (r *Runner) abort(context.Context, string) (operator.Move, error) {
+	return operator.Move{}, &operator.Fault{Code: operator.CodeMissing, Message: "no such move"}
+}
--- /dev/null
+++ b/internal/process/runner/state.go
@@ -0,0 +1,93 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+
+	"hyssoprudder/internal/connection/messenger"
+	"hyssoprudder/internal/connection/provisioner"
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/keeper"
+	"hyssoprudder/internal/process/proposer"
+	"hyssoprudder/internal/process/settings"
+)
+
+// journalName names the log of rules, moves, intents and claims.
+const journalName = "main"
+
+// stateParts are the parts of a node that concern the replicated state.
+type stateParts struct {
+	keeper   *keeper.Keeper // nil without the role keeper
+	offerer  *offerer       // nil without the role keeper
+	proposer *proposer.Proposer
+	watcher  *watcher // nil without a platform
+}
+
+func (r *Runner) buildState() error {
+	var peers []keeper.Peer
+	var addresses []netip.AddrPort
+	for _, k := range r.settings.Keepers() {
+		peers = append(peers, keeper.Peer{Name: k.Name(), Address: k.Address()})
+		addresses = append(addresses, k.Address())
+	}
+	r.state = &stateParts{}
+	var err error
+	r.state.proposer, err = proposer.New(proposer.Config{
+		Journal: journalName, Keepers: addresses, Clock: r.clock, Log: r.log.With("part", "proposer"), Call: r.messenger.Call,
+		IsNotRun: func(err error) bool { return errors.Is(err, messenger.ErrUnsent) },
+	})
+	if err != nil {
+		return err
+	}
+	if r.settings.Platform().IsValid() {
+		r.state.watcher = &watcher{runner: r, client: provisioner.New(r.settings.Platform())}
+	}
+	if !r.settings.Has(settings.RoleKeeper) {
+		return nil
+	}
+	state := applier.New()
+	r.state.offerer = newOfferer(r)
+	state.OnRevision(r.state.offerer.put)
+	r.state.keeper, err = keeper.New(keeper.Config{
+		Journal: journalName, Name: r.settings.ID(), Folder: r.settings.Data(), Peers: peers,
+		Clock: r.clock, Log: r.log.With("part", "keeper"), Call: r.messenger.Call, Register: r.messenger.Register,
+		Applier: state,
+	})
+	return err
+}
+
+func (r *Runner) startKeeper() error {
+	if r.state.keeper == nil {
+		return nil
+	}
+	return r.state.keeper.Start()
+}
+
+func (r *Runner) startState() {
+	r.gossiper.Start(r.messenger.Address())
+	r.state.proposer.Start()
+	r.fetcher.Start()
+	if r.state.offerer != nil {
+		go r.state.offerer.run()
+	}
+	if r.state.watcher != nil {
+		r.state.watcher.start()
+	}
+}
+
+// stopState leaves the membership after the leadership was handed over.
+func (r *Runner) stopState(ctx context.Context) {
+	if r.state.watcher != nil {
+		r.state.watcher.stop()
+	}
+	if r.state.keeper != nil {
+		if err := r.state.keeper.Stop(ctx); err != nil {
+			r.log.Error("keeper stopped", "err", err)
+		}
+		r.state.offerer.stop()
+	}
+	r.fetcher.Stop()
+	r.state.proposer.Stop()
+	r.gossiper.Depart(ctx)
+}
