Compare routing, continuation and admission with baselines on stand-in engines

The product's router, admitter and plan for streams could only be compared by unit tests. Entries that differ in one decision now stand before the same engines with the same load. A trial showed two faults of the harness: a router that was updated with an unchanged list on each poll started its round robin anew, and asking the router once for admission and once for the call made round robin skip every second engine.

--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -52,6 +52,7 @@
 		{"platform", "run a stand-in platform with a fleet of instances", c.platform},
 		{"load", "put an open-loop load on entries and report", c.load},
 		{"audit", "compare a load's log with the records of the services", c.audit},
+		{"measure", "compare the product's decisions with baselines", c.measure},
 	}
 }
 
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -82,7 +82,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.load.running.Done()
 	defer close(c.done)
-	deadline := c.load.settings.scaled(c.order.call.Timeout)
+	deadline := c.load.settings.Scaled(c.order.call.Timeout)
 	if deadline > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, deadline)
@@ -122,10 +122,10 @@
 		return
 	}
 	c.result.Worth = orOne(call.Worth) * orOne(c.order.customer.Worth)
-	c.result.Met = call.First == 0 || c.result.First <= settings.scaled(call.First)
+	c.result.Met = call.First == 0 || c.result.First <= settings.Scaled(call.First)
 	if call.Next > 0 && c.got > 1 && !call.Whole {
 		mean := (c.result.Total - c.result.First) / time.Duration(c.got-1)
-		c.result.Met = c.result.Met && mean <= settings.scaled(call.Next)
+		c.result.Met = c.result.Met && mean <= settings.Scaled(call.Next)
 	}
 }
 
--- a/internal/standin/loader/settings.go
+++ b/internal/standin/loader/settings.go
@@ -102,4 +102,5 @@
 	return errors.Join(errs...)
 }
 
-func (s Settings) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * s.Scale) }
+// Scaled returns a time in the scale of the load.
+func (s Settings) Scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * s.Scale) }
--- /dev/null
+++ b/internal/standin/measurer/entry.go
@@ -0,0 +1,254 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/request/admitter"
+	"hyssoprudder/internal/request/router"
+	"hyssoprudder/internal/standin/hoster"
+)
+
+const (
+	pollTimeout = 250 * time.Millisecond
+	stateLive   = "live"
+	hexBase     = 16
+	wordBits    = 64
+)
+
+// entry serves callers with the decisions of one arm.
+type entry struct {
+	site     *site
+	id       string
+	dialer   *dialer.Dialer
+	observer *observer.Observer
+	router   *router.Router
+	gate     *admitter.Gate
+	host     *hoster.Host
+	ended    sync.WaitGroup
+	live     []lister.Endpoint // touched by the loop only
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	counter int
+	leaving map[string]time.Time
+	seqs    map[string]uint64
+	relays  map[*relay]struct{}
+}
+
+func newEntry(s *site, id, domain string, seed uint64) (*entry, error) {
+	e := &entry{
+		site: s, id: id,
+		dialer:   dialer.New(),
+		observer: observer.New(s.clock.Now()),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		leaving:  make(map[string]time.Time),
+		seqs:     make(map[string]uint64),
+		relays:   make(map[*relay]struct{}),
+	}
+	e.router = router.New(e.observer, domain, s.arm.Policy())
+	e.router.Random = e.draw
+	e.refresh()
+	policy := admitter.None()
+	if s.arm.Admission != nil {
+		policy = s.arm.Admission(len(s.firm.Load.Entries))
+	}
+	e.gate = admitter.NewGate(s.clock, admitter.New(policy, admitter.DefaultLimits()), e.room)
+	host, err := hoster.Listen("127.0.0.1:0", http.HandlerFunc(e.serve))
+	if err != nil {
+		return nil, err
+	}
+	e.host = host
+	e.ended.Add(1)
+	go e.loop()
+	return e, nil
+}
+
+func (e *entry) draw() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.random.Float64()
+}
+
+func (e *entry) stop(ctx context.Context) {
+	e.host.Stop(ctx)
+	e.ended.Wait()
+	e.gate.Close()
+	e.dialer.Close()
+}
+
+// loop keeps the endpoints, their load and their cache events up to date.
+func (e *entry) loop() {
+	defer e.ended.Done()
+	for clock.Sleep(e.site.clock, e.site.scaled(pollPeriod), e.host.Dead()) {
+		e.refresh()
+	}
+}
+
+func (e *entry) refresh() {
+	var live []lister.Endpoint
+	var polled []lister.Endpoint
+	for _, i := range e.site.platform.Instances() {
+		address, err := netip.ParseAddrPort(i.Address)
+		if err != nil {
+			continue
+		}
+		endpoint := lister.NewEndpoint(lister.Spec{
+			ID: i.ID, Service: i.Service, Version: i.Version, Domain: i.Domain, Class: i.Class,
+			Market: lister.Market(i.Market), Price: i.Price, Address: address,
+		})
+		live = append(live, endpoint)
+		e.mark(endpoint, i.Until)
+		if i.State == stateLive {
+			polled = append(polled, endpoint)
+		}
+	}
+	// Update drops what the router has counted for the service.
+	if !slices.Equal(live, e.live) {
+		e.live = live
+		e.router.Update(live, map[string]router.Target{e.site.firm.Service: e.site.firm.Targets})
+	}
+	for _, endpoint := range polled {
+		e.poll(endpoint)
+	}
+	e.observer.Sweep(e.site.clock.Now())
+}
+
+// mark takes up that an endpoint is leaving, and tells the streams on it.
+func (e *entry) mark(endpoint lister.Endpoint, until *time.Time) {
+	e.mu.Lock()
+	_, marked := e.leaving[endpoint.ID()]
+	if until == nil || marked {
+		e.mu.Unlock()
+		return
+	}
+	e.leaving[endpoint.ID()] = *until
+	var affected []*relay
+	for r := range e.relays {
+		affected = append(affected, r)
+	}
+	e.mu.Unlock()
+	e.observer.SetLeaving(endpoint.ID(), true)
+	for _, r := range affected {
+		r.leave(endpoint, *until)
+	}
+}
+
+func (e *entry) poll(endpoint lister.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	report, err := e.dialer.Load(ctx, endpoint.Address())
+	if err != nil {
+		return
+	}
+	e.observer.Report(endpoint.ID(), observer.Report{
+		At: report.At, Running: report.Running, Queued: report.Queued, Slots: report.Slots,
+		Used: int(report.KVUsed), Size: int(report.KVSize), Prefill: report.PrefillRate, Decode: report.DecodeRate,
+	})
+	found, err := e.dialer.Events(ctx, endpoint.Address(), e.seqs[endpoint.ID()])
+	if err != nil || len(found) == 0 {
+		return
+	}
+	events := make([]router.Event, 0, len(found))
+	for _, f := range found {
+		prefix, err := strconv.ParseUint(f.Prefix, hexBase, wordBits)
+		if err != nil {
+			continue
+		}
+		events = append(events, router.Event{Sequence: f.Seq, Drop: f.Op == "drop", Prefix: prefix})
+	}
+	e.seqs[endpoint.ID()] = found[len(found)-1].Seq
+	e.router.Events(endpoint.ID(), events)
+}
+
+// body is the body of a caller's request.
+type body struct {
+	Prompt string `json:"prompt"`
+	Max    int    `json:"max"`
+	Stream *bool  `json:"stream"`
+}
+
+func (e *entry) serve(w http.ResponseWriter, r *http.Request) {
+	var b body
+	if !hoster.Decode(w, r, &b) {
+		return
+	}
+	words, prefixes := router.Prefixes(b.Prompt)
+	call := router.Call{
+		Service: e.site.firm.Service, Route: r.URL.Path, Prefixes: prefixes, Words: words, Decode: b.Max,
+	}
+	s := &relay{entry: e, call: call, body: b, out: w, name: e.name(), whole: b.Stream != nil && !*b.Stream}
+	choice, chosen := e.router.Choose(e.site.clock.Now(), call)
+	decision := e.gate.Enter(r.Context(), e.offer(r, s, choice))
+	if decision.Kind() != admitter.Admit {
+		w.Header().Set("Outcome", "notrun")
+		http.Error(w, string(decision.Reason()), http.StatusServiceUnavailable)
+		return
+	}
+	defer e.gate.Leave()
+	if chosen && decision.Waited() == 0 {
+		s.choice = &choice
+	}
+	e.site.tally.accept(words, router.BlockWords, prefixes)
+	e.track(s, true)
+	defer e.track(s, false)
+	s.serve(r.Context())
+}
+
+// offer is what admission knows about a call.
+func (e *entry) offer(r *http.Request, s *relay, choice router.Choice) admitter.Request {
+	now := e.site.clock.Now()
+	offer := admitter.Request{Bytes: len(s.body.Prompt), Run: choice.Time()}
+	for _, call := range e.site.firm.Load.Calls {
+		if call.Path == r.URL.Path {
+			offer.Worth, offer.Priority = call.Worth, call.Priority
+		}
+	}
+	s.priority = offer.Priority
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	for _, customer := range e.site.firm.Load.Customers {
+		if customer.Token == token {
+			offer.Customer, offer.Weight = customer.Name, customer.Worth
+		}
+	}
+	if timeout, err := time.ParseDuration(r.Header.Get("Timeout")); err == nil {
+		offer.Deadline = now.Add(timeout)
+	}
+	return offer
+}
+
+// room is what the service can still take from this entry.
+func (e *entry) room(now time.Time) admitter.Room {
+	room := e.router.Room(now, e.site.firm.Service)
+	share := max(room.Share(), 1/float64(len(e.site.firm.Load.Entries)))
+	return admitter.Room{Free: room.Free(), Limit: room.Limit() * share}
+}
+
+func (e *entry) name() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counter++
+	return fmt.Sprintf("%s-%d", e.id, e.counter)
+}
+
+func (e *entry) track(r *relay, running bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if running {
+		e.relays[r] = struct{}{}
+	} else {
+		delete(e.relays, r)
+	}
+}
--- /dev/null
+++ b/internal/standin/measurer/measurer.go
@@ -0,0 +1,339 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/request/admitter"
+	"hyssoprudder/internal/request/router"
+	"hyssoprudder/internal/standin/platform"
+)
+
+// Options are the same for all arms of an experiment.
+type Options struct {
+	Examples string // directory of the firms' examples
+	Results  string // directory for CSV and SVG files
+	Firms    []string
+	Seeds    int
+	Scale    float64
+	Duration time.Duration // of one load, with its warm-up
+	Warm     time.Duration
+	Clock    clock.Clock
+	Out      io.Writer
+}
+
+// Experiment is one comparison of the product with baselines.
+type Experiment struct {
+	name   string
+	title  string
+	values []value // the first is drawn
+	plan   func(o Options, firm *Firm) []job
+	// drawn tells which rows count; the others are in the CSV file only.
+	drawn func(r row) bool
+}
+
+// Name returns the name of the experiment.
+func (e Experiment) Name() string { return e.name }
+
+// job gives the rows of one arm, condition and seed.
+type job struct {
+	firm  *Firm
+	arm   Arm
+	trial trial
+	name  string // of the condition
+	// search finds the highest rate at which the targets are met, from the
+	// trial's rate upwards.
+	search bool
+}
+
+// The arms.
+var (
+	product    = Arm{Name: "product", Policy: router.Predictive}
+	fair       = Arm{Name: "product", Policy: router.Predictive, Admission: func(int) admitter.Policy { return admitter.Fair() }}
+	roundRobin = Arm{Name: "round robin", Policy: router.RoundRobin, Restart: true}
+	least      = Arm{Name: "least in flight", Policy: router.LeastInflight, Restart: true}
+	twoChoices = Arm{Name: "two choices", Policy: router.TwoChoices, Restart: true}
+	restart    = Arm{Name: "product, start again", Policy: router.Predictive, Restart: true}
+	open       = Arm{Name: "no admission", Policy: router.Predictive}
+	fixed      = Arm{Name: "fixed limit", Policy: router.Predictive, Admission: fixedLimit}
+)
+
+const fixedSlots = 264
+
+// fixedLimit divides the slots of the fleet by the entries.
+func fixedLimit(entries int) admitter.Policy { return admitter.Fixed(fixedSlots / entries) }
+
+// Experiments returns all experiments.
+func Experiments() []Experiment {
+	return []Experiment{
+		{
+			name: "cost", title: "Cost at the latency target", plan: costPlan,
+			values: []value{
+				{"price per thousand requests met", func(r row) float64 { return r.outcome.summary.CostPer * r.outcome.trial.scale }},
+				{"highest load, requests/s", func(r row) float64 { return r.outcome.trial.rate }},
+			},
+			drawn: func(r row) bool { return r.condition == conditionHighest },
+		},
+		{
+			name: "recompute", title: "Recomputed tokens", plan: recomputePlan,
+			values: []value{
+				{"computed again for continued streams, per thousand generated", func(r row) float64 {
+					return r.outcome.work.perThousand(r.outcome.work.resumed)
+				}},
+				{"computed beyond need, per thousand generated", func(r row) float64 {
+					return r.outcome.work.perThousand(r.outcome.work.recomputed)
+				}},
+				{"share of requests whole", func(r row) float64 {
+					return float64(r.outcome.summary.All.Outcomes["whole"]) / float64(r.outcome.summary.All.Sent)
+				}},
+			},
+		},
+		{
+			name: "worth", title: "Worth of requests answered whole and in time", plan: worthPlan,
+			values: []value{
+				{"share of the offered worth", row.worthShare},
+				{"worth per second", func(r row) float64 {
+					return r.outcome.summary.All.Worth / r.outcome.summary.Took * 1000 * r.outcome.trial.scale
+				}},
+				{"share of requests refused", func(r row) float64 {
+					return float64(r.outcome.summary.All.Outcomes["notrun"]) / float64(r.outcome.summary.All.Sent)
+				}},
+			},
+		},
+	}
+}
+
+const (
+	conditionHighest = "highest"
+	conditionProbe   = "probe"
+	searchFactor     = 1.05
+	searchSteps      = 32 // a power of two
+	targetShare      = 0.95
+)
+
+func costPlan(o Options, firm *Firm) []job {
+	var jobs []job
+	for _, arm := range []Arm{roundRobin, least, twoChoices, product} {
+		for seed := range o.Seeds {
+			jobs = append(jobs, job{firm: firm, arm: arm, trial: o.trial(lowest[firm.Name], seed), search: true})
+		}
+	}
+	return jobs
+}
+
+// The rates are in requests of models per second, before scaling.
+var (
+	lowest   = map[string]float64{"vrancea": 20, "grasflot": 20}
+	moderate = map[string]float64{"vrancea": 25, "grasflot": 25}
+	served   = map[string]float64{"vrancea": 60, "grasflot": 60}
+)
+
+func recomputePlan(o Options, firm *Firm) []job {
+	var jobs []job
+	conditions := []struct {
+		name   string
+		during func(ctx context.Context, s *site)
+	}{
+		{"steady", nil},
+		{"reclaims with notice", reclaims(false)},
+		{"reclaims without notice", reclaims(true)},
+	}
+	for _, condition := range conditions {
+		for _, arm := range []Arm{least, restart, product} {
+			for seed := range o.Seeds {
+				t := o.trial(moderate[firm.Name], seed)
+				t.during = condition.during
+				jobs = append(jobs, job{firm: firm, arm: arm, trial: t, name: condition.name})
+			}
+		}
+	}
+	return jobs
+}
+
+const (
+	notice   = 5 * time.Second  // before scaling
+	firstAt  = 12 * time.Second // of the first wave, before scaling
+	secondAt = 20 * time.Second
+)
+
+// reclaims takes a whole domain back and then two engines of another one.
+func reclaims(silent bool) func(ctx context.Context, s *site) {
+	return func(ctx context.Context, s *site) {
+		domains := domainsOf(s.firm.Platform)
+		order := platform.Reclaim{Domain: domains[0], Notice: s.scaled(notice).Milliseconds(), Silent: silent}
+		s.wave(ctx, firstAt, order)
+		order.Domain, order.Count = domains[1], 2
+		s.wave(ctx, secondAt, order)
+	}
+}
+
+// domainLost takes a whole domain back.
+func domainLost(ctx context.Context, s *site) {
+	s.wave(ctx, firstAt, platform.Reclaim{Domain: domainsOf(s.firm.Platform)[0], Notice: s.scaled(notice).Milliseconds()})
+}
+
+// wave reclaims instances at a time of a run.
+type wave struct {
+	site  *site
+	at    time.Duration
+	order platform.Reclaim
+}
+
+func (s *site) wave(ctx context.Context, at time.Duration, order platform.Reclaim) {
+	s.ended.Add(1)
+	go (&wave{site: s, at: s.scaled(at), order: order}).run(ctx)
+}
+
+func (w *wave) run(_ context.Context) {
+	defer w.site.ended.Done()
+	if clock.Sleep(w.site.clock, w.at, w.site.done) {
+		w.site.platform.Take(w.order)
+	}
+}
+
+func worthPlan(o Options, firm *Firm) []job {
+	var jobs []job
+	conditions := []struct {
+		name   string
+		factor float64
+		during func(ctx context.Context, s *site)
+	}{
+		{"steady", 0.6, nil},
+		{"double load", 2, nil},
+		{"domain lost", 0.75, domainLost},
+	}
+	for _, condition := range conditions {
+		for _, arm := range []Arm{open, fixed, fair} {
+			for seed := range o.Seeds {
+				t := o.trial(served[firm.Name]*condition.factor, seed)
+				t.during = condition.during
+				jobs = append(jobs, job{firm: firm, arm: arm, trial: t, name: condition.name})
+			}
+		}
+	}
+	return jobs
+}
+
+func (o Options) trial(rate float64, seed int) trial {
+	return trial{rate: rate, seed: uint64(seed + 1), duration: o.Duration, warm: o.Warm, scale: o.Scale}
+}
+
+// Run runs the experiment and writes its results.
+func (e Experiment) Run(ctx context.Context, o Options) error {
+	fmt.Fprintf(o.Out, "# %s\n\nscale %g, %v a run of which %v warm-up, %d seeds\n", e.title, o.Scale, o.Duration, o.Warm, o.Seeds)
+	var rows []row
+	for _, name := range o.Firms {
+		firm, err := ReadFirm(o.Examples, name, o.Scale)
+		if err != nil {
+			return err
+		}
+		more, err := runJobs(ctx, o, e.plan(o, firm))
+		if err != nil {
+			return err
+		}
+		rows = append(rows, more...)
+	}
+	base := filepath.Join(o.Results, e.name+"-"+strings.Join(o.Firms, "-"))
+	file, err := os.Create(base + ".csv")
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := writeCSV(file, rows, o.Scale); err != nil {
+		return err
+	}
+	var drawn []row
+	for _, r := range rows {
+		if e.drawn == nil || e.drawn(r) {
+			drawn = append(drawn, r)
+		}
+	}
+	for _, v := range e.values {
+		writeTable(o.Out, drawn, v)
+	}
+	return writeChart(base+".svg", e.title, drawn, e.values[0])
+}
+
+// worker runs the jobs of equal arms side by side, one for each seed.
+type worker struct {
+	job   job
+	clock clock.Clock
+	rows  []row
+	err   error
+	ended *sync.WaitGroup
+}
+
+func runJobs(ctx context.Context, o Options, jobs []job) ([]row, error) {
+	var rows []row
+	for start := 0; start < len(jobs); start += o.Seeds {
+		var ended sync.WaitGroup
+		var workers []*worker
+		for _, j := range jobs[start:min(start+o.Seeds, len(jobs))] {
+			w := &worker{job: j, clock: o.Clock, ended: &ended}
+			workers = append(workers, w)
+			ended.Add(1)
+			go w.run(ctx)
+		}
+		ended.Wait()
+		for _, w := range workers {
+			if w.err != nil {
+				return nil, w.err
+			}
+			rows = append(rows, w.rows...)
+		}
+	}
+	return rows, nil
+}
+
+func (w *worker) run(ctx context.Context) {
+	defer w.ended.Done()
+	if w.job.search {
+		w.err = w.search(ctx)
+		return
+	}
+	w.err = w.add(ctx, w.job.trial, w.job.name)
+}
+
+func (w *worker) add(ctx context.Context, t trial, condition string) error {
+	out, err := run(ctx, w.job.firm, w.job.arm, t, w.clock)
+	if err != nil {
+		return err
+	}
+	w.rows = append(w.rows, row{firm: w.job.firm.Name, condition: condition, arm: w.job.arm.Name, outcome: out})
+	return nil
+}
+
+// search halves the interval between a rate that meets the targets and one that
+// does not. An arm that misses them at the lowest rate has no highest one.
+func (w *worker) search(ctx context.Context) error {
+	low, high := 0, searchSteps
+	best := -1
+	for high-low > 1 {
+		middle := (low + high) / 2
+		t := w.job.trial
+		t.rate *= math.Pow(searchFactor, float64(middle))
+		if err := w.add(ctx, t, conditionProbe); err != nil {
+			return err
+		}
+		if w.rows[len(w.rows)-1].outcome.summary.All.MetShare >= targetShare {
+			low, best = middle, len(w.rows)-1
+		} else {
+			high = middle
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	highest := w.rows[best]
+	highest.condition = conditionHighest
+	w.rows = append(w.rows, highest)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/measurer/measurer_test.go
@@ -0,0 +1,124 @@
+package measurer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/standin/loader"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		http.DefaultClient.CloseIdleConnections()
+		os.Exit(code)
+	}))
+}
+
+func firm(t *testing.T, name string) *Firm {
+	t.Helper()
+	f, err := ReadFirm("../../../examples", name, 0.05)
+	require.NoError(t, err)
+	return f
+}
+
+// TestStreamsSurviveReclaims checks that each arm delivers each answer whole while
+// engines are reclaimed, and what that costs.
+func TestStreamsSurviveReclaims(t *testing.T) {
+	tests := map[string]struct {
+		arm    Arm
+		silent bool
+	}{
+		"product with notice":    {arm: product},
+		"product without notice": {arm: product, silent: true},
+		"start again":            {arm: restart},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := firm(t, "vrancea")
+			for i := range f.Load.Calls {
+				f.Load.Calls[i].Timeout = time.Hour
+			}
+			out, err := run(context.Background(), f, test.arm, trial{
+				rate: 20, seed: 1, scale: 0.05, duration: 1500 * time.Millisecond, during: reclaims(test.silent),
+			}, clock.System{})
+			require.NoError(t, err)
+			require.Equal(t, map[loader.Outcome]int{loader.Whole: out.summary.All.Sent}, out.summary.All.Outcomes)
+			require.Equal(t, uint64(out.summary.All.Tokens), out.work.delivered)
+			require.Equal(t, out.work.continued == 0, out.work.resumed == 0)
+		})
+	}
+}
+
+func TestAdmissionRefusesTruthfully(t *testing.T) {
+	f := firm(t, "grasflot")
+	for i := range f.Load.Calls {
+		f.Load.Calls[i].Timeout = 10 * time.Second
+	}
+	out, err := run(context.Background(), f, fixed, trial{rate: 200, seed: 1, scale: 0.05, duration: 400 * time.Millisecond}, clock.System{})
+	require.NoError(t, err)
+	require.Positive(t, out.summary.All.Outcomes[loader.Refused])
+	require.Zero(t, out.summary.All.Outcomes[loader.Failed])
+}
+
+func TestTallyCountsSharedBlocksOnce(t *testing.T) {
+	tally := newTally()
+	tally.accept(40, 16, []uint64{1, 2})
+	tally.accept(20, 16, []uint64{1})
+	tally.deliver()
+	tally.resume(5)
+	require.Equal(t, work{delivered: 1, recomputed: 7, continued: 1, resumed: 5}, tally.work(1, 32+8+4+7))
+	require.Equal(t, 7000.0, tally.work(1, 32+8+4+7).perThousand(7))
+}
+
+func TestResultsAreWritten(t *testing.T) {
+	rows := func(arm string, rates ...float64) []row {
+		var list []row
+		for i, rate := range rates {
+			list = append(list, row{firm: "vrancea", condition: "steady", arm: arm, outcome: &outcome{
+				trial: trial{rate: rate, seed: uint64(i)}, summary: &loader.Summary{All: loader.Part{Outcomes: map[loader.Outcome]int{}}},
+			}})
+		}
+		return list
+	}
+	all := append(rows("product", 3, 1, 2), rows("least", 4, 8)...)
+	rate := value{"rate", func(r row) float64 { return r.outcome.trial.rate }}
+	require.Equal(t, []bar{
+		{group: "vrancea steady", arm: "product", median: 2, least: 1, most: 3, count: 3},
+		{group: "vrancea steady", arm: "least", median: 6, least: 4, most: 8, count: 2},
+	}, bars(all, rate))
+
+	var out bytes.Buffer
+	require.NoError(t, writeCSV(&out, all, 1))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 6)
+	require.Len(t, strings.Split(lines[1], ","), len(header))
+	path := filepath.Join(t.TempDir(), "chart.svg")
+	require.NoError(t, writeChart(path, "title", all, rate))
+	require.FileExists(t, path)
+}
+
+func TestSearchFindsNoRateWhereNoneIsMet(t *testing.T) {
+	f := firm(t, "vrancea")
+	for i := range f.Load.Calls {
+		f.Load.Calls[i].First = time.Nanosecond
+	}
+	o := Options{Seeds: 1, Clock: clock.System{}, Out: io.Discard, Duration: 100 * time.Millisecond, Scale: 0.05}
+	jobs := []job{{firm: f, arm: product, trial: o.trial(20, 0), search: true}}
+	rows, err := runJobs(context.Background(), o, jobs)
+	require.NoError(t, err)
+	require.Len(t, rows, 5)
+	for _, r := range rows {
+		require.Equal(t, conditionProbe, r.condition)
+	}
+}
