--- a/internal/version/judge/histogram.go
+++ b/internal/version/judge/histogram.go
@@ -38,20 +38,6 @@
 	return sum
 }
 
-// Quantile returns the lowest bucket that holds at least the share q of the
-// durations together with the buckets below it.
-func (h *Histogram) Quantile(q float64) int {
-	need := uint64(math.Ceil(q * float64(h.total)))
-	var sum uint64
-	for i, n := range h.counts {
-		sum += n
-		if sum >= need {
-			return i
-		}
-	}
-	return Buckets - 1
-}
-
 // Edge returns the upper edge of a bucket.
 func Edge(bucket int) time.Duration {
 	return time.Duration(float64(lowestEdge) * math.Exp2(float64(bucket)/bucketsPerOctave))
--- a/internal/version/judge/judge.go
+++ b/internal/version/judge/judge.go
@@ -77,7 +77,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Alpha: 0.005, Latency: true, Shift: 2, Suspicion: 10,
-		FailureCap: maxBlockValue, LatencyCap: 6, Blocks: 1000,
+		FailureCap: maxBlockValue, LatencyCap: 20, Blocks: 1000,
 	}
 }
 
@@ -101,7 +101,7 @@
 type Judge struct {
 	config      Config
 	comparisons []*comparison
-	past        Table
+	past        map[string]*history
 	seen        Table
 	epoch       uint64
 	fault       *Fault
@@ -125,7 +125,7 @@
 // to failures and half to latencies, in equal parts over the routes, all
 // routes together, the kinds and the quantiles.
 func New(config Config, routes []string) *Judge {
-	j := &Judge{config: config, past: make(Table), seen: make(Table)}
+	j := &Judge{config: config, past: make(map[string]*history), seen: make(Table)}
 	scopes := routes
 	if len(routes) > 1 {
 		scopes = append([]string{Overall}, routes...)
@@ -180,7 +180,10 @@
 		}
 	}
 	for route, p := range delta {
-		j.past.pair(route).merge(p)
+		if j.past[route] == nil {
+			j.past[route] = &history{}
+		}
+		j.past[route].add(&p.old)
 	}
 }
 
@@ -263,21 +266,19 @@
 		return blocks
 	}
 	if before == nil {
-		before = &Pair{}
+		before = &history{}
 	}
 	if c.kind == Failure {
 		return append(blocks, failureBlock(now, before))
 	}
-	history := before.old.Latency(c.kind)
-	if history.Total() == 0 {
+	if before.latency(c.kind).sum == 0 {
 		return blocks
 	}
-	edge := history.Quantile(c.quantile)
-	return append(blocks, latencyBlock(now, c.kind, history, edge, edge+j.config.Shift))
+	return append(blocks, latencyBlock(now, before, c, j.config.Shift))
 }
 
-func failureBlock(now, before *Pair) block {
-	base := (float64(before.old.failed) + priorFailures) / (float64(before.old.finished) + priorCalls)
+func failureBlock(now *Pair, before *history) block {
+	base := (before.failed + priorFailures) / (before.calls + priorCalls)
 	return block{
 		oldCalls: float64(now.old.finished), oldHits: float64(now.old.failed),
 		newCalls: float64(now.latest.finished), newHits: float64(now.latest.failed),
@@ -287,12 +288,14 @@
 
 // latencyBlock counts the answers beyond an edge that was taken from earlier
 // answers of the old version, and for the new version beyond a higher one.
-func latencyBlock(now *Pair, kind Kind, history *Histogram, oldEdge, newEdge int) block {
-	old, latest := now.old.Latency(kind), now.latest.Latency(kind)
-	base := (float64(history.Above(oldEdge)) + priorSlow) / (float64(history.Total()) + 2*priorSlow)
+func latencyBlock(now *Pair, before *history, c *comparison, shift int) block {
+	spectrum := before.latency(c.kind)
+	edge, above := spectrum.quantile(c.quantile)
+	old, latest := now.old.Latency(c.kind), now.latest.Latency(c.kind)
+	base := (above + priorSlow) / (spectrum.sum + 2*priorSlow)
 	return block{
-		oldCalls: float64(old.Total()), oldHits: float64(old.Above(oldEdge)),
-		newCalls: float64(latest.Total()), newHits: float64(latest.Above(newEdge)),
+		oldCalls: float64(old.total), oldHits: float64(old.Above(edge)),
+		newCalls: float64(latest.total), newHits: float64(latest.Above(edge + shift)),
 		base: min(base, maxBaseRate),
 	}
 }
