--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,273 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hyssoprudder/internal/connection/provisioner"
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/process/scaler"
+	"hyssoprudder/internal/version/judge"
+)
+
+// Config holds the seams of a controller.
+type Config struct {
+	Clock clock.Clock
+	Log   *log.Logger
+	Pace  Pace
+	// Lease returns the term of this node and until when it alone leads.
+	Lease func() (term uint64, until time.Time, ok bool)
+	// Rules returns the rules in force, or nil.
+	Rules func() *parser.Rules
+	// State returns the replicated moves and intents, read under the lease.
+	State func(ctx context.Context) ([]applier.Move, []applier.Intent, error)
+	// Propose writes to the replicated state.
+	Propose func(ctx context.Context, c applier.Command) (applier.Result, error)
+	// Instances returns what the platform lists, with the leaving marks that
+	// this node has heard.
+	Instances func() []lister.Listed
+	// Classes returns what the platform sells.
+	Classes func(ctx context.Context) ([]provisioner.Class, error)
+	// Digests returns the latest counters of each entry.
+	Digests func() [][]byte
+	// Inflight returns the calls that all entries have running at an endpoint.
+	Inflight func(id string) int
+	// Mark spreads that an endpoint is leaving.
+	Mark func(id string)
+	// Start, Release and Load ask the platform and the weight store.
+	Start   func(ctx context.Context, s provisioner.Start) (provisioner.Instance, error)
+	Release func(ctx context.Context, id string) error
+	Load    func(ctx context.Context, service, version, id string) error
+	// Order sends an engine its desired state, Ordered reads it back.
+	Order   func(ctx context.Context, engine netip.AddrPort, order provisioner.Order) error
+	Ordered func(ctx context.Context, engine netip.AddrPort) (provisioner.Order, error)
+}
+
+const (
+	// leaseMargin is the least time left in the lease for an act outside the log.
+	leaseMargin = 200 * time.Millisecond
+	// callTimeout bounds one call of a round.
+	callTimeout = 2 * time.Second
+	// classesInterval is the time between two reads of what the platform sells.
+	classesInterval = time.Minute
+)
+
+// Controller runs the rounds of decisions as long as its node leads.
+type Controller struct {
+	config  Config
+	core    *Core
+	offers  []scaler.Offer
+	offered time.Time
+
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// New returns a controller that does nothing until Start.
+func New(config Config) *Controller {
+	return &Controller{config: config, core: NewCore(config.Pace, uuid.NewString)}
+}
+
+// Start begins the rounds.
+func (c *Controller) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.group.Add(1)
+	go c.run(ctx)
+}
+
+// Stop ends the rounds and waits for the present one.
+func (c *Controller) Stop() {
+	c.cancel()
+	c.group.Wait()
+}
+
+func (c *Controller) run(ctx context.Context) {
+	defer c.group.Done()
+	for clock.Sleep(c.config.Clock, judge.Interval, ctx.Done()) {
+		c.Round(ctx)
+	}
+}
+
+// Round makes one round of decisions if this node leads.
+func (c *Controller) Round(ctx context.Context) {
+	term, _, ok := c.config.Lease()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	moves, intents, err := c.config.State(ctx)
+	if err != nil {
+		c.config.Log.Warn("round passed over", "err", err)
+		return
+	}
+	c.refreshOffers(ctx)
+	actions := c.core.Decide(Snapshot{
+		Now: c.config.Clock.Now(), Term: term, Rules: c.config.Rules(), Moves: moves, Intents: intents,
+		Instances: c.config.Instances(), Offers: c.offers, Digests: c.digests(), Inflight: c.config.Inflight,
+	})
+	for _, a := range actions {
+		if !c.holds(term) {
+			return
+		}
+		c.act(ctx, term, a)
+	}
+}
+
+// holds reports whether enough of the lease is left for one more act.
+func (c *Controller) holds(term uint64) bool {
+	now, until, ok := c.config.Lease()
+	return ok && now == term && until.Sub(c.config.Clock.Now()) >= leaseMargin
+}
+
+func (c *Controller) refreshOffers(ctx context.Context) {
+	now := c.config.Clock.Now()
+	if c.config.Classes == nil || (c.offers != nil && now.Sub(c.offered) < classesInterval) {
+		return
+	}
+	classes, err := c.config.Classes(ctx)
+	if err != nil {
+		c.config.Log.Warn("classes kept", "err", err)
+		return
+	}
+	c.offers = c.offers[:0]
+	for _, class := range classes {
+		c.offers = append(c.offers, scaler.NewOffer(class.Class, class.Domain, class.Market, class.Price))
+	}
+	c.offered = now
+}
+
+func (c *Controller) digests() []*judge.Digest {
+	var decoded []*judge.Digest
+	for _, b := range c.config.Digests() {
+		d, err := judge.DecodeDigest(b)
+		if err != nil {
+			c.config.Log.Warn("digest passed over", "err", err)
+			continue
+		}
+		decoded = append(decoded, d)
+	}
+	return decoded
+}
+
+func (c *Controller) act(ctx context.Context, term uint64, a Action) {
+	var err error
+	switch {
+	case a.Move != nil:
+		err = c.writeMove(ctx, a.Move)
+	case a.Put != nil:
+		err = c.putIntent(ctx, a.Put)
+	case a.Close != "":
+		_, err = c.config.Propose(ctx, applier.Command{IntentClose: &applier.IntentClose{ID: a.Close}})
+	case a.Start != nil:
+		err = c.start(ctx, a.Start)
+	case a.Mark != "":
+		c.config.Mark(a.Mark)
+	case a.Release != "":
+		err = c.release(ctx, a.Release)
+	case a.Load != nil:
+		err = c.load(ctx, a)
+	case a.Order != nil:
+		err = c.order(ctx, term, a.Order)
+	}
+	if err != nil {
+		c.config.Log.Warn("act failed", "err", err)
+	}
+}
+
+func (c *Controller) writeMove(ctx context.Context, w *MoveWrite) error {
+	body, err := w.State.Encode()
+	if err != nil {
+		return err
+	}
+	result, err := c.config.Propose(ctx, applier.Command{MoveSet: &applier.MoveSet{
+		ID: uuid.NewString(), Service: w.State.Service, Base: w.Base, Body: body,
+	}})
+	if err == nil && result.Move != nil && result.Move.Accepted {
+		s := w.State
+		c.config.Log.Info("move", "service", s.Service, "from", s.From, "to", s.To, "phase", s.Phase, "step", s.At, "reason", s.Reason)
+	}
+	return err
+}
+
+func (c *Controller) putIntent(ctx context.Context, i *IntentWrite) error {
+	body, err := msgpack.Marshal(i.Body)
+	if err != nil {
+		return err
+	}
+	_, err = c.config.Propose(ctx, applier.Command{IntentPut: &applier.IntentPut{ID: i.ID, Service: i.Body.Service, Body: body}})
+	return err
+}
+
+// start asks the platform for the instance of an intent. Only a refusal closes
+// the intent: after any other error the instance may exist.
+func (c *Controller) start(ctx context.Context, i *IntentWrite) error {
+	instance, err := c.config.Start(ctx, provisioner.Start{
+		Intent: i.ID, Domain: i.Body.Domain, Class: i.Body.Class, Market: i.Body.Market,
+		Service: i.Body.Service, Version: i.Body.Version,
+	})
+	if errors.Is(err, provisioner.ErrRefused) {
+		c.core.Refused(*i, c.config.Clock.Now())
+		_, err = c.config.Propose(ctx, applier.Command{IntentClose: &applier.IntentClose{ID: i.ID}})
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	c.core.Started(*i, instance.ID)
+	c.config.Log.Info("instance started", "service", i.Body.Service, "version", i.Body.Version, "instance", instance.ID)
+	return nil
+}
+
+func (c *Controller) release(ctx context.Context, id string) error {
+	err := c.config.Release(ctx, id)
+	if errors.Is(err, provisioner.ErrMissing) {
+		return nil
+	}
+	return err
+}
+
+func (c *Controller) load(ctx context.Context, a Action) error {
+	err := c.config.Load(ctx, a.Load.Service(), a.Load.Version(), a.Load.Instance())
+	var busy *provisioner.BusyError
+	if errors.As(err, &busy) {
+		c.core.Loaded(a, true, busy.After(), err, c.config.Clock.Now())
+		return nil
+	}
+	c.core.Loaded(a, false, 0, err, c.config.Clock.Now())
+	return err
+}
+
+// order takes a fencing number and sends the full desired state. Engines that
+// do not check numbers are read back: an order that another leader has sent
+// meanwhile shows, and the next round sends again.
+func (c *Controller) order(ctx context.Context, term uint64, o *Order) error {
+	result, err := c.config.Propose(ctx, applier.Command{FenceNext: &applier.FenceNext{Holder: o.Endpoint.ID()}})
+	if err != nil {
+		return err
+	}
+	if !c.holds(term) || result.Fence == nil {
+		return nil
+	}
+	fence := provisioner.Fence{Term: result.Fence.Term, Count: result.Fence.Count}
+	wanted := provisioner.Order{Service: o.Endpoint.Service(), Version: o.Version, Role: "serve", Fence: fence}
+	if err := c.config.Order(ctx, o.Endpoint.Address(), wanted); err != nil || o.Fence {
+		return err
+	}
+	got, err := c.config.Ordered(ctx, o.Endpoint.Address())
+	if err == nil && got != wanted {
+		c.config.Log.Warn("order overridden", "endpoint", o.Endpoint.ID(), "version", got.Version, "term", got.Fence.Term)
+	}
+	return err
+}
--- a/internal/version/loader/loader.go
+++ b/internal/version/loader/loader.go
@@ -130,6 +130,13 @@
 	q.failed[load] = q.again(q.failed[load], 0, now)
 }
 
+// IsRunning reports whether the store has accepted a transfer that is still
+// wanted.
+func (q *Queue) IsRunning(load Load) bool {
+	_, runs := q.running[load]
+	return runs
+}
+
 // Waiting returns the wanted transfers that have not started, the most needed
 // first.
 func (q *Queue) Waiting() []Load {
--- a/internal/version/mover/mover.go
+++ b/internal/version/mover/mover.go
@@ -13,7 +13,7 @@
 	maxWait = 1e6
 	// rateWindow divides the window of a move: a leader watches a step for that
 	// part before it works out a rate of calls.
-	rateWindow = 15
+	rateWindow = 4
 )
 
 var errBadState = errors.New("malformed state of a move")
