--- a/internal/standin/trial/world.go
+++ b/internal/standin/trial/world.go
@@ -217,6 +217,9 @@
 
 // gossip carries the digests of the entries to the leader.
 func (w *world) gossip() {
+	if w.state.Final() {
+		return
+	}
 	for _, e := range w.entries {
 		e.recorder.Check()
 		if w.chance(w.scenario.Chaos.DigestLoss) {
--- a/internal/version/judge/digest.go
+++ b/internal/version/judge/digest.go
@@ -72,6 +72,9 @@
 // beginning with the given route, and the number of routes in it. What does not
 // fit has its turn in a later digest.
 func (d *Digest) within(limit, first int) ([]byte, int, error) {
+	if whole, err := d.Encode(); err != nil || len(whole) <= limit {
+		return whole, 0, err
+	}
 	part := &Digest{Entry: d.Entry, Incarnation: d.Incarnation}
 	type place struct{ move, route int }
 	var places []place
