Divide the reading of load reports among entries and share them by digest

Cause: each entry reading each endpoint costs bytes that grow with both. Change: a poller reads the part that rendezvous hashing gives to the entry; load digests carry these reports; digests stay below 1000 bytes.

--- a/internal/process/observer/digest.go
+++ b/internal/process/observer/digest.go
@@ -1,7 +1,10 @@
 package observer
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,10 +12,33 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// MaxDigest bounds a digest, so that it fits into a datagram.
+const MaxDigest = 1000 // bytes
+
 // digest is the load of one entry's own calls, for the other entries.
 type digest struct {
-	Serial uint64     `msgpack:"s"`
-	Rows   []digested `msgpack:"r"`
+	Serial  uint64     `msgpack:"s"`
+	Rows    []digested `msgpack:"r"`
+	Reports []reported `msgpack:"p,omitempty"`
+}
+
+// reported is a load report that the entry read itself.
+type reported struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	ID       string
+	Age      uint32 // of the report, in milliseconds
+	Running  uint32
+	Queued   uint32
+	Slots    uint32
+	Prefill  float32
+	Decode   float32
+}
+
+func (r reported) report(now time.Time) Report {
+	return Report{
+		At: now.Add(-time.Duration(r.Age) * time.Millisecond), Running: int(r.Running), Queued: int(r.Queued),
+		Slots: int(r.Slots), Prefill: float64(r.Prefill), Decode: float64(r.Decode),
+	}
 }
 
 type digested struct {
@@ -39,7 +65,9 @@
 	rows   []digested
 }
 
-// Digest encodes the entry's own load. now orders the digests of one entry.
+// Digest encodes the entry's own load and the reports that it read itself. now orders
+// the digests of one entry. If it would be too large, endpoints with the fewest
+// calls and then reports are left out.
 func (o *Observer) Digest(now time.Time) ([]byte, error) {
 	d := digest{Serial: uint64(now.UnixNano())}
 	for i := range o.shards {
@@ -49,14 +77,37 @@
 			if load.running > 0 {
 				d.Rows = append(d.Rows, digested{ID: id, Calls: uint32(load.running), Prompt: uint32(max(load.prompt, 0))})
 			}
+			if load.direct && now.Sub(load.report.At) < peerHold {
+				d.Reports = append(d.Reports, load.digested(now))
+			}
 		}
 		s.mu.Unlock()
 	}
-	data, err := msgpack.Marshal(&d)
-	if err != nil {
-		return nil, fmt.Errorf("encode load digest: %w", err)
+	slices.SortFunc(d.Rows, func(a, b digested) int { return cmp.Compare(b.Calls, a.Calls) })
+	for {
+		var data bytes.Buffer
+		encoder := msgpack.NewEncoder(&data)
+		encoder.UseCompactInts(true)
+		if err := encoder.Encode(&d); err != nil {
+			return nil, fmt.Errorf("encode load digest: %w", err)
+		}
+		if data.Len() <= MaxDigest {
+			return data.Bytes(), nil
+		}
+		if len(d.Rows) > len(d.Reports) {
+			d.Rows = d.Rows[:len(d.Rows)*3/4]
+		} else {
+			d.Reports = d.Reports[:len(d.Reports)*3/4]
+		}
+	}
+}
+
+func (l *Load) digested(now time.Time) reported {
+	r := l.report
+	return reported{
+		ID: l.id, Age: uint32(max(now.Sub(r.At).Milliseconds(), 0)), Running: uint32(r.Running), Queued: uint32(r.Queued),
+		Slots: uint32(r.Slots), Prefill: float32(r.Prefill), Decode: float32(r.Decode),
 	}
-	return data, nil
 }
 
 // Merge takes in the digest of another entry, in place of its last one. An older
@@ -79,6 +130,9 @@
 	o.shift(p.rows, -1)
 	o.shift(d.Rows, 1)
 	o.crowd.replace(p.at, now)
+	for _, r := range d.Reports {
+		o.report(r.ID, r.report(now), false)
+	}
 	*p = peer{serial: d.Serial, at: now, rows: d.Rows}
 	return nil
 }
--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -43,6 +43,7 @@
 	crowd  *crowd
 	others peerSum
 	report Report
+	direct bool                // the report was read from the endpoint
 	past   [historySlots]int32 // own running calls by time
 	pastAt int64
 
@@ -256,11 +257,12 @@
 	}
 }
 
-func (l *Load) setReport(r Report) {
+func (l *Load) setReport(r Report) bool {
 	if r.At.Before(l.report.At) {
-		return
+		return false
 	}
 	l.report = r
+	return true
 }
 
 // note records the number of own calls at a time, for later reports about it.
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -107,12 +107,17 @@
 	return *h.load
 }
 
-// Report takes in an endpoint's load report. A report older than the last is dropped.
-func (o *Observer) Report(id string, r Report) {
+// Report takes in a load report that was read from the endpoint. A report older than the
+// last is dropped.
+func (o *Observer) Report(id string, r Report) { o.report(id, r, true) }
+
+func (o *Observer) report(id string, r Report, direct bool) {
 	h := o.Handle(id)
 	h.shard.mu.Lock()
 	defer h.shard.mu.Unlock()
-	h.load.setReport(r)
+	if h.load.setReport(r) {
+		h.load.direct = direct
+	}
 }
 
 // SetLeaving sets or withdraws the mark that an endpoint is leaving.
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -142,3 +142,51 @@
 	after := before
 	require.Greater(t, after.First(epoch.Add(5*time.Second), observer.Work{}), before.First(epoch, observer.Work{})+3*time.Second)
 }
+
+func TestReportsReachTheOthersByDigest(t *testing.T) {
+	reader, other := observer.New(epoch), observer.New(epoch)
+	for i := range 200 {
+		id := fmt.Sprintf("pumice-focsani-%d", i)
+		reader.Report(id, observer.Report{At: epoch.Add(-time.Second), Running: 7, Queued: 2, Slots: 16, Prefill: 4000, Decode: 40})
+		reader.Start(epoch, id, observer.Work{Prompt: 100, Decode: 10})
+	}
+	data, err := reader.Digest(epoch)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), observer.MaxDigest)
+	require.NoError(t, other.Merge(epoch, "reader", data))
+	known := 0
+	for i := range 200 {
+		load := other.Load(fmt.Sprintf("pumice-focsani-%d", i))
+		if load.Known() {
+			known++
+			own := reader.Load(load.ID())
+			require.Equal(t, own.Reported(), load.Reported())
+		}
+	}
+	require.Greater(t, known, 5)
+	again, err := other.Digest(epoch)
+	require.NoError(t, err)
+	require.Less(t, len(again), 50, "a report from a digest is not told on")
+}
+
+func BenchmarkDigest(b *testing.B) {
+	for _, n := range []int{3, 9, 18, 30} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			o := observer.New(epoch)
+			for i := range n {
+				id := fmt.Sprintf("pumice-focsani-%d", i)
+				o.Start(epoch, id, observer.Work{Prompt: 1000, Decode: 10})
+				if i%6 == 0 {
+					o.Report(id, observer.Report{At: epoch, Running: 7, Slots: 16, Prefill: 4000, Decode: 40})
+				}
+			}
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, _ := o.Digest(epoch)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "digest-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/poller/poller_test.go
@@ -0,0 +1,94 @@
+package poller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/process/poller"
+	"hyssoprudder/internal/request/router"
+)
+
+var epoch = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+// fleet answers reads of any entry and counts them.
+type fleet struct {
+	mu    sync.Mutex
+	reads map[string]int
+	all   chan struct{}
+}
+
+func (f *fleet) endpoints() []lister.Endpoint {
+	var list []lister.Endpoint
+	for i := range 18 {
+		list = append(list, lister.NewEndpoint(lister.Spec{ID: fmt.Sprint(i), Service: "pumice"}))
+	}
+	return list
+}
+
+func (f *fleet) load(_ context.Context, e lister.Endpoint) (dialer.LoadReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads[e.ID()]++
+	if len(f.reads) == 18 {
+		close(f.all)
+	}
+	if e.ID() == "3" {
+		return dialer.LoadReport{}, errors.New("no answer")
+	}
+	return dialer.LoadReport{At: epoch.Add(time.Hour), Running: 4, Slots: 16, DecodeRate: 40}, nil
+}
+
+func TestEntriesDivideTheEndpoints(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	f := &fleet{reads: make(map[string]int), all: make(chan struct{})}
+	names := []string{"a", "b", "c"}
+	tables := make(map[string]*observer.Observer)
+	var pollers []*poller.Poller
+	for _, name := range names {
+		o := observer.New(epoch)
+		tables[name] = o
+		pollers = append(pollers, poller.Start(poller.Config{
+			Self: name, Clock: clock.NewManual(epoch), Observer: o, Router: router.New(o, "focsani", router.Predictive()),
+			Endpoints: f.endpoints, Load: f.load,
+			Nodes: func() []string {
+				var others []string
+				for _, other := range names {
+					if other != name {
+						others = append(others, other)
+					}
+				}
+				return others
+			},
+		}))
+	}
+	<-f.all
+	for _, p := range pollers {
+		p.Stop()
+	}
+	require.Len(t, f.reads, 18)
+	for id, n := range f.reads {
+		require.Equal(t, 1, n, "endpoint %s", id)
+	}
+	known := 0
+	for _, o := range tables {
+		for id := range f.reads {
+			load := o.Load(id)
+			if load.Known() {
+				known++
+				require.Equal(t, epoch, load.Reported().At, "a report from the future counts as one of now")
+			}
+		}
+	}
+	require.Equal(t, 17, known)
+}
--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -4,8 +4,11 @@
 package limiter
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,9 +58,18 @@
 	demand map[string]float64
 }
 
+// MaxDigest bounds a digest, so that it fits into a datagram.
+const MaxDigest = 1000 // bytes
+
 type digest struct {
-	Serial int64              `msgpack:"s"`
-	Demand map[string]float64 `msgpack:"d"`
+	Serial int64      `msgpack:"s"`
+	Demand []demanded `msgpack:"d"`
+}
+
+type demanded struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Customer string
+	Rate     float32
 }
 
 // New returns a limiter of one among a number of entries.
@@ -121,24 +133,33 @@
 	return own / total
 }
 
-// Digest encodes the demand that this entry sees, for the other entries.
+// Digest encodes the demand that this entry sees, for the other entries. If it would be
+// too large, the customers with the least demand are left out.
 func (l *Limiter) Digest(now time.Time) ([]byte, error) {
-	d := digest{Serial: now.UnixNano(), Demand: make(map[string]float64)}
+	d := digest{Serial: now.UnixNano()}
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
 		for customer, b := range s.buckets {
 			if rate := b.rate(now); rate >= smallest {
-				d.Demand[customer] = rate
+				d.Demand = append(d.Demand, demanded{Customer: customer, Rate: float32(rate)})
 			}
 		}
 		s.mu.Unlock()
 	}
-	data, err := msgpack.Marshal(&d)
-	if err != nil {
-		return nil, fmt.Errorf("encode demand digest: %w", err)
+	slices.SortFunc(d.Demand, func(a, b demanded) int { return cmp.Compare(b.Rate, a.Rate) })
+	for {
+		var data bytes.Buffer
+		encoder := msgpack.NewEncoder(&data)
+		encoder.UseCompactInts(true)
+		if err := encoder.Encode(&d); err != nil {
+			return nil, fmt.Errorf("encode demand digest: %w", err)
+		}
+		if data.Len() <= MaxDigest {
+			return data.Bytes(), nil
+		}
+		d.Demand = d.Demand[:len(d.Demand)*3/4]
 	}
-	return data, nil
 }
 
 // Merge takes in the digest of another entry. An older digest is dropped.
@@ -147,10 +168,14 @@
 	if err := msgpack.Unmarshal(data, &d); err != nil {
 		return fmt.Errorf("decode demand digest of %s: %w", node, err)
 	}
+	demand := make(map[string]float64, len(d.Demand))
+	for _, row := range d.Demand {
+		demand[row.Customer] = float64(row.Rate)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d.Serial > l.peers[node].serial {
-		l.peers[node] = peer{at: now, serial: d.Serial, demand: d.Demand}
+		l.peers[node] = peer{at: now, serial: d.Serial, demand: demand}
 	}
 	return nil
 }
