Run calls that run once under the claimer's turn

Change: the handler asks the turn before each first byte, so that an entry that was frozen past the deadline sends nothing; the status path is asked by the claimer. Run: go test -race -run 'Booking|Outcomes' ./internal/request/handler passes.

--- a/internal/request/handler/call.go
+++ b/internal/request/handler/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/request/claimer"
 )
 
 // Outcome says what is known of a call. It is sent in the header "Outcome".
@@ -45,6 +46,7 @@
 	start    time.Time
 	deadline time.Time
 	after    int
+	turn     *claimer.Turn // the right to run a call that runs once
 }
 
 // Fields holds the facts that NewCall makes a call from.
--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -13,6 +13,7 @@
 	"hyssoprudder/internal/process/observer"
 	"hyssoprudder/internal/process/parser"
 	"hyssoprudder/internal/request/admitter"
+	"hyssoprudder/internal/request/claimer"
 	"hyssoprudder/internal/request/limiter"
 	"hyssoprudder/internal/request/retrier"
 	"hyssoprudder/internal/request/router"
@@ -44,9 +45,8 @@
 	// Until returns when a leaving endpoint goes away, or a zero time if it is not
 	// known. It may be nil.
 	Until func(endpoint string) time.Time
-	// Claims grants the keys of calls that run once. Without it a key is bound to
-	// nothing.
-	Claims Claims
+	// Claimer grants the keys of calls that run once. Without it they are refused.
+	Claimer *claimer.Claimer
 	// Peers reaches the streams of other entries.
 	Peers Peers
 	// Began and Ended tell of each call to an endpoint. They may be nil.
--- a/internal/request/handler/once.go
+++ b/internal/request/handler/once.go
@@ -2,91 +2,130 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/request/claimer"
 )
 
-// Grant is the outcome of a claim.
-type Grant int
-
-// The outcomes of a claim.
-const (
-	// Granted means that this call, and no other, may be sent.
-	Granted Grant = iota
-	// Replayed means that the call with the key has run; its answer is at hand.
-	Replayed
-	// Lost means that the call with the key may have run.
-	Lost
-	// Mismatched means that the key belongs to a call with another body.
-	Mismatched
-	// Unavailable means that the claim was not granted and never will be for this request.
-	Unavailable
-)
-
-// Claim is what is known of a key.
-type Claim struct {
-	Grant  Grant
-	Answer dialer.Answer // in Replayed
-}
-
-// Claims grants each key of a customer once.
-type Claims struct {
-	// Acquire claims the call's key. If another call holds it, Acquire waits until
-	// that one has ended or ctx ends, and then returns Replayed or Lost.
-	Acquire func(ctx context.Context, call *Call) Claim
-	// Settle records what became of a granted call.
-	Settle func(ctx context.Context, call *Call, outcome Outcome, answer dialer.Answer)
-}
-
-// settleLimit bounds the time to record an outcome after the caller's deadline.
-const settleLimit = 5 * time.Second
+// settleLimit bounds the time after the caller's deadline in which the truth about a lost
+// call is looked for.
+const settleLimit = 3 * time.Second
 
 // serveOnce runs a call at most once. The claim comes before the limits, so that a call
 // that was sent twice is never told that it did not run when it did. Once granted,
 // the call goes on when its caller leaves.
 func (h *Handler) serveOnce(ctx context.Context, w http.ResponseWriter, call *Call) Result {
-	if h.cfg.Claims.Acquire == nil {
-		return h.runOnce(ctx, call).write(w, call)
+	if h.cfg.Claimer == nil {
+		return h.fail(w, call, claimProblem("claims cannot be made here"), Result{})
 	}
-	claim := h.cfg.Claims.Acquire(ctx, call)
-	switch claim.Grant {
-	case Replayed:
-		return reply{answer: claim.Answer}.write(w, call)
-	case Lost:
-		if found, ok := h.resolve(ctx, call); ok && found.problem == nil {
-			return found.write(w, call)
-		}
-		return h.fail(w, call, unknownProblem(), Result{})
-	case Mismatched:
-		return h.fail(w, call, NewProblem(http.StatusUnprocessableEntity, OutcomeNotRun, "Key in use",
-			"the Idempotency-Key belongs to a call with another body"), Result{})
-	case Unavailable:
-		return h.fail(w, call, NewProblem(http.StatusServiceUnavailable, OutcomeNotRun, "No claim",
-			"the key could not be claimed").RetryAfter(time.Second), Result{})
-	case Granted:
+	outcome := h.cfg.Claimer.Begin(ctx, claimer.Call{
+		Customer: call.customer.Name(), Key: call.key, Request: call.id, Deadline: call.deadline,
+		Print: claimer.Fingerprint(call.method, call.path, call.body), Resolve: h.resolver(call),
+	})
+	turn := outcome.Turn()
+	if turn == nil {
+		return outcomeReply(outcome).write(w, call)
 	}
-	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.deadline.Sub(h.cfg.Clock.Now()))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.deadline.Sub(h.cfg.Clock.Now()))
 	defer cancel()
-	got := h.runOnce(detached, call)
-	settle, stop := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
-	defer stop()
-	h.cfg.Claims.Settle(settle, call, got.outcome(), got.answer)
+	call.turn = turn
+	got := h.servePlain(ctx, call)
+	switch got.outcome() {
+	case OutcomeDone:
+		turn.Done(recorded(got.answer))
+	case OutcomeNotRun:
+		turn.NotRun(errors.Is(got.result.Err, dialer.ErrNotRun))
+	case OutcomeUnknown:
+		settle, stop := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+		defer stop()
+		found := outcomeReply(turn.Lost(settle))
+		found.result = got.result
+		got = found
+	}
 	return got.write(w, call)
 }
 
-func (h *Handler) runOnce(ctx context.Context, call *Call) reply {
-	got := h.servePlain(ctx, call)
-	if got.outcome() != OutcomeUnknown {
-		return got
+// outcomeReply turns a claim that was decided into a reply.
+func outcomeReply(o claimer.Outcome) reply {
+	switch o.Kind() {
+	case claimer.Replay:
+		return reply{answer: replayed(o.Answer())}
+	case claimer.Mismatch:
+		return reply{problem: NewProblem(http.StatusUnprocessableEntity, OutcomeNotRun, "Key in use",
+			"the Idempotency-Key belongs to another call")}
+	case claimer.Refused:
+		return reply{problem: claimProblem(o.Reason())}
+	}
+	return reply{problem: unknownProblem()}
+}
+
+func claimProblem(detail string) *Problem {
+	return NewProblem(http.StatusServiceUnavailable, OutcomeNotRun, "Not run", detail).RetryAfter(time.Second)
+}
+
+func recorded(answer dialer.Answer) applier.Answer {
+	r := applier.Answer{Status: answer.Status, Body: answer.Body}
+	for _, name := range []string{"Content-Type", "Location"} {
+		if value := answer.Header.Get(name); value != "" {
+			r.Header = append(r.Header, applier.Field{Name: name, Value: value})
+		}
+	}
+	return r
+}
+
+func replayed(r *applier.Answer) dialer.Answer {
+	if r == nil {
+		return dialer.Answer{Status: http.StatusOK}
+	}
+	answer := dialer.Answer{Status: r.Status, Body: r.Body, Header: make(http.Header)}
+	for _, f := range r.Header {
+		answer.Header.Set(f.Name, f.Value)
+	}
+	return answer
+}
+
+// resolver returns how to ask the service's status path about a call, or nil.
+func (h *Handler) resolver(call *Call) func(ctx context.Context) (applier.Outcome, *applier.Answer, error) {
+	if call.service.Status() == "" {
+		return nil
+	}
+	r := &statusReader{handler: h, call: call}
+	return r.read
+}
+
+// statusReader asks one endpoint after another.
+type statusReader struct {
+	handler *Handler
+	call    *Call
+	asked   []string
+}
+
+const statusLimit = time.Second // of one question
+
+func (r *statusReader) read(ctx context.Context) (applier.Outcome, *applier.Answer, error) {
+	route := plainRoute(r.call)
+	route.Exclude = r.asked
+	choice, ok := r.handler.cfg.Router.Choose(r.handler.cfg.Clock.Now(), route)
+	if !ok {
+		r.asked = nil
+		return applier.OutcomeUnknown, nil, errors.New("no endpoint to ask")
 	}
-	// The deadline may have passed; the truth is worth some more time.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+	r.asked = append(r.asked, choice.Endpoint().ID())
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
 	defer cancel()
-	if found, ok := h.resolve(ctx, call); ok {
-		found.result.Attempts = got.result.Attempts
-		return found
+	status, err := r.handler.cfg.Status(ctx, choice.Endpoint().Address(), r.call.service.Status(), r.call.key)
+	var refused *dialer.StatusError
+	switch {
+	case err == nil && status.Done():
+		return applier.OutcomeDone, &applier.Answer{Status: status.Status, Body: []byte(status.Body)}, nil
+	case errors.As(err, &refused) && refused.Status() == http.StatusNotFound:
+		return applier.OutcomeNotRun, nil, nil
+	case err == nil:
+		err = errors.New("the service does not say yet")
 	}
-	return got
+	return applier.OutcomeUnknown, nil, err
 }
--- a/internal/request/handler/plain.go
+++ b/internal/request/handler/plain.go
@@ -5,11 +5,8 @@
 	"errors"
 	"net/http"
 	"slices"
-	"time"
 
 	"hyssoprudder/internal/connection/dialer"
-	"hyssoprudder/internal/process/clock"
-	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/observer"
 	"hyssoprudder/internal/request/retrier"
 	"hyssoprudder/internal/request/router"
@@ -70,6 +67,9 @@
 			return giveUp(retry.Truth(), Result{Attempts: retry.Attempts()})
 		}
 		endpoint := choice.Endpoint()
+		if call.turn != nil && !call.turn.Sending() {
+			return giveUp(retry.Truth(), Result{Attempts: retry.Attempts()})
+		}
 		answer, err := h.try(ctx, call, choice)
 		result := Result{Endpoint: endpoint.ID(), Attempts: retry.Attempts() + 1, Err: err}
 		failed := err == nil && answer.Status >= http.StatusInternalServerError
@@ -78,6 +78,9 @@
 			return reply{answer: answer, result: result}
 		}
 		outcome := retry.Fail(h.cfg.Clock.Now(), endpoint.ID(), endpoint.Domain(), failureOf(err), choice.Time())
+		if call.turn != nil && failureOf(err) != retrier.Lost {
+			call.turn.Unsent()
+		}
 		if outcome.Retry() && ctx.Err() == nil {
 			continue
 		}
@@ -151,43 +154,3 @@
 	// The caller may be gone; the call has run all the same.
 	_, _ = w.Write(answer.Body)
 }
-
-const (
-	statusPause = 100 * time.Millisecond
-	statusLimit = 2 * time.Second // of one question
-)
-
-// resolve asks the service's status path whether a call that was lost has run. It
-// asks until the answer is certain or ctx ends.
-func (h *Handler) resolve(ctx context.Context, call *Call) (reply, bool) {
-	if call.service.Status() == "" || h.cfg.Status == nil {
-		return reply{}, false
-	}
-	route := plainRoute(call)
-	for ctx.Err() == nil {
-		choice, ok := h.cfg.Router.Choose(h.cfg.Clock.Now(), route)
-		if !ok {
-			route.Exclude = nil
-		} else if found, certain := h.askStatus(ctx, call, choice.Endpoint()); certain {
-			return found, true
-		} else {
-			route.Exclude = append(route.Exclude, choice.Endpoint().ID())
-		}
-		clock.Sleep(h.cfg.Clock, statusPause, ctx.Done())
-	}
-	return reply{}, false
-}
-
-func (h *Handler) askStatus(ctx context.Context, call *Call, e lister.Endpoint) (reply, bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusLimit)
-	defer cancel()
-	status, err := h.cfg.Status(ctx, e.Address(), call.service.Status(), call.key)
-	var refused *dialer.StatusError
-	switch {
-	case err == nil && status.Done():
-		return reply{answer: dialer.Answer{Status: status.Status, Body: []byte(status.Body)}, result: Result{Endpoint: e.ID()}}, true
-	case errors.As(err, &refused) && refused.Status() == http.StatusNotFound:
-		return reply{problem: noEndpointProblem(), result: Result{Endpoint: e.ID(), Err: err}}, true
-	}
-	return reply{}, false
-}
--- a/internal/request/handler/plain_test.go
+++ b/internal/request/handler/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,11 +12,13 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
-	"hyssoprudder/internal/connection/dialer"
+	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/lister"
+	"hyssoprudder/internal/request/claimer"
 	"hyssoprudder/internal/request/handler"
 	"hyssoprudder/internal/standin/faulter"
 	"hyssoprudder/internal/standin/servicer"
@@ -38,62 +41,32 @@
 	return ledger, services, fleet
 }
 
-// claims is a table of claims in memory.
-type claims struct {
-	mu   sync.Mutex
-	held map[string]*held
+// journal executes commands at once, in memory.
+type journal struct {
+	mu      sync.Mutex
+	applier *applier.Applier
+	index   uint64
 }
 
-type held struct {
-	body   string
-	done   chan struct{}
-	answer dialer.Answer
-	grant  handler.Grant
+func (j *journal) propose(_ context.Context, c applier.Command) (applier.Result, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.index++
+	c.At = time.Now().UnixNano()
+	return j.applier.Apply(j.index, 1, c), nil
 }
 
-func (c *claims) acquire(ctx context.Context, call *handler.Call) handler.Claim {
-	key := call.Customer().Name() + " " + call.Key()
-	c.mu.Lock()
-	h, ok := c.held[key]
-	if !ok {
-		c.held[key] = &held{body: string(call.Body()), done: make(chan struct{})}
-	}
-	c.mu.Unlock()
-	switch {
-	case !ok:
-		return handler.Claim{Grant: handler.Granted}
-	case h.body != string(call.Body()):
-		return handler.Claim{Grant: handler.Mismatched}
-	}
-	select {
-	case <-h.done:
-		return handler.Claim{Grant: h.grant, Answer: h.answer}
-	case <-ctx.Done():
-		return handler.Claim{Grant: handler.Lost}
-	}
-}
-
-func (c *claims) settle(_ context.Context, call *handler.Call, outcome handler.Outcome, answer dialer.Answer) {
-	key := call.Customer().Name() + " " + call.Key()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	h := c.held[key]
-	h.answer = answer
-	switch outcome {
-	case handler.OutcomeDone:
-		h.grant = handler.Replayed
-	case handler.OutcomeUnknown:
-		h.grant = handler.Lost
-	case handler.OutcomeNotRun:
-		delete(c.held, key)
-		h.grant = handler.Unavailable
-	}
-	close(h.done)
-}
-
-func withClaims(cfg *handler.Config) {
-	c := &claims{held: make(map[string]*held)}
-	cfg.Claims = handler.Claims{Acquire: c.acquire, Settle: c.settle}
+func withClaims(t *testing.T) func(cfg *handler.Config) {
+	j := &journal{applier: applier.New()}
+	c := claimer.New(claimer.Config{
+		Entry: "a", Propose: j.propose, Clock: clock.System{}, Log: log.New(io.Discard),
+		Wait: func(context.Context, string, *claimer.WaitArgs, *claimer.WaitReply) error {
+			return errors.New("no other entry")
+		},
+	})
+	c.Start()
+	t.Cleanup(c.Stop)
+	return func(cfg *handler.Config) { cfg.Claimer = c }
 }
 
 func (e *entry) call(method, path, key, body string, timeout time.Duration) (outcome string, status int, answer string) {
@@ -131,7 +104,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			ledger, services, fleet := startServices(t, 3)
-			e := newEntry(t, fleet, withClaims)
+			e := newEntry(t, fleet, withClaims(t))
 			tc.fault(services)
 			outcome, _, first := e.call(http.MethodPost, "/orders", "k", "bags=5", time.Second)
 			require.Equal(t, tc.outcome, outcome)
@@ -173,7 +146,7 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			ledger, services, fleet := startServices(t, 3)
-			e := newEntry(t, fleet, withClaims)
+			e := newEntry(t, fleet, withClaims(t))
 			random := rand.New(rand.NewPCG(seed, 1))
 			b := &booker{entry: e}
 			for i := range 120 {
