Run calls that run once and load reports by the handler's and poller's parts

Cause: the handler took over claims and the poller divides load reports among entries; the runner had both in a thinner form. Conclusion: process tests and both demos pass; the thinner code is gone.

--- a/internal/process/runner/entry.go
+++ b/internal/process/runner/entry.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"hyssoprudder/internal/connection/dialer"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/process/poller"
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/request/claimer"
 	"hyssoprudder/internal/request/handler"
@@ -37,8 +40,7 @@
 	limiter  *limiter.Limiter
 	claimer  *claimer.Claimer
 	handler  *handler.Handler
-	prober   *prober
-	turns    turns
+	poller   *poller.Poller
 
 	serial uint64 // of the digests of this node
 	merged map[digestKey]uint64
@@ -58,7 +60,6 @@
 	e := &entry{runner: r, limiter: limiter.New(1), merged: make(map[digestKey]uint64), done: make(chan struct{})}
 	e.observer = observer.New(r.clock.Now())
 	e.router = router.New(e.observer, r.settings.Domain(), router.Predictive())
-	e.prober = &prober{entry: e, after: make(map[string]uint64)}
 	e.claimer = claimer.New(claimer.Config{
 		Entry: r.settings.ID(), Propose: r.state.proposer.Propose,
 		IsNotRun: func(err error) bool { return errors.Is(err, proposer.ErrNotRun) },
@@ -70,9 +71,9 @@
 	e.handler = handler.New(handler.Config{
 		Clock: r.clock, Router: e.router, Observer: e.observer, Limiter: e.limiter, Streams: streamer.NewRegistry(maxStreamBytes),
 		Do: r.dialer.Do, Status: r.dialer.Status, Generate: r.dialer.Generate, Export: r.dialer.Export, Import: r.dialer.Import,
-		Until:  r.table.Until,
-		Claims: handler.Claims{Acquire: e.acquire, Settle: e.settle},
-		Peers:  handler.Peers{Nodes: r.entries, Read: e.readPeer, Hand: e.handPeer},
+		Until:   r.table.Until,
+		Claimer: e.claimer,
+		Peers:   handler.Peers{Nodes: r.entries, Read: e.readPeer, Hand: e.handPeer},
 	})
 	r.entry = e
 	if err := r.messenger.Register(claimer.ServiceName, claimer.NewService(e.claimer)); err != nil {
@@ -82,15 +83,25 @@
 }
 
 func (e *entry) start() {
+	r := e.runner
 	e.claimer.Start()
-	e.group.Add(3)
+	e.poller = poller.Start(poller.Config{
+		Self: r.settings.ID(), Clock: r.clock, Observer: e.observer, Router: e.router, Endpoints: r.table.All, Nodes: r.entries,
+		Load: func(ctx context.Context, at lister.Endpoint) (dialer.LoadReport, error) {
+			return r.dialer.Load(ctx, at.Address())
+		},
+		Events: func(ctx context.Context, at lister.Endpoint, after uint64) ([]dialer.CacheEvent, error) {
+			return r.dialer.Events(ctx, at.Address(), after)
+		},
+	})
+	e.group.Add(2)
 	go e.sweepLoop()
 	go e.digestLoop()
-	go e.prober.run()
 }
 
 // stop ends the entry's loops. No call runs any more.
 func (e *entry) stop() {
+	e.poller.Stop()
 	close(e.done)
 	e.group.Wait()
 	e.handler.Close()
