Ask only engines for cache events

Ruled out: another process on the same platform port; the record named GET /events without a request id. Change: cache events are read from engines only; the booking test demands that nothing but callers' calls is in the service's record. Before: the test fails with stray calls; after: it passes with stray=0.

--- a/internal/process/runner/calls_process_test.go
+++ b/internal/process/runner/calls_process_test.go
@@ -61,5 +61,6 @@
 	d.ready(frozen)
 	audit := l.audit()
 	require.Zero(t, audit.code, audit.out)
+	require.Contains(t, audit.out, "stray=0", "nothing but callers' calls reaches a plain service")
 	require.NotZero(t, l.summary().whole)
 }
--- a/internal/process/runner/entry.go
+++ b/internal/process/runner/entry.go
@@ -10,6 +10,7 @@
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/process/parser"
 	"hyssoprudder/internal/process/poller"
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/request/claimer"
@@ -90,15 +91,26 @@
 		Load: func(ctx context.Context, at lister.Endpoint) (dialer.LoadReport, error) {
 			return r.dialer.Load(ctx, at.Address())
 		},
-		Events: func(ctx context.Context, at lister.Endpoint, after uint64) ([]dialer.CacheEvent, error) {
-			return r.dialer.Events(ctx, at.Address(), after)
-		},
+		Events: r.cacheEvents,
 	})
 	e.group.Add(2)
 	go e.sweepLoop()
 	go e.digestLoop()
 }
 
+// cacheEvents reads the cache events of an engine. A plain service has none, and
+// would take the question for a call.
+func (r *Runner) cacheEvents(ctx context.Context, at lister.Endpoint, after uint64) ([]dialer.CacheEvent, error) {
+	rules := r.rules.rules()
+	if rules == nil {
+		return nil, nil
+	}
+	if service, known := rules.Service(at.Service()); !known || service.Kind() != parser.KindModel {
+		return nil, nil
+	}
+	return r.dialer.Events(ctx, at.Address(), after)
+}
+
 // stop ends the entry's loops. No call runs any more.
 func (e *entry) stop() {
 	e.poller.Stop()
