Check after each step what a keeper confirms against what its disk holds

Cause: with its guards removed one at a time, the property over Core noticed few of them: links were never cut for long and hardly anything was committed.

Change: cut links in one or both directions, bursts of traffic, leases that were handed out count after a step-down, each vote, term and confirmed entry is compared with the disk, each commit with the disks of a quorum.

--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -250,3 +250,82 @@
 		require.NoError(t, j.Close())
 	})
 }
+
+// volatile is a folder whose unsynced bytes and names are lost in a crash.
+type volatile struct {
+	synced map[string]int64 // bytes of each file that survive
+	fresh  map[string]bool  // files whose names are not durable yet
+}
+
+type volatileFile struct {
+	journaler.File
+	path string
+	size int64
+	v    *volatile
+}
+
+func (f *volatileFile) Write(p []byte) (int, error) {
+	n, err := f.File.Write(p)
+	f.size += int64(n)
+	return n, err
+}
+
+func (f *volatileFile) Sync() error {
+	f.v.synced[f.path] = f.size
+	return nil
+}
+
+func (v *volatile) files() journaler.Files {
+	files := journaler.SystemFiles()
+	create, appendTo := files.Create, files.Append
+	files.Create = func(path string) (journaler.File, error) {
+		f, err := create(path)
+		v.synced[path], v.fresh[path] = 0, true
+		return &volatileFile{File: f, path: path, v: v}, err
+	}
+	files.Append = func(path string, size int64) (journaler.File, error) {
+		f, err := appendTo(path, size)
+		v.synced[path] = size
+		return &volatileFile{File: f, path: path, size: size, v: v}, err
+	}
+	files.SyncFolder = func(string) error {
+		v.fresh = make(map[string]bool)
+		return nil
+	}
+	return files
+}
+
+func (v *volatile) crash(t require.TestingT, torn int64) {
+	for path, size := range v.synced {
+		if v.fresh[path] {
+			require.NoError(t, os.Remove(path))
+			continue
+		}
+		info, err := os.Stat(path)
+		require.NoError(t, err)
+		require.NoError(t, os.Truncate(path, min(info.Size(), size+torn)))
+	}
+	v.synced, v.fresh = make(map[string]int64), make(map[string]bool)
+}
+
+func TestWhatAppendConfirmedSurvivesACrash(t *testing.T) {
+	base := t.TempDir()
+	run := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run++
+		folder := filepath.Join(base, fmt.Sprint(run))
+		v := &volatile{synced: make(map[string]int64), fresh: make(map[string]bool)}
+		next := uint64(1)
+		for range 12 {
+			j := open(t, folder, journaler.Options{Files: v.files(), SegmentSize: 120})
+			require.GreaterOrEqual(t, uint64(len(j.TakeEntries()))+1, next, "a confirmed entry is lost")
+			require.NoError(t, j.SaveState(journaler.State{Identity: "id"}))
+			for range rapid.IntRange(0, 4).Draw(t, "groups") {
+				require.NoError(t, j.Append([]journaler.Entry{entry(next, 1)}))
+				next++
+			}
+			require.NoError(t, j.Close())
+			v.crash(t, int64(rapid.IntRange(0, 60).Draw(t, "torn")))
+		}
+	})
+}
--- a/internal/process/keeper/core_test.go
+++ b/internal/process/keeper/core_test.go
@@ -17,7 +17,7 @@
 const (
 	modelElection  = 100 * time.Millisecond
 	modelHeartbeat = 15 * time.Millisecond
-	stepsPerCheck  = 600
+	stepsPerCheck  = 400
 	snapshotGap    = 12
 )
 
@@ -33,13 +33,28 @@
 	snapshot journaler.Snapshot
 	entries  []journaler.Entry
 	rev      uint64
+	handed   time.Time // end of the newest lease that was handed out, on its clock
 }
 
+// holds reports whether the disk of the replica has the entry.
+func (r *replica) holds(e journaler.Entry) bool {
+	if e.Index <= r.snapshot.Index {
+		return true
+	}
+	i := e.Index - r.snapshot.Index - 1
+	return i < uint64(len(r.entries)) && r.entries[i].Term == e.Term
+}
+
+func (r *replica) last() uint64 { return r.snapshot.Index + uint64(len(r.entries)) }
+
 // model runs cores against a network and disks that lose what they may lose.
 type model struct {
 	t         *rapid.T
 	replicas  []*replica
 	flight    []Message
+	cut       map[[2]string]bool // links by the names of sender and receiver
+	names     map[string]string  // of identities
+	chaos     int                // percentage of steps that move single messages
 	elapsed   time.Duration
 	ids       int
 	nextRead  uint64
@@ -57,11 +72,13 @@
 	m := &model{
 		t: t, reads: make(map[uint64]uint64), leaders: make(map[uint64]string),
 		granted: make(map[string]string), wiped: make(map[string]bool),
+		cut: make(map[[2]string]bool), names: make(map[string]string),
 	}
+	m.chaos = rapid.SampledFrom([]int{10, 25, 60}).Draw(t, "chaos")
 	size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
 	var members []Member
 	for i := range size {
-		r := &replica{name: fmt.Sprint("k", i), rate: 1 + float64(rapid.IntRange(-DriftPercent, DriftPercent).Draw(t, "drift"))/100}
+		r := &replica{name: fmt.Sprint("k", i), rate: 1 + float64(rapid.SampledFrom([]int{-DriftPercent, 0, DriftPercent}).Draw(t, "drift"))/100}
 		m.replicas = append(m.replicas, r)
 		m.boot(r)
 		members = append(members, Member{ID: r.state.Identity, Name: r.name, Voter: true})
@@ -80,6 +97,7 @@
 	if r.state.Identity == "" {
 		m.ids++
 		r.state.Identity = fmt.Sprint("id-", m.ids)
+		m.names[r.state.Identity] = r.name
 	}
 	r.app, r.rev = applier.New(), 0 // until it has heard the leader again
 	if r.snapshot.Index > 0 {
@@ -99,7 +117,7 @@
 	crashAfterDisk
 )
 
-func (m *model) crash(r *replica) { r.core, r.app = nil, nil }
+func (m *model) crash(r *replica) { r.core, r.app, r.handed = nil, nil, time.Time{} }
 
 // execute does what the core asks for, as the adapter does.
 func (m *model) execute(r *replica, crashAt int) {
@@ -132,6 +150,7 @@
 			m.crash(r)
 			return
 		}
+		m.checkDurable(r, &out)
 		m.flight = append(m.flight, out.Messages...)
 		for _, e := range out.Committed {
 			m.apply(r, e)
@@ -147,6 +166,59 @@
 	}
 }
 
+// checkDurable requires that what a replica tells others is on its disk.
+func (m *model) checkDurable(r *replica, out *Output) {
+	for _, msg := range out.Messages {
+		switch {
+		case msg.Kind == KindVote, msg.Kind == KindVoteReply && !msg.Reject:
+			require.Equal(m.t, msg.Term, r.state.Term, "a term is told before it is saved")
+			if msg.Kind == KindVoteReply {
+				require.Equal(m.t, msg.To, r.state.Vote, "a vote is given before it is saved")
+			}
+		case msg.Kind == KindAppendReply && !msg.Reject:
+			require.Equal(m.t, msg.Term, r.state.Term, "entries are confirmed in a term that is not saved")
+			require.LessOrEqual(m.t, msg.Index, r.last(), "entries are confirmed before they are saved")
+		}
+	}
+	before := r.core.points
+	for _, e := range out.Entries {
+		if e.Kind != journaler.KindMembers || r.core.role != RoleLeader || len(before) < 2 {
+			continue
+		}
+		for _, member := range decodeMembers(e.Data) {
+			old, known := findMember(before[len(before)-2].members, member.ID)
+			if learner := known && !old.Voter; learner && member.Voter {
+				require.GreaterOrEqual(m.t, m.byID(member.ID).last(), r.core.commit, "a learner becomes a voter too early")
+			}
+		}
+	}
+}
+
+func (m *model) byID(id string) *replica {
+	for _, r := range m.replicas {
+		if r.state.Identity == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// checkQuorum requires that a quorum of the voters has the entry on disk, or had
+// it before its disk was wiped.
+func (m *model) checkQuorum(leader *replica, e journaler.Entry) {
+	voters, holders := 0, 0
+	for _, member := range leader.core.members() {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if r := m.byID(member.ID); r == nil || r.holds(e) {
+			holders++
+		}
+	}
+	require.Greater(m.t, holders, voters/2, "entry %d is committed on too few disks", e.Index)
+}
+
 // apply executes an entry and compares it with what was committed anywhere.
 func (m *model) apply(r *replica, e journaler.Entry) {
 	var result applier.Result
@@ -160,6 +232,7 @@
 	}
 	require.Equal(m.t, r.app.Index(), e.Index)
 	if n := uint64(len(m.committed)); e.Index == n+1 {
+		m.checkQuorum(r, e)
 		m.committed = append(m.committed, e)
 		m.results = append(m.results, result)
 		if rule := result.Rule; rule != nil && rule.Outcome == applier.RuleAccepted && rule.Revision > m.revision {
@@ -206,8 +279,11 @@
 		if r.core == nil {
 			continue
 		}
-		if _, ok := r.core.Lease(m.now(r)); ok {
-			holders++
+		if until, ok := r.core.Lease(m.now(r)); ok && until.After(r.handed) {
+			r.handed = until
+		}
+		if m.now(r).Before(r.handed) {
+			holders++ // also after a step-down: others in the process may still act on it
 		}
 		rev := r.app.Rules().Number
 		require.GreaterOrEqual(m.t, rev, r.rev, "the revision at %s falls", r.name)
@@ -247,6 +323,9 @@
 }
 
 func (m *model) handOver(msg Message, crashAt int) {
+	if m.cut[[2]string{m.names[msg.From], m.names[msg.To]}] {
+		return
+	}
 	if msg.Kind == KindSnapshot && msg.Snapshot == nil {
 		from := m.find(msg.From)
 		if from == nil || from.snapshot.Index == 0 {
@@ -341,14 +420,17 @@
 	m.execute(r, crashAt)
 }
 
-// calm lets all replicas that are up talk without loss for one heartbeat.
-func (m *model) calm() {
-	m.elapsed += modelHeartbeat
+// calm lets all replicas that are up talk without loss for a while.
+func (m *model) calm(pause time.Duration, hops int) {
+	m.elapsed += pause
 	for _, r := range m.replicas {
 		m.tick(r, noCrash)
 	}
-	for n := len(m.flight); n > 0; n-- {
-		m.deliver(0, false, noCrash)
+	for range hops {
+		for n := len(m.flight); n > 0; n-- {
+			m.deliver(0, false, noCrash)
+		}
+		m.check()
 	}
 	m.joinAll()
 }
@@ -358,22 +440,34 @@
 	r := rapid.SampledFrom(m.replicas).Draw(m.t, "replica")
 	action := rapid.IntRange(0, 99).Draw(m.t, "action")
 	crashAt := noCrash
-	if rapid.IntRange(0, 40).Draw(m.t, "crash") == 0 {
+	if rapid.IntRange(0, 20).Draw(m.t, "crash") == 0 {
 		crashAt = rapid.IntRange(crashBeforeDisk, crashAfterDisk).Draw(m.t, "where")
 	}
 	switch {
-	case action < 40:
+	case r.core == nil && action < 50:
+		m.boot(r)
+	case r.frozen && action < 10:
+		r.frozen = false
+	case rapid.IntRange(0, 99).Draw(m.t, "network") < m.chaos:
 		m.stepNetwork(crashAt)
-	case action < 52:
+	case action < 40:
 		m.elapsed += time.Duration(rapid.IntRange(1, 20).Draw(m.t, "ms")) * time.Millisecond
 		m.tick(r, crashAt)
 	case action < 70:
-		m.calm()
+		hops := rapid.IntRange(1, 6).Draw(m.t, "hops")
+		for range rapid.IntRange(1, 8).Draw(m.t, "burst") {
+			m.calm(time.Duration(rapid.IntRange(1, 15).Draw(m.t, "ms"))*time.Millisecond, hops)
+		}
 	case action < 73:
-		m.elapsed += time.Duration(rapid.IntRange(50, 250).Draw(m.t, "pause")) * time.Millisecond
+		m.elapsed += time.Duration(rapid.IntRange(20, 250).Draw(m.t, "pause")) * time.Millisecond
+	case action < 76:
+		m.cutLinks(r)
 	default:
 		m.stepReplica(r, action, crashAt)
 	}
+	if action%4 == 0 {
+		m.readAll()
+	}
 	m.check()
 }
 
@@ -397,30 +491,65 @@
 	switch {
 	case r.core == nil:
 		m.boot(r)
-	case action < 74:
+	case action < 76:
 		m.crash(r)
-	case action < 75:
-		m.wipe(r)
 	case action < 78:
+		m.wipe(r)
+	case action < 80:
 		r.frozen = !r.frozen
 	case r.frozen:
 		r.frozen = action < 90
-	case action < 80:
+	case action < 82:
 		r.core.Transfer(m.now(r))
 		m.execute(r, crashAt)
-	case action < 84:
-		m.nextRead++
-		m.reads[m.nextRead] = uint64(len(m.committed))
-		r.core.Read(m.now(r), m.nextRead)
-		m.execute(r, crashAt)
+	case action < 85:
+		m.read(r)
 	default:
 		r.core.Propose(m.now(r), [][]byte{m.command(), m.command()})
 		m.execute(r, crashAt)
 	}
 }
 
+// cutLinks mends all links, or cuts those of r with some others in one or both
+// directions.
+func (m *model) cutLinks(r *replica) {
+	how := rapid.IntRange(0, 5).Draw(m.t, "cut")
+	if how < 2 || len(m.cut) > 0 && how < 5 {
+		clear(m.cut)
+		return
+	}
+	for _, other := range m.replicas {
+		if rapid.IntRange(0, 3).Draw(m.t, "whom") == 0 {
+			continue
+		}
+		if how != 2 {
+			m.cut[[2]string{r.name, other.name}] = true
+		}
+		if how != 3 {
+			m.cut[[2]string{other.name, r.name}] = true
+		}
+	}
+}
+
+func (m *model) read(r *replica) {
+	m.nextRead++
+	m.reads[m.nextRead] = uint64(len(m.committed))
+	r.core.Read(m.now(r), m.nextRead)
+	m.execute(r, noCrash)
+}
+
+// readAll asks every replica that takes itself for the leader.
+func (m *model) readAll() {
+	for _, r := range m.replicas {
+		if r.core != nil && !r.frozen && r.core.role == RoleLeader {
+			m.read(r)
+		}
+	}
+}
+
 // heal ends all faults and requires the log to go on.
 func (m *model) heal() {
+	clear(m.cut)
 	for _, r := range m.replicas {
 		r.frozen = false
 		if r.core == nil {
@@ -429,8 +558,7 @@
 	}
 	before := len(m.committed)
 	for range 400 {
-		m.calm()
-		m.check()
+		m.calm(modelHeartbeat, 1)
 		for _, r := range m.replicas {
 			r.core.Propose(m.now(r), [][]byte{m.command()})
 			m.execute(r, noCrash)
--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/journaler"
 )
 
 func TestKeepersCommitAndCatchUp(t *testing.T) {
@@ -272,3 +275,70 @@
 		}
 	}
 }
+
+// brokenDisk lets all syncs fail once broken is set.
+type brokenDisk struct {
+	broken atomic.Bool
+}
+
+type brokenFile struct {
+	journaler.File
+	disk *brokenDisk
+}
+
+var errDisk = errors.New("input/output error")
+
+func (f *brokenFile) Sync() error {
+	if f.disk.broken.Load() {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+func (b *brokenDisk) files() journaler.Files {
+	files := journaler.SystemFiles()
+	create := files.Create
+	files.Create = func(path string) (journaler.File, error) {
+		f, err := create(path)
+		return &brokenFile{File: f, disk: b}, err
+	}
+	return files
+}
+
+func TestKeeperWithFailingDiskAcknowledgesNothing(t *testing.T) {
+	d := newDeployment(t, 3)
+	disks := make(map[string]*brokenDisk)
+	for _, name := range d.names {
+		disks[name] = &brokenDisk{}
+		d.options[name] = journaler.Options{Files: disks[name].files()}
+	}
+	d.startAll()
+	d.applyRules(0, 3)
+	old := d.leader()
+	disks[old.config.Name].broken.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := old.Propose(ctx, rule("change-3", 3))
+	require.ErrorIs(t, err, ErrUnknown, "it may be committed by the others")
+	require.ErrorIs(t, old.Err(), journaler.ErrFailed)
+	d.applyRules(3, 6)
+	for name := range disks {
+		if name != old.config.Name {
+			disks[name].broken.Store(true)
+			break
+		}
+	}
+	d.eventually("a second failure", func() bool {
+		failed := 0
+		for _, k := range d.keepers {
+			short, stop := context.WithTimeout(ctx, 10*time.Millisecond)
+			_, err := k.Propose(short, rule("after", 6))
+			stop()
+			require.Error(t, err, "acknowledged by one of three disks")
+			if k.Err() != nil {
+				failed++
+			}
+		}
+		return failed == 2
+	})
+}
--- a/internal/process/keeper/network_test.go
+++ b/internal/process/keeper/network_test.go
@@ -19,6 +19,7 @@
 
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/journaler"
 )
 
 var errCut = errors.New("link is cut")
@@ -105,11 +106,12 @@
 	peers   []Peer
 	keepers map[string]*Keeper
 	every   uint64
+	options map[string]journaler.Options
 }
 
 func newDeployment(t testing.TB, size int) *deployment {
 	d := &deployment{
-		t: t, folder: t.TempDir(), keepers: make(map[string]*Keeper), every: 50,
+		t: t, folder: t.TempDir(), keepers: make(map[string]*Keeper), every: 50, options: make(map[string]journaler.Options),
 		net: &network{nodes: make(map[netip.AddrPort]*Keeper), cut: make(map[[2]netip.AddrPort]bool)},
 	}
 	for i := range size {
@@ -140,6 +142,7 @@
 			return d.net.call(self, to, args, reply)
 		},
 		Register: func(string, any) error { return nil },
+		Options:  d.options[name],
 	})
 	require.NoError(d.t, err)
 	require.NoError(d.t, k.Start())
