--- a/internal/standin/trial/world.go
+++ b/internal/standin/trial/world.go
@@ -217,12 +217,15 @@
 
 // gossip carries the digests of the entries to the leader.
 func (w *world) gossip() {
+	if w.state.Final() {
+		return
+	}
 	for _, e := range w.entries {
 		e.recorder.Check()
 		if w.chance(w.scenario.Chaos.DigestLoss) {
 			continue
 		}
-		b, err := e.recorder.Digest().Encode()
+		b, err := e.recorder.Encode(1000)
 		if err != nil {
 			panic(err)
 		}
