--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -101,7 +101,7 @@
 	done chan bool
 }
 
-// New opens the folder of the log. A *journaler.DamageError means that the
+// New opens the folder of the log and registers the services. A *journaler.DamageError means that the
 // folder must be looked at by an operator.
 func New(c Config) (*Keeper, error) {
 	if err := c.check(); err != nil {
@@ -128,6 +128,9 @@
 	if err := k.load(); err != nil {
 		return nil, errors.Join(err, journal.Close())
 	}
+	if err := k.register(); err != nil {
+		return nil, errors.Join(err, journal.Close())
+	}
 	return k, nil
 }
 
@@ -179,14 +182,19 @@
 	return nil
 }
 
-// Start registers the services and begins to take part.
-func (k *Keeper) Start() error {
+// register offers the services; what arrives before Start waits.
+func (k *Keeper) register() error {
 	if err := k.config.Register(peerService(k.config.Journal), &PeerService{keeper: k}); err != nil {
 		return fmt.Errorf("register keeper: %w", err)
 	}
 	if err := k.config.Register(clientService(k.config.Journal), &ClientService{keeper: k}); err != nil {
 		return fmt.Errorf("register state: %w", err)
 	}
+	return nil
+}
+
+// Start begins to take part. Call must be usable by now.
+func (k *Keeper) Start() error {
 	k.workers.Add(1)
 	go k.run()
 	j := &joiner{keeper: k}
--- a/internal/process/keeper/rules_test.go
+++ b/internal/process/keeper/rules_test.go
@@ -132,3 +132,20 @@
 	require.Empty(t, out.Reads, "a read needs a quorum now")
 	require.Contains(t, out.Messages, Message{Kind: KindCampaign, Cluster: "c", From: "id-1", To: "id-2", Term: 3})
 }
+
+func TestMessagesForAnotherIdentityOrLogAreIgnored(t *testing.T) {
+	now := ruleStart.Add(modelElection)
+	tests := map[string]Message{
+		"the identity before the disk was lost": {Kind: KindVote, From: "id-3", To: "id-0", Cluster: "c", Term: 3, Index: 9, LogTerm: 9},
+		"another log":                           {Kind: KindVote, From: "id-3", To: "id-1", Cluster: "x", Term: 3, Index: 9, LogTerm: 9},
+	}
+	for name, m := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := third()
+			c.Step(now, m)
+			out := c.Take()
+			require.True(t, out.IsEmpty())
+			require.Equal(t, uint64(2), c.state.Term)
+		})
+	}
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -152,11 +152,10 @@
 // Start listens and begins to take part. It returns once every port is bound;
 // readiness follows when the rules in force are known.
 func (r *Runner) Start() error {
-	// The keeper offers its services to the messenger, so it comes first.
-	if err := r.startKeeper(); err != nil {
+	if err := r.messenger.Start(); err != nil {
 		return err
 	}
-	if err := r.messenger.Start(); err != nil {
+	if err := r.startKeeper(); err != nil {
 		return err
 	}
 	r.startState()
