--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -130,7 +130,7 @@
 			require.LessOrEqual(t, a.Waiting(), limits.Calls)
 			require.LessOrEqual(t, bytes, limits.Bytes)
 		}
-		settle(a.Release(now.Add(time.Hour), admitter.Room{Free: 100, Limit: 3}))
+		settle(a.Release(now.Add(time.Hour), admitter.Room{Limit: 3}))
 		require.Empty(t, open, "late calls are refused")
 	})
 }
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -131,6 +131,13 @@
 	eject("pumice-1")
 	eject("pumice-2")
 	require.Equal(t, map[string]bool{"pumice-3": true, "pumice-4": true, "pumice-5": true}, chosen())
+	eject("pumice-3")
+	for _, id := range []string{"pumice-4", "pumice-5"} {
+		for range 200 {
+			o.Start(epoch, id, observer.Work{Prompt: 500, Decode: 100})
+		}
+	}
+	require.Greater(t, len(chosen()), 2, "overload spills to ejected endpoints when most are ejected")
 	for i := range 6 {
 		eject(fmt.Sprintf("pumice-%d", i))
 	}
