--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -132,12 +132,16 @@
 	eject("pumice-2")
 	require.Equal(t, map[string]bool{"pumice-3": true, "pumice-4": true, "pumice-5": true}, chosen())
 	eject("pumice-3")
+	var running []*observer.Call
 	for _, id := range []string{"pumice-4", "pumice-5"} {
 		for range 200 {
-			o.Start(epoch, id, observer.Work{Prompt: 500, Decode: 100})
+			running = append(running, o.Start(epoch, id, observer.Work{Prompt: 500, Decode: 100}))
 		}
 	}
 	require.Greater(t, len(chosen()), 2, "overload spills to ejected endpoints when most are ejected")
+	for _, call := range running {
+		call.End(epoch, observer.Canceled)
+	}
 	for i := range 6 {
 		eject(fmt.Sprintf("pumice-%d", i))
 	}
