Estimate without counting, and keep turns and rates over updates

Cause: the handler asked the router once for admission and once for the call, and each counted: round-robin skipped every second endpoint and shares of prefixes were twice too large. An update with the same endpoints started the turns anew. Change: Router.Estimate counts nothing; what a service remembers of its calls outlives updates. Run: TestRoundRobinTakesEachEndpointInTurn.

--- a/internal/request/handler/generation.go
+++ b/internal/request/handler/generation.go
@@ -225,7 +225,7 @@
 
 // recompute counts the prefill that the next engine does again.
 func (g *generation) recompute() {
-	if choice, ok := g.handler.cfg.Router.Choose(g.handler.cfg.Clock.Now(), g.route()); ok {
+	if choice, ok := g.handler.cfg.Router.Estimate(g.handler.cfg.Clock.Now(), g.route()); ok {
 		g.stream.Recompute(choice.Work().Prompt)
 	}
 }
--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -194,7 +194,7 @@
 // admit waits for room for a call. After a nil problem the caller must leave the gate.
 func (h *Handler) admit(ctx context.Context, call *Call, route router.Call) *Problem {
 	now := h.cfg.Clock.Now()
-	choice, ok := h.cfg.Router.Choose(now, route)
+	choice, ok := h.cfg.Router.Estimate(now, route)
 	if !ok {
 		return noEndpointProblem()
 	}
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -17,7 +17,11 @@
 // RoundRobin takes the endpoints in turn.
 func RoundRobin() Policy {
 	return Policy{name: "roundrobin", pick: func(v *view) int {
-		return int((v.group.turn.Add(1) - 1) % uint64(len(v.options)))
+		turn := v.group.flow.turn.Load()
+		if v.counted {
+			turn = v.group.flow.turn.Add(1) - 1
+		}
+		return int(turn % uint64(len(v.options)))
 	}}
 }
 
@@ -106,17 +110,21 @@
 // popularity finds the key by which calls with a common prefix meet at the same
 // endpoints: the shortest prefix that is not too popular for one endpoint.
 func (v *view) popularity() {
-	v.arrived = v.group.arrived.add(v.now, rateWindow)
+	weight := 0.0
+	if v.counted {
+		weight = 1
+	}
+	v.arrived = v.group.flow.arrived.add(v.now, rateWindow, weight)
 	blocks := len(v.call.Prefixes)
 	if blocks == 0 {
 		return
 	}
 	limit := 1 / float64(len(v.group.endpoints))
-	total := v.router.popular.total.add(v.now, sketchWindow)
+	total := v.router.popular.total.add(v.now, sketchWindow, weight)
 	for level := 1; ; level *= 4 {
 		at := min(level, blocks)
 		v.key, v.words = v.call.Prefixes[at-1], at*BlockWords
-		v.share = v.router.popular.add(v.now, v.key, total)
+		v.share = v.router.popular.add(v.now, v.key, total, weight)
 		if at == blocks || v.share <= limit {
 			return
 		}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -123,13 +123,19 @@
 	version   []int // by endpoint
 	all       []int
 	target    Target
-	turn      atomic.Uint64
-	arrived   counter
+	flow      *flow
+}
+
+// flow is what a group remembers of its calls. It outlives updates of the endpoints.
+type flow struct {
+	turn    atomic.Uint64
+	arrived counter
 }
 
 // Update replaces the endpoints and targets. Rows of the observer are kept.
 func (r *Router) Update(endpoints []lister.Endpoint, targets map[string]Target) {
 	next := &table{groups: make(map[string]*group)}
+	last := r.table.Load()
 	type row struct {
 		endpoint lister.Endpoint
 		handle   observer.Handle
@@ -143,7 +149,10 @@
 		e := row.endpoint
 		g, ok := next.groups[e.Service()]
 		if !ok {
-			g = &group{target: targets[e.Service()], slots: make(map[uint32]int)}
+			g = &group{target: targets[e.Service()], slots: make(map[uint32]int), flow: &flow{}}
+			if old, had := last.groups[e.Service()]; had {
+				g.flow = old.flow
+			}
 			next.groups[e.Service()] = g
 		}
 		g.add(e, row.handle, r.index.slot(e.ID()), r.Distance(e.Domain()))
@@ -167,7 +176,12 @@
 }
 
 // Choose returns the endpoint for a call, or false if there is none that may get it.
-func (r *Router) Choose(now time.Time, call Call) (Choice, bool) {
+func (r *Router) Choose(now time.Time, call Call) (Choice, bool) { return r.choose(now, call, true) }
+
+// Estimate returns the choice that a call would get now, without counting the call.
+func (r *Router) Estimate(now time.Time, call Call) (Choice, bool) { return r.choose(now, call, false) }
+
+func (r *Router) choose(now time.Time, call Call, counted bool) (Choice, bool) {
 	g, ok := r.table.Load().groups[call.Service]
 	if !ok {
 		return Choice{}, false
@@ -175,6 +189,7 @@
 	v := r.scratch.Get().(*view)
 	defer r.scratch.Put(v)
 	v.reset(r, now, g, call)
+	v.counted = counted
 	r.index.match(v, call.Prefixes)
 	v.popularity()
 	v.sample()
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -220,6 +220,23 @@
 	require.Greater(t, len(homes), 4)
 }
 
+// Estimates and updates with the same endpoints do not disturb the turns.
+func TestRoundRobinTakesEachEndpointInTurn(t *testing.T) {
+	r := router.New(observer.New(epoch), "focsani", router.RoundRobin())
+	seen := make(map[string]int)
+	for range 60 {
+		r.Update(endpoints(6, "pumice"), targets)
+		estimate, _ := r.Estimate(epoch, router.Call{Service: "pumice"})
+		choice, _ := r.Choose(epoch, router.Call{Service: "pumice"})
+		require.Equal(t, estimate.Endpoint().ID(), choice.Endpoint().ID())
+		seen[choice.Endpoint().ID()]++
+	}
+	for id, n := range seen {
+		require.Equal(t, 10, n, id)
+	}
+	require.Len(t, seen, 6)
+}
+
 // Six entries route at once on knowledge that is refreshed every period calls. The
 // highest load of an endpoint shows how much they herd.
 func peakOverMean(policy router.Policy, seed uint64) float64 {
--- a/internal/request/router/sketch.go
+++ b/internal/request/router/sketch.go
@@ -27,15 +27,16 @@
 	times  [sketchSlots]time.Time
 }
 
-// add counts a key and returns its share among the calls of the window.
-func (s *sketch) add(now time.Time, key uint64, total float64) float64 {
+// add counts a key with a weight, which may be 0, and returns the share of the calls
+// of the window that had the key before.
+func (s *sketch) add(now time.Time, key uint64, total, weight float64) float64 {
 	shard := &s.shards[key%sketchShards]
 	slot := key / sketchShards % sketchSlots
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	count := shard.counts[slot]*decay(now.Sub(shard.times[slot]), sketchWindow) + 1
-	shard.counts[slot], shard.times[slot] = count, now
-	return (count - 1) / (total + sketchPrior)
+	count := shard.counts[slot] * decay(now.Sub(shard.times[slot]), sketchWindow)
+	shard.counts[slot], shard.times[slot] = count+weight, now
+	return count / (total + sketchPrior)
 }
 
 // counter counts events with exponential forgetting. It is safe for concurrent use.
@@ -45,11 +46,11 @@
 	count float64
 }
 
-// add counts one event and returns the events of the window.
-func (c *counter) add(now time.Time, window time.Duration) float64 {
+// add counts an event with a weight, which may be 0, and returns the events of the window.
+func (c *counter) add(now time.Time, window time.Duration, weight float64) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.count = c.count*decay(now.Sub(c.at), window) + 1
+	c.count = c.count*decay(now.Sub(c.at), window) + weight
 	c.at = now
 	return c.count
 }
--- a/internal/request/router/view.go
+++ b/internal/request/router/view.go
@@ -39,6 +39,7 @@
 	scores  []float64
 	weights []float64
 
+	counted bool    // the call is counted in the shares and rates
 	arrived float64 // calls in the last rateWindow
 	key     uint64  // of the prefix by which calls meet at the same endpoints
 	words   int     // of that prefix
