--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -48,6 +48,7 @@
 	rules     *parser.Rules
 	instances map[string]*lister.Spec
 	leaving   map[string]bool
+	listedAt  map[string]time.Time
 	intents   map[string]string
 	counter   int
 	refuse    func(provisioner.Start) bool
@@ -63,7 +64,8 @@
 	require.NoError(t, err)
 	return &site{
 		clock: clock.NewManual(start), state: applier.New(), term: 1, leads: true, rules: parsed,
-		instances: make(map[string]*lister.Spec), leaving: make(map[string]bool), intents: make(map[string]string),
+		instances: make(map[string]*lister.Spec), leaving: make(map[string]bool),
+		listedAt: make(map[string]time.Time), intents: make(map[string]string),
 		refuse: func(provisioner.Start) bool { return false }, lose: func() bool { return false },
 		marked: make(map[string]time.Time), orders: make(map[netip.AddrPort]provisioner.Order),
 	}
@@ -92,6 +94,9 @@
 func (s *site) listed() []lister.Listed {
 	var listed []lister.Listed
 	for id, spec := range s.instances {
+		if s.clock.Now().Before(s.listedAt[id]) {
+			continue
+		}
 		_, marked := s.marked[id]
 		listed = append(listed, lister.Listed{Endpoint: lister.NewEndpoint(*spec), Leaving: s.leaving[id] || marked})
 	}
@@ -106,6 +111,7 @@
 		}
 		id = s.add(start.Service, start.Version, start.Domain, start.Market)
 		s.intents[start.Intent] = id
+		s.listedAt[id] = s.clock.Now().Add(5 * time.Second)
 	}
 	if s.lose() {
 		return provisioner.Instance{}, errLost
@@ -246,16 +252,29 @@
 
 func TestFleetIsStartedAgainAfterItsLoss(t *testing.T) {
 	s := newSite(t, sized)
-	s.fill(6)
-	c := s.controller()
-	s.play(c, 30)
+	s.fill(3)
+	s.play(s.controller(), 30)
 	clear(s.instances)
 	s.term++
-	s.play(c, 30)
+	s.play(s.controller(), 30)
 	total, _ := s.count("12")
 	require.Equal(t, 6, total)
 }
 
+// A start whose answer was lost is asked for again under the same intent, also
+// by a new leader.
+func TestLostAnswersStartNoSecondInstance(t *testing.T) {
+	s := newSite(t, sized)
+	s.fill(5)
+	lost := 0
+	s.lose = func() bool { lost++; return lost <= 2 }
+	s.play(s.controller(), 3)
+	s.term++
+	s.play(s.controller(), 20)
+	require.Len(t, s.intents, 1)
+	require.Len(t, s.instances, 6)
+}
+
 // A frozen leader that wakes sends nothing once its lease is over.
 func TestNothingIsDoneWithoutTheLease(t *testing.T) {
 	s := newSite(t, sized)
--- a/internal/process/scaler/scaler.go
+++ b/internal/process/scaler/scaler.go
@@ -123,7 +123,7 @@
 	lowest := math.Inf(1)
 	for limit := 0; limit <= need.Min; limit++ {
 		total := max(goal+limit, need.Min)
-		if total > need.Max || total-limit < goal {
+		if total > need.Max {
 			continue
 		}
 		chosen, cost, ok := choose(pools, total, limit, onDemand)
--- a/internal/version/mover/mover_test.go
+++ b/internal/version/mover/mover_test.go
@@ -114,16 +114,22 @@
 	}
 	tests := map[string]struct {
 		observed mover.Observation
+		step     int
 		want     mover.Reason
 	}{
-		"operator aborts":        {mover.Observation{Now: now, Abort: true}, mover.Aborted},
-		"rule is gone":           {mover.Observation{Now: now, Withdrawn: true}, mover.Withdrawn},
-		"too short":              {mover.Observation{Now: request.By.Add(-40 * time.Second)}, mover.Short},
-		"no leader until expiry": {mover.Observation{Now: request.By.Add(-config.Reserve)}, mover.Expired},
+		"operator aborts":        {observed: mover.Observation{Now: now, Abort: true}, want: mover.Aborted},
+		"rule is gone":           {observed: mover.Observation{Now: now, Withdrawn: true}, want: mover.Withdrawn},
+		"too short":              {observed: mover.Observation{Now: request.By.Add(-40 * time.Second)}, want: mover.Short},
+		"no leader until expiry": {observed: mover.Observation{Now: request.By.Add(-config.Reserve)}, want: mover.Expired},
+		"too late for a write": {
+			observed: mover.Observation{Now: request.By.Add(time.Second - config.Reserve - config.Proposal), Ready: 9},
+			step:     4, want: mover.Short,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := mover.Begin(config, request, now, 1)
+			s.At = tt.step
 			m := mover.New(config, s, request.Routes, 1)
 			next := m.Next(s, tt.observed)
 			require.Equal(t, mover.TakenBack, next.Phase)
@@ -166,6 +172,22 @@
 	})
 }
 
+func TestViewKeepsTheNewestState(t *testing.T) {
+	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
+	s := mover.Begin(mover.DefaultConfig(), mover.Request{
+		Service: "pumice", From: "12", To: "13", By: now.Add(time.Hour),
+		Routes: []mover.Route{mover.NewRoute("answers", false)}, Size: 3,
+	}, now, 1)
+	older := s
+	older.At, older.Epoch = len(s.Steps)-1, 2
+	s.Phase, s.Epoch = mover.TakenBack, 3
+	v := mover.NewView()
+	require.True(t, v.Apply(s))
+	require.False(t, v.Apply(older), "a late message does not bring a move back")
+	held, _ := v.State("pumice", now)
+	require.Equal(t, mover.TakenBack, held.Phase)
+}
+
 func ExampleState_Effective() {
 	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
 	s := mover.Begin(mover.DefaultConfig(), mover.Request{
