--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -43,6 +43,7 @@
 	crowd  *crowd
 	others peerSum
 	report Report
+	direct bool                // the report was read from the endpoint
 	past   [historySlots]int32 // own running calls by time
 	pastAt int64
 
@@ -135,6 +136,11 @@
 // Growth predicts by how much one more call lengthens the time between tokens.
 func (l *Load) Growth() time.Duration { return toDuration(l.step(2) - l.step(1)) }
 
+// Known reports whether predictions for the endpoint rest on anything but defaults.
+func (l *Load) Known() bool {
+	return l.report.Decode > 0 || l.gap.weight >= regressionTrust || l.duration > 0
+}
+
 // PrefillRate returns the words per second of a prefill.
 func (l *Load) PrefillRate() float64 {
 	if l.report.Prefill > 0 {
@@ -251,11 +257,12 @@
 	}
 }
 
-func (l *Load) setReport(r Report) {
+func (l *Load) setReport(r Report) bool {
 	if r.At.Before(l.report.At) {
-		return
+		return false
 	}
 	l.report = r
+	return true
 }
 
 // note records the number of own calls at a time, for later reports about it.
