Keep a measured stream's call unchanged while it is planned for

Cause: the race detector found the experiment's relay changing the excluded endpoints of a call while its plan was read (TestStreamsSurviveReclaims). Change: exclusions live beside the call. TestAdmissionRefusesTruthfully saw no refusal on a busy machine at 200 requests/s; it offers 1000, and demands the same.

--- a/internal/standin/measurer/measurer_test.go
+++ b/internal/standin/measurer/measurer_test.go
@@ -65,7 +65,7 @@
 	for i := range f.Load.Calls {
 		f.Load.Calls[i].Timeout = 10 * time.Second
 	}
-	out, err := run(context.Background(), f, fixed, trial{rate: 200, seed: 1, scale: 0.05, duration: 400 * time.Millisecond}, clock.System{})
+	out, err := run(context.Background(), f, fixed, trial{rate: 1000, seed: 1, scale: 0.05, duration: 400 * time.Millisecond}, clock.System{})
 	require.NoError(t, err)
 	require.Positive(t, out.summary.All.Outcomes[loader.Refused])
 	require.Zero(t, out.summary.All.Outcomes[loader.Failed])
--- a/internal/standin/measurer/relay.go
+++ b/internal/standin/measurer/relay.go
@@ -26,7 +26,8 @@
 // relay carries one answer from engines to its caller.
 type relay struct {
 	entry    *entry
-	call     router.Call
+	call     router.Call // does not change
+	excluded []string
 	body     body
 	out      http.ResponseWriter
 	name     string
@@ -57,7 +58,7 @@
 	for ctx.Err() == nil {
 		choice, ok := r.choose()
 		if !ok {
-			r.call.Exclude = nil
+			r.excluded = nil
 			clock.Sleep(r.entry.site.clock, noEndpointPause, ctx.Done())
 			continue
 		}
@@ -72,7 +73,7 @@
 			return
 		}
 		if r.moved == nil {
-			r.call.Exclude = append(r.call.Exclude, choice.Endpoint().ID())
+			r.excluded = append(r.excluded, choice.Endpoint().ID())
 		}
 	}
 }
@@ -84,7 +85,9 @@
 		r.choice = nil
 		return choice, true
 	}
-	return r.entry.router.Choose(r.entry.site.clock.Now(), r.call)
+	call := r.call
+	call.Exclude = r.excluded
+	return r.entry.router.Choose(r.entry.site.clock.Now(), call)
 }
 
 func (r *relay) finish() {
