--- a/internal/process/keeper/network_test.go
+++ b/internal/process/keeper/network_test.go
@@ -19,6 +19,7 @@
 
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/journaler"
 )
 
 var errCut = errors.New("link is cut")
@@ -105,11 +106,15 @@
 	peers   []Peer
 	keepers map[string]*Keeper
 	every   uint64
+	options map[string]journaler.Options
+
+	election, heartbeat time.Duration
 }
 
 func newDeployment(t testing.TB, size int) *deployment {
 	d := &deployment{
-		t: t, folder: t.TempDir(), keepers: make(map[string]*Keeper), every: 50,
+		t: t, folder: t.TempDir(), keepers: make(map[string]*Keeper), every: 50, options: make(map[string]journaler.Options),
+		election: 150 * time.Millisecond, heartbeat: 20 * time.Millisecond,
 		net: &network{nodes: make(map[netip.AddrPort]*Keeper), cut: make(map[[2]netip.AddrPort]bool)},
 	}
 	for i := range size {
@@ -135,11 +140,12 @@
 	k, err := New(Config{
 		Journal: "rules", Name: name, Folder: filepath.Join(d.folder, name), Peers: d.peers, Clock: clock.System{},
 		Log: log.New(io.Discard), Rand: rand.New(rand.NewPCG(1, uint64(self.Port()))), Applier: applier.New(),
-		Election: 150 * time.Millisecond, Heartbeat: 20 * time.Millisecond, SnapshotEvery: d.every,
+		Election: d.election, Heartbeat: d.heartbeat, SnapshotEvery: d.every,
 		Call: func(_ context.Context, to netip.AddrPort, _ string, args, reply any) error {
 			return d.net.call(self, to, args, reply)
 		},
 		Register: func(string, any) error { return nil },
+		Options:  d.options[name],
 	})
 	require.NoError(d.t, err)
 	require.NoError(d.t, k.Start())
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -131,6 +131,17 @@
 	eject("pumice-1")
 	eject("pumice-2")
 	require.Equal(t, map[string]bool{"pumice-3": true, "pumice-4": true, "pumice-5": true}, chosen())
+	eject("pumice-3")
+	var running []*observer.Call
+	for _, id := range []string{"pumice-4", "pumice-5"} {
+		for range 200 {
+			running = append(running, o.Start(epoch, id, observer.Work{Prompt: 500, Decode: 100}))
+		}
+	}
+	require.Greater(t, len(chosen()), 2, "overload spills to ejected endpoints when most are ejected")
+	for _, call := range running {
+		call.End(epoch, observer.Canceled)
+	}
 	for i := range 6 {
 		eject(fmt.Sprintf("pumice-%d", i))
 	}
@@ -209,6 +220,23 @@
 	require.Greater(t, len(homes), 4)
 }
 
+// Estimates and updates with the same endpoints do not disturb the turns.
+func TestRoundRobinTakesEachEndpointInTurn(t *testing.T) {
+	r := router.New(observer.New(epoch), "focsani", router.RoundRobin())
+	seen := make(map[string]int)
+	for range 60 {
+		r.Update(endpoints(6, "pumice"), targets)
+		estimate, _ := r.Estimate(epoch, router.Call{Service: "pumice"})
+		choice, _ := r.Choose(epoch, router.Call{Service: "pumice"})
+		require.Equal(t, estimate.Endpoint().ID(), choice.Endpoint().ID())
+		seen[choice.Endpoint().ID()]++
+	}
+	for id, n := range seen {
+		require.Equal(t, 10, n, id)
+	}
+	require.Len(t, seen, 6)
+}
+
 // Six entries route at once on knowledge that is refreshed every period calls. The
 // highest load of an endpoint shows how much they herd.
 func peakOverMean(policy router.Policy, seed uint64) float64 {
