Let many nodes join at once although the seeds are busy

Cause: BenchmarkControl/nodes=370 never began: 20 of 370 nodes knew only the seeds, and the seeds, asked by all, spent more than their budget on answers that can't wait, so that they never sent what those 20 lacked. The same in memory: known=331.4 of 370 from 15 s to 200 s of simulated time.

Ruled out: a larger budget; the number of questions grows with the nodes. Answering each question a little, and nothing beyond the budget, let all 370 join after 35 s of simulated time, but not 80 nodes with 900 B/s each, within four minutes.

Change: a node that knows few others asks a random one, and is told six more; debts from answers that can't wait end after two seconds; members that are dead for ten minutes no longer count as peers, unless this node lost touch.

--- a/internal/process/gossiper/budget.go
+++ b/internal/process/gossiper/budget.go
@@ -6,6 +6,10 @@
 // header and authentication code, and the UDP and IP headers.
 const packetOverhead = 80 // bytes
 
+// maxDebt is how long a node sends nothing that can wait after a rush of
+// questions that can't.
+const maxDebt = 2 * time.Second
+
 // budget is a token bucket that bounds the bytes that a node sends.
 type budget struct {
 	rate   float64 // bytes per second
@@ -27,4 +31,8 @@
 	return b.tokens > 0
 }
 
-func (b *budget) spend(body int) { b.tokens -= float64(body + packetOverhead) }
+// spend notes what was sent. Answers that can't wait may use up more than there
+// is; what they use beyond the debt of a few seconds is not made up for.
+func (b *budget) spend(body int) {
+	b.tokens = max(b.tokens-float64(body+packetOverhead), -maxDebt.Seconds()*b.rate)
+}
--- a/internal/process/gossiper/core.go
+++ b/internal/process/gossiper/core.go
@@ -61,9 +61,12 @@
 	rediscoverPeriods = 3 // periods between probes of dead members or seeds
 	maxSyncMessages   = 8
 	maxRelays         = 256
+	introductions     = 6 // members named to a node that joins
 	maxDoubts         = 4 // dead members named in one probe of an address
 	probeLog          = 64
 	sweepInterval     = 10 * time.Second
+	// mourning is how long a dead member counts as a peer out of touch.
+	mourning = 10 * time.Minute
 )
 
 // Settings holds what NewCore makes a state machine from.
@@ -159,6 +162,8 @@
 	nextJoin   time.Time
 	nextSweep  time.Time
 	lastSync   time.Time
+	differs    bool // whether the view of the peer last heard differed
+	writtenOff time.Time // members that died before no longer count as peers
 }
 
 // NewCore returns the state machine of a node that knows only itself.
@@ -468,15 +473,16 @@
 	return ids
 }
 
-// sweep forgets members and marks whose time is over. A node that has lost
-// touch with most members forgets none of them, so that it goes on knowing
-// that it lost touch.
+// sweep writes off and forgets members and marks whose time is over. A node
+// that has lost touch with most members writes none of them off, so that it
+// goes on knowing that it lost touch.
 func (c *Core) sweep(now time.Time) {
 	if now.Before(c.nextSweep) {
 		return
 	}
 	c.nextSweep = now.Add(sweepInterval)
 	if c.Contact(now, sweepInterval).HasMost() {
+		c.writtenOff = now.Add(-mourning)
 		for _, id := range c.ids() {
 			if c.members[id].record.isExpired(now, c.timing.Retention) {
 				c.forget(id)
--- a/internal/process/gossiper/core_test.go
+++ b/internal/process/gossiper/core_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+func TestDeadMembersCountForAWhile(t *testing.T) {
+	w := newCluster(t, 6, 10)
+	hasMost := func() bool { return w.nodes["n000"].core.Contact(w.now, 10*time.Second).HasMost() }
+	crash := func(id string) {
+		w.nodes[id].up = false
+		_, ok := w.runUntil(time.Minute, func() bool { return w.allSee(id, Dead) })
+		require.True(t, ok)
+		w.run(20 * time.Second)
+	}
+	crash("n005")
+	crash("n004")
+	require.True(t, hasMost(), "four of six")
+	w.run(mourning + sweepInterval)
+	crash("n003")
+	require.True(t, hasMost(), "three of four")
+	crash("n002")
+	require.False(t, hasMost(), "two of four")
+	w.run(2 * mourning)
+	require.False(t, hasMost(), "out of touch, nobody is written off")
+}
+
 // separate cuts the nodes from the given number on off from the others.
 func (w *network) separate(from int, cut bool) {
 	for i := range w.nodes {
@@ -394,3 +415,15 @@
 		})
 	}
 }
+
+// TestAllJoinWhileSeedsAreBusy starts many nodes at once that may send little,
+// so that the seeds can't answer all of them.
+func TestAllJoinWhileSeedsAreBusy(t *testing.T) {
+	w := newNetwork(1)
+	for i := range 80 {
+		w.start(i, func(s *Settings) { s.Timing = Timing{Rate: 900, Burst: 6 << 10} })
+	}
+	took, ok := w.runUntil(4*time.Minute, w.complete)
+	require.True(t, ok)
+	t.Logf("all joined after %s", took)
+}
--- a/internal/process/gossiper/network_test.go
+++ b/internal/process/gossiper/network_test.go
@@ -15,6 +15,7 @@
 	now       time.Time
 	random    *rand.Rand
 	nodes     map[string]*node
+	byAddress map[netip.AddrPort]*node
 	flying    []flying
 	loss      float64
 	repeat    float64
@@ -44,7 +45,7 @@
 func newNetwork(seed uint64) *network {
 	return &network{
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		nodes: make(map[string]*node), cut: make(map[[2]string]bool),
+		nodes: make(map[string]*node), byAddress: make(map[netip.AddrPort]*node), cut: make(map[[2]string]bool),
 		delay: 20 * time.Millisecond, bytesSent: make(map[string]int),
 	}
 }
@@ -62,6 +63,7 @@
 	if !ok {
 		n = &node{id: id, address: addressOf(i)}
 		w.nodes[id] = n
+		w.byAddress[n.address] = n
 	}
 	n.incarnation++
 	n.up, n.frozen, n.backlog = true, false, nil
@@ -130,21 +132,19 @@
 }
 
 func (w *network) deliver(f flying) {
-	for _, id := range w.ids() {
-		n := w.nodes[id]
-		if n.address != f.to || !n.up || w.cut[[2]string{f.from.ID(), id}] {
-			continue
-		}
-		if n.frozen {
-			n.backlog = append(n.backlog, f)
-			continue
-		}
-		out, err := n.core.Step(f.from, f.body, w.now)
-		if err != nil {
-			panic(err)
-		}
-		w.emit(n, out)
+	n, ok := w.byAddress[f.to]
+	if !ok || !n.up || w.cut[[2]string{f.from.ID(), n.id}] {
+		return
+	}
+	if n.frozen {
+		n.backlog = append(n.backlog, f)
+		return
+	}
+	out, err := n.core.Step(f.from, f.body, w.now)
+	if err != nil {
+		panic(err)
 	}
+	w.emit(n, out)
 }
 
 // thaw lets a frozen node go on; it first reads what arrived meanwhile.
--- a/internal/process/gossiper/prober.go
+++ b/internal/process/gossiper/prober.go
@@ -172,6 +172,9 @@
 	extra := c.doubtsAbout(from.ID())
 	if h.Target == "" {
 		extra = append(extra, item{kind: itemMember, body: encodeRecord(c.self())})
+		for _, id := range c.pick(introductions, from.ID()) {
+			extra = append(extra, item{kind: itemMember, body: encodeRecord(c.members[id].record)})
+		}
 	}
 	c.sendTo(from.Address(), header{Kind: kindAck, Sequence: h.Sequence, Target: c.settings.ID}, extra, now)
 	c.compare(from.Address(), h.Sum, now)
@@ -190,6 +193,13 @@
 	c.compare(from.Address(), h.Sum, now)
 }
 
+// isJoining reports whether this node knows few others and there seem to be
+// more. It then asks for some to be named, rather than wait for seeds that may
+// have many to serve.
+func (c *Core) isJoining() bool {
+	return len(c.members) == 1 || len(c.members) <= introductions && c.differs
+}
+
 // rediscover probes a seed or a dead member now and then: two halves of a
 // deployment that lost each other find together again only this way.
 func (c *Core) rediscover(now time.Time) {
@@ -197,10 +207,13 @@
 		return
 	}
 	c.nextJoin = now.Add(rediscoverPeriods * c.timing.Period)
-	if len(c.members) == 1 {
+	if c.isJoining() {
 		c.nextJoin = now.Add(c.timing.Period)
 	}
 	target, items, ok := c.lostAddress()
+	if known := c.pick(1, ""); c.isJoining() && len(known) > 0 {
+		target, items, ok = c.members[known[0]].record.Address, nil, true
+	}
 	if !ok {
 		return
 	}
@@ -261,16 +274,18 @@
 // half of this node with all of them.
 func isMajority(some, all int) bool { return 2*(some+1) > all+1 }
 
-// Contact returns how far this node was in touch within the last bound. Dead
-// members count as peers out of touch.
+// Contact returns how far this node was in touch within the last bound. Members
+// that died lately, or while this node was out of touch, count as peers.
 func (c *Core) Contact(now time.Time, bound time.Duration) Contact {
 	var out Contact
 	for id, e := range c.members {
-		if s := e.record.state(); id != c.settings.ID && s != Left {
-			out.peers++
-			if s == Alive || s == Leaving {
-				out.live++
-			}
+		s := e.record.state()
+		if id == c.settings.ID || s == Left || s == Dead && time.Unix(e.record.At, 0).Before(c.writtenOff) {
+			continue
+		}
+		out.peers++
+		if s == Alive || s == Leaving {
+			out.live++
 		}
 	}
 	latest := make(map[string]bool)
--- a/internal/process/gossiper/spreader.go
+++ b/internal/process/gossiper/spreader.go
@@ -115,7 +115,8 @@
 	if len(c.members) <= 2 {
 		interval = c.timing.Gossip
 	}
-	if sum == c.sums.total || now.Sub(c.lastSync) < interval || !c.budget.allows(now) {
+	c.differs = sum != c.sums.total
+	if !c.differs || now.Sub(c.lastSync) < interval || !c.budget.allows(now) {
 		return
 	}
 	c.lastSync = now
@@ -129,15 +130,17 @@
 	if err != nil || len(differing) == 0 {
 		return err
 	}
+	if !c.budget.allows(now) {
+		return nil
+	}
 	if !h.Reply {
 		c.post(from.Address(), header{Kind: kindSync, Reply: true}, []item{{kind: itemSums, body: c.sums.encode()}})
 	}
 	messages := pack(c.itemsIn(differing))
 	c.random.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
-	for _, items := range messages[:min(maxSyncMessages, len(messages))] {
-		if !c.budget.allows(now) {
-			break
-		}
+	// When many ask at once, each gets a little: what it learns lets it ask others.
+	limit := 1 + maxSyncMessages*int(c.budget.tokens)/c.timing.Burst
+	for _, items := range messages[:min(limit, len(messages))] {
 		c.post(from.Address(), header{Kind: kindGossip}, items)
 	}
 	return nil
