--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -81,19 +81,31 @@
 // deployment is a number of nodes and one booking service on a loopback
 // address of its own.
 type deployment struct {
-	t       *testing.T
-	folder  string
-	host    string
-	nodes   map[string]*process
-	names   []string
-	service string // address
-	engine  string // address
-	others  []*process
+	t        *testing.T
+	folder   string
+	host     string
+	nodes    map[string]*process
+	names    []string
+	service  string   // address of the booking service, if there is one
+	platform string   // address of the platform, if there is one
+	named    []string // rules for endpoints
+	others   []*process
 }
 
-// start begins a deployment of nodes, of which the first are keepers, and puts
-// rules in force.
+// start begins a deployment of nodes, of which the first are keepers, with one
+// booking service and one engine, and puts rules in force.
 func start(t *testing.T, nodes, keepers int) *deployment {
+	t.Helper()
+	return startWith(t, nodes, keepers, func(d *deployment) {
+		d.service = d.standin("service", "-id", "b", "-service", "bookings", "-version", "3", "-took", "20ms")
+		d.named = append(d.named,
+			"endpoint b service=bookings version=3 domain=adjud address="+d.service+" # desk, Vrancea",
+			"endpoint e service=pumice version=12 domain=adjud address="+d.standin("engine", "-id", "e", "-service", "pumice", "-version", "12")+" # desk, Vrancea")
+	})
+}
+
+// startWith begins a deployment with the outside that surround starts.
+func startWith(t *testing.T, nodes, keepers int, surround func(d *deployment)) *deployment {
 	t.Helper()
 	t.Parallel()
 	d := &deployment{t: t, folder: t.TempDir(), nodes: make(map[string]*process)}
@@ -102,8 +114,7 @@
 	t.Cleanup(d.stopAll)
 	d.write("deployment.key", strings.Repeat("k", 64))
 	d.write("operators.token", operatorsToken)
-	d.service = d.standin("service", "-id", "b", "-service", "bookings", "-version", "3", "-took", "20ms")
-	d.engine = d.standin("engine", "-id", "e", "-service", "pumice", "-version", "12")
+	surround(d)
 	for i := range nodes {
 		name := fmt.Sprintf("n%d", i+1)
 		d.names = append(d.names, name)
@@ -135,6 +146,9 @@
 	domains := []string{"focsani", "adjud", "panciu"}
 	fmt.Fprintf(&b, "id = \"n%d\"\nfirm = \"vrancea\"\ndomain = %q\ndomains = [\"focsani\", \"adjud\", \"panciu\"]\nroles = [%s]\n", i+1, domains[i%3], roles)
 	fmt.Fprintf(&b, "data = \"data-n%d\"\nkey = \"deployment.key\"\ntoken = \"operators.token\"\n", i+1)
+	if d.platform != "" {
+		fmt.Fprintf(&b, "platform = %q\n", d.platform)
+	}
 	fmt.Fprintf(&b, "[listen]\ncallers = \"%s:%d\"\nnodes = \"%s:%d\"\noperators = \"%s:%d\"\n", d.host, 8101+i, d.host, 7101+i, d.host, 9101+i)
 	fmt.Fprintf(&b, "[limits]\nlame = \"500ms\"\n")
 	for k := range keepers {
@@ -151,8 +165,7 @@
 		"service pumice kind=model timeout=60s # desk, Vrancea",
 		"route orders path=/orders service=bookings once=true # desk, Vrancea",
 		"route answers path=/v1/answers service=pumice # desk, Vrancea",
-		"endpoint b service=bookings version=3 domain=adjud address=" + d.service + " # desk, Vrancea",
-		"endpoint e service=pumice version=12 domain=adjud address=" + d.engine + " # desk, Vrancea",
+		strings.Join(d.named, "\n"),
 		more,
 	}, "\n")
 }
@@ -176,11 +189,18 @@
 
 // standin starts a stand-in on a free port and returns its address.
 func (d *deployment) standin(kind string, args ...string) string {
+	d.t.Helper()
+	return d.standinAddress(kind, append([]string{"-listen", "127.0.0.1:0"}, args...)...)
+}
+
+// standinAddress starts a stand-in and returns the address that it prints first.
+func (d *deployment) standinAddress(kind string, args ...string) string {
 	d.t.Helper()
 	read, write, err := os.Pipe()
 	require.NoError(d.t, err)
-	defer read.Close()
-	p := d.spawn(kind, write, "standin", append([]string{kind, "-listen", "127.0.0.1:0"}, args...)...)
+	// The pipe stays open and holds what else the stand-in prints.
+	d.t.Cleanup(func() { read.Close() })
+	p := d.spawn(kind, write, "standin", append([]string{kind}, args...)...)
 	write.Close()
 	d.others = append(d.others, p)
 	line, err := bufio.NewReader(read).ReadString('\n')
