--- a/internal/standin/measurer/entry.go
+++ b/internal/standin/measurer/entry.go
@@ -210,7 +210,10 @@
 // offer is what admission knows about a call.
 func (e *entry) offer(r *http.Request, s *relay, choice router.Choice) admitter.Request {
 	now := e.site.clock.Now()
-	offer := admitter.Request{Bytes: len(s.body.Prompt), Run: choice.Time()}
+	offer := admitter.Request{Bytes: len(s.body.Prompt)}
+	if choice.Known() {
+		offer.Run = choice.Time()
+	}
 	for _, call := range e.site.firm.Load.Calls {
 		if call.Path == r.URL.Path {
 			offer.Worth, offer.Priority = call.Worth, call.Priority
