--- a/internal/standin/measurer/entry.go
+++ b/internal/standin/measurer/entry.go
@@ -63,7 +63,7 @@
 	e.refresh()
 	policy := admitter.None()
 	if s.arm.Admission != nil {
-		policy = s.arm.Admission(len(s.firm.Load.Entries))
+		policy = s.arm.Admission(s.firm)
 	}
 	e.gate = admitter.NewGate(s.clock, admitter.New(policy, admitter.DefaultLimits()), e.room)
 	host, err := hoster.Listen("127.0.0.1:0", http.HandlerFunc(e.serve))
@@ -210,7 +210,10 @@
 // offer is what admission knows about a call.
 func (e *entry) offer(r *http.Request, s *relay, choice router.Choice) admitter.Request {
 	now := e.site.clock.Now()
-	offer := admitter.Request{Bytes: len(s.body.Prompt), Run: choice.Time()}
+	offer := admitter.Request{Bytes: len(s.body.Prompt)}
+	if choice.Known() {
+		offer.Run = choice.Time()
+	}
 	for _, call := range e.site.firm.Load.Calls {
 		if call.Path == r.URL.Path {
 			offer.Worth, offer.Priority = call.Worth, call.Priority
