Give a model service room while its endpoints have free slots

Cause: Room asked for the first byte of a call without tokens, which counts the usual time of a call as a wait. Change: Room asks for a call of one token. Run: TestRoomDoesNotTakeTheTimeOfCallsForAWait fails without the change.

--- a/internal/request/router/room.go
+++ b/internal/request/router/room.go
@@ -54,7 +54,7 @@
 		}
 		limit := limitOf(now, load, g.target)
 		room.limit += limit
-		first := load.First(now, observer.Work{})
+		first := load.First(now, observer.Work{Decode: 1})
 		room.first = min(room.first, first)
 		room.next = max(room.next, g.target.Next, load.Next(now, 0))
 		if g.target.First == 0 || first < g.target.First {
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -237,6 +237,26 @@
 	require.Len(t, seen, 6)
 }
 
+// The time that calls usually take is no wait of a further call: a service with free
+// slots has room.
+func TestRoomDoesNotTakeTheTimeOfCallsForAWait(t *testing.T) {
+	o := observer.New(epoch)
+	r := router.New(o, "focsani", router.Predictive())
+	r.Update(endpoints(3, "pumice"), targets)
+	now := epoch
+	for i := range 60 {
+		call := o.Start(now, fmt.Sprintf("pumice-%d", i%3), observer.Work{Prompt: 20, Decode: 100})
+		for range 100 {
+			now = now.Add(20 * time.Millisecond)
+			call.Token(now, 1)
+		}
+		call.End(now, observer.Done)
+	}
+	room := r.Room(now, "pumice")
+	require.Greater(t, room.Free(), 10.0)
+	require.Less(t, room.First(), time.Second)
+}
+
 // Six entries route at once on knowledge that is refreshed every period calls. The
 // highest load of an endpoint shows how much they herd.
 func peakOverMean(policy router.Policy, seed uint64) float64 {
