Wire versions and capacity into the node

Cause: judge, mover, scaler and controller did not run in a node yet. Change: runner reads the moves, weighs versions in the router, counts calls, publishes digests, and runs the controller on the leader; process tests for a bad version, a good one with the leader killed, and an abort.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -34,8 +34,9 @@
 	// Propose writes to the replicated state.
 	Propose func(ctx context.Context, c applier.Command) (applier.Result, error)
 	// Instances returns what the platform lists, with the leaving marks that
-	// this node has heard.
-	Instances func() []lister.Listed
+	// this node has heard. Without a fresh list, or without a platform, it
+	// returns false, and only the moves go on.
+	Instances func() ([]lister.Listed, bool)
 	// Classes returns what the platform sells.
 	Classes func(ctx context.Context) ([]provisioner.Class, error)
 	// Digests returns the latest counters of each entry.
@@ -113,9 +114,10 @@
 		return
 	}
 	c.refreshOffers(ctx)
+	instances, managed := c.config.Instances()
 	actions := c.core.Decide(Snapshot{
 		Now: c.config.Clock.Now(), Term: term, Rules: c.config.Rules(), Moves: moves, Intents: intents,
-		Instances: c.config.Instances(), Offers: c.offers, Digests: c.digests(), Inflight: c.config.Inflight,
+		Instances: instances, Managed: managed, Offers: c.offers, Digests: c.digests(), Inflight: c.config.Inflight,
 	})
 	for _, a := range actions {
 		if !c.holds(term) {
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -148,7 +148,7 @@
 		State: func(context.Context) ([]applier.Move, []applier.Intent, error) {
 			return s.state.Moves(), s.state.Intents(), nil
 		},
-		Propose: s.propose, Instances: s.listed,
+		Propose: s.propose, Instances: func() ([]lister.Listed, bool) { return s.listed(), true },
 		Classes:  func(context.Context) ([]provisioner.Class, error) { return classes, nil },
 		Digests:  func() [][]byte { return nil },
 		Inflight: func(string) int { return 0 },
--- a/internal/process/controller/core.go
+++ b/internal/process/controller/core.go
@@ -80,6 +80,9 @@
 	}
 	all, open := fleets(s)
 	states, actions := c.moves(s, all)
+	if !s.Managed {
+		return actions
+	}
 	var needs []loader.Need
 	for _, service := range s.Rules.Services() {
 		f := all[service.Name()]
--- a/internal/process/controller/intents.go
+++ b/internal/process/controller/intents.go
@@ -57,7 +57,7 @@
 		return []Action{{Close: i.ID}}
 	}
 	actions := []Action{{Mark: id}}
-	idle := s.Inflight == nil || s.Inflight(id) == 0
+	idle := s.Inflight != nil && s.Inflight(id) == 0
 	if age > c.pace.DrainLeast && idle || age > c.pace.DrainMost {
 		actions = append(actions, Action{Release: id})
 	}
--- a/internal/process/controller/snapshot.go
+++ b/internal/process/controller/snapshot.go
@@ -28,10 +28,13 @@
 	Moves     []applier.Move
 	Intents   []applier.Intent
 	Instances []lister.Listed
-	Offers    []scaler.Offer
+	// Managed is true if instances may be started and given back.
+	Managed bool
+	Offers  []scaler.Offer
 	// Digests are the counters of the entries.
 	Digests []*judge.Digest
 	// Inflight returns the calls that the entries have running at an instance.
+	// Nil means that this is not known.
 	Inflight func(id string) int
 }
 
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -256,8 +256,9 @@
 
 // state is the part of a state dump that tests look at.
 type state struct {
-	Ready    string `json:"ready"`
-	Revision uint64 `json:"revision"`
+	Moves    []operator.Move `json:"moves"`
+	Ready    string          `json:"ready"`
+	Revision uint64          `json:"revision"`
 	Keeper   *struct {
 		Role     string `json:"role"`
 		Identity string `json:"identity"`
--- a/internal/process/runner/dump.go
+++ b/internal/process/runner/dump.go
@@ -8,6 +8,7 @@
 
 	"hyssoprudder/internal/connection/operator"
 	"hyssoprudder/internal/process/keeper"
+	"hyssoprudder/internal/version/judge"
 )
 
 // dumpVersion is the version of the layout of state dumps.
@@ -27,13 +28,15 @@
 	Members     []operator.Member   `json:"members"`
 	Endpoints   []operator.Endpoint `json:"endpoints"`
 	Leaving     []string            `json:"leaving"`
+	Moves       []operator.Move     `json:"moves"`
+	Counts      *judge.Digest       `json:"counts"` // of the calls of services that move
 }
 
 func (r *Runner) dump() (any, error) {
 	d := &Dump{
 		Version: dumpVersion, At: r.clock.Now().UTC(), Node: r.settings.ID(), Incarnation: r.incarnation,
 		Ready: "ready", Revision: r.rules.revision(),
-		Members: r.members(), Endpoints: r.endpoints(), Leaving: r.table.Marks(),
+		Members: r.members(), Endpoints: r.endpoints(), Leaving: r.table.Marks(), Moves: r.seenMoves(), Counts: r.versions.recorder.Digest(),
 	}
 	if err := r.ready(); err != nil {
 		d.Ready = err.Error()
@@ -75,9 +78,3 @@
 	}
 	return r.state.keeper.Leader()
 }
-
-func (r *Runner) moves(context.Context) ([]operator.Move, error) { return []operator.Move{}, nil }
-
-func (r *Runner) abort(context.Context, string) (operator.Move, error) {
-	return operator.Move{}, &operator.Fault{Code: operator.CodeMissing, Message: "no such move"}
-}
--- a/internal/process/runner/entry.go
+++ b/internal/process/runner/entry.go
@@ -30,6 +30,7 @@
 const (
 	digestLoad uint8 = iota + 1
 	digestDemand
+	digestMoves
 )
 
 // entry is the part of a node that serves callers.
@@ -73,6 +74,8 @@
 		Do: r.dialer.Do, Status: r.dialer.Status, Generate: r.dialer.Generate, Export: r.dialer.Export, Import: r.dialer.Import,
 		Until:   r.table.Until,
 		Claimer: e.claimer,
+		Began:   func(to lister.Endpoint, route string) { r.versions.began(to, route) },
+		Ended:   func(to lister.Endpoint, route string, a handler.Attempt) { r.versions.ended(to, route, a) },
 		Peers:   handler.Peers{Nodes: r.entries, Read: e.readPeer, Hand: e.handPeer},
 	})
 	r.entry = e
@@ -171,7 +174,7 @@
 		keep[endpoint.ID()] = true
 		r.entry.observer.SetLeaving(endpoint.ID(), r.table.Leaving(endpoint.ID()))
 	}
-	r.entry.router.Update(all, targets)
+	r.entry.router.Update(r.versions.usable(all), targets)
 	r.entry.observer.Forget(keep)
 }
 
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"hyssoprudder/internal/connection/provisioner"
 	"hyssoprudder/internal/process/clock"
@@ -15,6 +17,7 @@
 	runner *Runner
 	client *provisioner.Client
 	after  uint64
+	read   atomic.Int64 // when the list was last read, in nanoseconds since 1970
 
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -62,8 +65,18 @@
 		listed = append(listed, lister.Listed{Endpoint: endpoint, Leaving: instance.Leaving()})
 	}
 	w.runner.listed(listed)
+	w.read.Store(w.runner.clock.Now().UnixNano())
 }
 
+// isFresh reports whether the list was read a short while ago.
+func (w *watcher) isFresh() bool {
+	age := w.runner.clock.Now().UnixNano() - w.read.Load()
+	return time.Duration(age) < freshPolls*w.runner.settings.Limits().Poll()
+}
+
+// freshPolls is how old the list may be to decide by it, in poll intervals.
+const freshPolls = 5
+
 // pollPatience bounds one poll, in poll intervals.
 const pollPatience = 5
 
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -50,6 +50,7 @@
 	gossiper  *gossiper.Gossiper
 	fetcher   *fetcher.Fetcher
 	state     *stateParts
+	versions  *versions
 	entry     *entry         // nil without the role entry
 	callers   *server.Server // nil without the role entry
 	operators *operator.Server
@@ -85,6 +86,7 @@
 		}
 		r.buildCallers(cert)
 	}
+	r.buildVersions()
 	return r, r.buildOperators(cert)
 }
 
@@ -160,6 +162,7 @@
 		return err
 	}
 	r.startState()
+	r.versions.start()
 	if r.callers != nil {
 		r.entry.start()
 		if err := r.callers.Start(); err != nil {
@@ -204,6 +207,7 @@
 	if r.callers != nil {
 		cut = r.stopEntry(ctx)
 	}
+	r.versions.stop()
 	r.stopState(ctx)
 	r.operators.Stop(ctx)
 	err := r.messenger.Stop(ctx)
--- a/internal/version/mover/mover.go
+++ b/internal/version/mover/mover.go
@@ -131,8 +131,6 @@
 // Observation is what the leader sees besides the digests of the entries.
 type Observation struct {
 	Now time.Time
-	// Abort is true if an operator asked to take the move back.
-	Abort bool
 	// Withdrawn is true if no rule asks for the move any more.
 	Withdrawn bool
 	// Ready is the number of live instances of the new version.
@@ -195,8 +193,6 @@
 		return s.Effective(o.Now)
 	}
 	switch {
-	case o.Abort:
-		return s.takeBack(o.Now, Aborted)
 	case o.Withdrawn:
 		return s.takeBack(o.Now, Withdrawn)
 	case verdict.Outcome() == judge.Bad:
--- a/internal/version/mover/mover_test.go
+++ b/internal/version/mover/mover_test.go
@@ -117,7 +117,6 @@
 		step     int
 		want     mover.Reason
 	}{
-		"operator aborts":        {observed: mover.Observation{Now: now, Abort: true}, want: mover.Aborted},
 		"rule is gone":           {observed: mover.Observation{Now: now, Withdrawn: true}, want: mover.Withdrawn},
 		"too short":              {observed: mover.Observation{Now: request.By.Add(-40 * time.Second)}, want: mover.Short},
 		"no leader until expiry": {observed: mover.Observation{Now: request.By.Add(-config.Reserve)}, want: mover.Expired},
@@ -172,6 +171,22 @@
 	})
 }
 
+func TestAbortIsFinal(t *testing.T) {
+	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
+	s := mover.Begin(mover.DefaultConfig(), mover.Request{
+		Service: "pumice", From: "12", To: "13", By: now.Add(time.Hour),
+		Routes: []mover.Route{mover.NewRoute("answers", false)}, Size: 3,
+	}, now, 1)
+	aborted := s.Abort(now)
+	require.True(t, s.Changed(aborted))
+	require.Equal(t, mover.Aborted, aborted.Reason)
+	require.Equal(t, aborted, aborted.Abort(now.Add(time.Minute)))
+	v := mover.NewView()
+	v.Apply(aborted)
+	require.Zero(t, v.Weight("pumice", "13", false, now, false))
+	require.Equal(t, 1.0, v.Weight("pumice", "12", false, now, false))
+}
+
 func TestViewKeepsTheNewestState(t *testing.T) {
 	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
 	s := mover.Begin(mover.DefaultConfig(), mover.Request{
--- a/internal/version/mover/state.go
+++ b/internal/version/mover/state.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// Abort returns the state after an operator has taken the move back.
+func (s State) Abort(now time.Time) State {
+	if s = s.Effective(now); s.Final() {
+		return s
+	}
+	return s.takeBack(now, Aborted)
+}
+
 // Changed reports whether next has to be written over s.
 func (s State) Changed(next State) bool {
 	return s.Epoch != next.Epoch || s.Term != next.Term
--- a/internal/version/mover/view.go
+++ b/internal/version/mover/view.go
@@ -86,6 +86,33 @@
 	return s.From, true
 }
 
+// Weight returns the share of calls that a version of a service may get: 1 if
+// the service is not moving. After a move the other version serves only if
+// the right one has no endpoint left, and never if it was taken back.
+func (v *View) Weight(service, version string, once bool, now time.Time, tripped bool) float64 {
+	s, ok := v.State(service, now)
+	if !ok {
+		return 1
+	}
+	share := s.Share(now, once)
+	if s.Phase == Moving && tripped {
+		share = 0
+	}
+	switch {
+	case version == s.To:
+		return share
+	case version == s.From:
+		return max(1-share, leastWeight)
+	case s.Final():
+		return leastWeight
+	default:
+		return 0
+	}
+}
+
+// leastWeight is the weight of a version that is better than none.
+const leastWeight = 1e-9
+
 // InUse returns which of the instances of the new version serve at the
 // present step, the same at every entry. The order of ids does not matter.
 func (s State) InUse(ids []string) []string {
