--- a/internal/standin/measurer/measurer_test.go
+++ b/internal/standin/measurer/measurer_test.go
@@ -65,7 +65,7 @@
 	for i := range f.Load.Calls {
 		f.Load.Calls[i].Timeout = 10 * time.Second
 	}
-	out, err := run(context.Background(), f, fixed, trial{rate: 200, seed: 1, scale: 0.05, duration: 400 * time.Millisecond}, clock.System{})
+	out, err := run(context.Background(), f, fixed, trial{rate: 1000, seed: 1, scale: 0.05, duration: 400 * time.Millisecond}, clock.System{})
 	require.NoError(t, err)
 	require.Positive(t, out.summary.All.Outcomes[loader.Refused])
 	require.Zero(t, out.summary.All.Outcomes[loader.Failed])
@@ -113,11 +113,11 @@
 	for i := range f.Load.Calls {
 		f.Load.Calls[i].First = time.Nanosecond
 	}
-	o := Options{Seeds: 1, Clock: clock.System{}, Out: io.Discard, Duration: 100 * time.Millisecond, Scale: 0.05}
+	o := Options{Seeds: 1, Clock: clock.System{}, Progress: io.Discard, Duration: 100 * time.Millisecond, Scale: 0.05}
 	jobs := []job{{firm: f, arm: product, trial: o.trial(20, 0), search: true}}
 	rows, err := runJobs(context.Background(), o, jobs)
 	require.NoError(t, err)
-	require.Len(t, rows, 5)
+	require.Len(t, rows, 4)
 	for _, r := range rows {
 		require.Equal(t, conditionProbe, r.condition)
 	}
