--- a/internal/process/runner/versions_process_test.go
+++ b/internal/process/runner/versions_process_test.go
@@ -53,11 +53,6 @@
 	d := start(t, 3, 3)
 	l := d.load(25*time.Second, 10, shortAnswers)
 	d.move(`{"version":"13","fail_rate":1}`, 10*time.Minute)
-	time.Sleep(20 * time.Second)
-	for _, n := range d.names {
-		out := d.commandAt(n, "state", "dump")
-		t.Log(out.out[strings.Index(out.out, "moves"):])
-	}
 	d.eventually("taken back", func() bool { return d.moved("n1").Verdict == "takenback" })
 	require.Contains(t, d.moved("n2").Reason, "failure on route")
 	d.eventually("every entry knows", func() bool {
--- a/internal/request/handler/attempt.go
+++ b/internal/request/handler/attempt.go
@@ -28,8 +28,17 @@
 	failed
 	refused
 	excused
+	late // the deadline came first
 )
 
+// endedBy says why the context of a generation has ended.
+func endedBy(ctx context.Context) ending {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return late
+	}
+	return excused
+}
+
 func resultOf(failure retrier.Failure, leaving bool) ending {
 	switch {
 	case leaving:
@@ -57,6 +66,7 @@
 	first  time.Time
 	last   time.Time
 	tokens int
+	whole  bool // the engine has said that the answer is complete
 }
 
 func newAttempt(ctx context.Context, g *generation, choice router.Choice, source int) *attempt {
@@ -101,6 +111,7 @@
 	now := g.handler.cfg.Clock.Now()
 	var verdict streamer.Verdict
 	if event.Kind == dialer.EventDone {
+		a.setWhole()
 		verdict = g.stream.Finish(now, a.source, event.Count)
 	} else {
 		verdict = g.stream.Accept(a.source, event.ID, event.Token)
@@ -134,6 +145,20 @@
 	return a.tokens
 }
 
+// setWhole notes the end of the answer before the stream ends by it, so that
+// the attempt counts as answered.
+func (a *attempt) setWhole() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.whole = true
+}
+
+func (a *attempt) isWhole() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.whole
+}
+
 // silence returns the time since the engine was last heard of, beyond the usual.
 func (a *attempt) silence(now time.Time) time.Duration {
 	a.mu.Lock()
@@ -170,10 +195,10 @@
 func (a *attempt) finish(e ending) {
 	h := a.generation.handler
 	now := h.cfg.Clock.Now()
-	results := map[ending]observer.Result{answered: observer.Done, failed: observer.Failed, refused: observer.Refused, excused: observer.Canceled}
+	results := map[ending]observer.Result{answered: observer.Done, failed: observer.Failed, refused: observer.Refused, excused: observer.Canceled, late: observer.Canceled}
 	a.observed.End(now, results[e])
 	a.mu.Lock()
-	result := Attempt{Failed: e == failed || e == refused, Excused: e == excused, Total: now.Sub(a.start)}
+	result := Attempt{Failed: e == failed || e == refused || e == late, Excused: e == excused, Total: now.Sub(a.start)}
 	if a.tokens > 0 {
 		result.First = a.first.Sub(a.start)
 	}
--- a/internal/request/handler/generation.go
+++ b/internal/request/handler/generation.go
@@ -170,10 +170,13 @@
 			}
 			timer.Reset(superviseInterval)
 		case <-g.stream.Done():
+			if a.isWhole() {
+				return g.ended(ctx, a, <-a.done)
+			}
 			a.stop(excused)
 			return step{end: true}
 		case <-ctx.Done():
-			a.stop(excused)
+			a.stop(endedBy(ctx))
 			g.sent = true
 			g.lose("the answer did not come in time")
 			return step{end: true}
@@ -195,7 +198,7 @@
 	failure := failureOf(err)
 	g.sent = g.sent || failure == retrier.Lost
 	if errors.Is(err, errReplaced) || g.stream.Held() || ctx.Err() != nil {
-		a.finish(excused)
+		a.finish(endedBy(ctx))
 		if ctx.Err() != nil {
 			g.lose("the answer did not come in time")
 		}
