--- a/internal/connection/messenger/messenger_test.go
+++ b/internal/connection/messenger/messenger_test.go
@@ -297,3 +297,39 @@
 		})
 	}
 }
+
+// BenchmarkCall measures calls between two nodes on loopback, one after the
+// other and many at a time.
+func BenchmarkCall(b *testing.B) {
+	start := func(id string) *Messenger {
+		m, err := New(Config{
+			ID: id, Listen: loopback, Key: testKey, Clock: clock.System{}, Log: log.New(io.Discard), Workers: 64,
+		})
+		require.NoError(b, err)
+		require.NoError(b, m.Register("Echo", new(Echo)))
+		require.NoError(b, m.Start())
+		b.Cleanup(func() { require.NoError(b, m.Stop(context.Background())) })
+		return m
+	}
+	from, to := start("a"), start("b").Address()
+	args := Text{Body: string(make([]byte, 200))}
+	call := func() {
+		var reply Text
+		if err := from.Call(context.Background(), to, "Echo.Say", args, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.Run("one", func(b *testing.B) {
+		for range b.N {
+			call()
+		}
+	})
+	b.Run("many", func(b *testing.B) {
+		b.SetParallelism(32)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				call()
+			}
+		})
+	})
+}
