Demand that a planned stop makes no caller try twice

Cause: TestPlannedStopCutsNoRequest could not fail: with the lame period or the graceful shutdown removed the load generator tried again and was answered. Change: the load generator logs every attempt, also one that reached no entry, and the test demands one attempt a request.

--- a/internal/process/runner/calls_process_test.go
+++ b/internal/process/runner/calls_process_test.go
@@ -17,13 +17,12 @@
 prompt = [20, 60]
 max = [8, 40]
 timeout = "30s"
-drop = 0.1
 `
 
 // Each node is stopped as planned in turn under load; no caller notices.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	d := start(t, 4, 3)
-	l := d.load(12*time.Second, 20, bookingCalls+streamCalls)
+	l := d.load(12*time.Second, 20, plainBookings+streamCalls)
 	for _, name := range d.names {
 		d.nodes[name].signal(t, syscall.SIGTERM)
 		require.Zero(t, d.nodes[name].wait(), "exit code of %s", name)
@@ -35,8 +34,19 @@
 	summary := l.summary()
 	require.NotZero(t, summary.sent)
 	require.Equal(t, summary.sent, summary.whole, "every request is answered whole: %+v", summary)
+	require.Empty(t, l.repeated(), "no request needs a second attempt")
 }
 
+const plainBookings = `
+[[call]]
+name = "order"
+kind = "plain"
+path = "/orders"
+share = 1.0
+timeout = "10s"
+once = true
+`
+
 // Nodes are killed and frozen in turn under bookings, some of which are sent
 // twice at once. The service's record shows none doubled, none lost, and no
 // "notrun" that ran.
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -405,3 +405,22 @@
 	require.NoError(l.d.t, json.Unmarshal(raw, &s))
 	return outcomes{sent: s.All.Sent, whole: s.All.Outcomes["whole"], all: s.All.Outcomes}
 }
+
+// repeated returns the attempts of the requests that needed more than one.
+func (l *load) repeated() []string {
+	l.d.t.Helper()
+	raw, err := os.ReadFile(l.log)
+	require.NoError(l.d.t, err)
+	var repeated []string
+	for line := range strings.Lines(string(raw)) {
+		var result struct {
+			Key      string   `json:"key"`
+			Attempts []string `json:"attempts"`
+		}
+		require.NoError(l.d.t, json.Unmarshal([]byte(line), &result))
+		if len(result.Attempts) != 1 {
+			repeated = append(repeated, result.Key+" "+strings.Join(result.Attempts, ","))
+		}
+	}
+	return repeated
+}
--- a/internal/standin/loader/audit.go
+++ b/internal/standin/loader/audit.go
@@ -49,7 +49,7 @@
 		}
 		a.done = a.done || r.Outcome == Whole
 		for _, attempt := range r.Attempts {
-			a.notrun = a.notrun && attempt == Refused
+			a.notrun = a.notrun && (attempt == Refused || attempt == Unreached)
 		}
 		a.notrun = a.notrun && r.Outcome == Refused
 	}
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -32,6 +32,8 @@
 	Cut     Outcome = "cut"     // the connection was lost and not regained
 	Wrong   Outcome = "wrong"   // the answer is out of order or somebody else's
 	Late    Outcome = "late"    // nothing whole came by the deadline
+	// Unreached marks an attempt whose entry took no connection.
+	Unreached Outcome = "unreached"
 )
 
 const (
@@ -97,7 +99,9 @@
 	for n := 0; n < maxAttempts; n++ {
 		outcome := c.attempt(ctx)
 		c.result.Outcome = outcome
-		if c.written || outcome != Cut {
+		if outcome == Cut && !c.written {
+			c.result.Attempts = append(c.result.Attempts, Unreached)
+		} else {
 			c.result.Attempts = append(c.result.Attempts, outcome)
 		}
 		if outcome != Cut && (outcome != Unknown || !c.order.call.Once) {
