Let an overload last several deadlines; give charts room for names and legend

A trial of 12 s at twice the load showed no collapse without admission: deadlines of 40 s had not passed yet. The overload now lasts three times as long and is counted from its second third on.

--- a/internal/standin/measurer/measurer.go
+++ b/internal/standin/measurer/measurer.go
@@ -152,8 +152,8 @@
 		during func(ctx context.Context, s *site)
 	}{
 		{"steady", nil},
-		{"reclaims with notice", reclaims(false)},
-		{"reclaims without notice", reclaims(true)},
+		{"with notice", reclaims(false)},
+		{"without notice", reclaims(true)},
 	}
 	for _, condition := range conditions {
 		for seed := range o.Seeds {
@@ -208,22 +208,28 @@
 	}
 }
 
+// overloadTimes is how much longer a load lasts that is more than can be served, so that
+// deadlines pass within it.
+const overloadTimes = 3
+
 func worthPlan(o Options, firm *Firm) []job {
 	var jobs []job
 	conditions := []struct {
 		name   string
 		factor float64
+		times  time.Duration // of the usual duration
 		during func(ctx context.Context, s *site)
 	}{
-		{"steady", 0.6, nil},
-		{"double load", 2, nil},
-		{"domain lost", 0.75, domainLost},
+		{"steady", 0.6, 1, nil},
+		{"double load", 2, overloadTimes, nil},
+		{"domain lost", 0.75, 1, domainLost},
 	}
 	for _, condition := range conditions {
 		for seed := range o.Seeds {
 			for _, arm := range []Arm{open, fixed, fair} {
 				t := o.trial(served[firm.Name]*condition.factor, seed)
 				t.during = condition.during
+				t.duration, t.warm = t.duration*condition.times, t.warm*condition.times
 				jobs = append(jobs, job{firm: firm, arm: arm, trial: t, name: condition.name})
 			}
 		}
--- a/internal/standin/measurer/result.go
+++ b/internal/standin/measurer/result.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	chartWidth  = 9 * vg.Inch
+	chartWidth  = 12 * vg.Inch
 	chartHeight = 5 * vg.Inch
 	barWidth    = 16 // points
+	headroom    = 1.25
 )
 
 // row is one run. Times and rates in it are before scaling.
@@ -153,6 +154,7 @@
 		}
 	}
 	p.NominalX(groups...)
+	p.Y.Max *= headroom // for the legend
 	return p.Save(chartWidth, chartHeight, path)
 }
 
