Lock the state that a moving stream shares

The test of reclaims failed once in seven runs under the race detector; its output was not kept, so the cause is not proved. Found by reading: a relay read the exported handle and counted its attempts without the lock under which an engine's leaving reads and writes them.

--- a/internal/standin/measurer/relay.go
+++ b/internal/standin/measurer/relay.go
@@ -62,7 +62,7 @@
 			clock.Sleep(r.entry.site.clock, noEndpointPause, ctx.Done())
 			continue
 		}
-		r.attempt++
+		r.begin()
 		r.again, r.computed = 0, 0
 		whole := r.relay(ctx, choice)
 		if r.attempt > 1 {
@@ -72,12 +72,27 @@
 			r.close()
 			return
 		}
-		if r.moved == nil {
+		if !r.isMoved() {
 			r.excluded = append(r.excluded, choice.Endpoint().ID())
 		}
 	}
 }
 
+func (r *relay) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempt++
+	r.source = nil
+}
+
+// isMoved reports whether the KV cache of the last engine was exported. It waits for
+// an export that runs.
+func (r *relay) isMoved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.moved != nil
+}
+
 // choose returns the endpoint that was chosen at admission, once, and then others.
 func (r *relay) choose() (router.Choice, bool) {
 	if r.choice != nil {
