--- a/internal/process/gossiper/rumours.go
+++ b/internal/process/gossiper/rumours.go
@@ -13,6 +13,10 @@
 	classRunning              // revisions in force
 )
 
+// urgentSendings is how often an urgent rumour is sent as fast as the budget
+// allows.
+const urgentSendings = 6
+
 // rumour is one item that this node still passes on.
 type rumour struct {
 	key   string
@@ -69,8 +73,16 @@
 	return items
 }
 
-// transmissions returns how often each node passes on a rumour among n nodes,
-// so that with high probability none misses it.
+// isUrgent reports whether a rumour that can't wait was sent only a few times.
+func (r *rumours) isUrgent() bool {
+	return slices.ContainsFunc(r.order, func(n *rumour) bool {
+		return n.class == classUrgent && n.sent < urgentSendings
+	})
+}
+
+// transmissions returns how often each node passes on a rumour among n nodes.
+// A node is missed with a probability of about e^-4 over all nodes; the
+// comparison of views makes up for that.
 func transmissions(n int) int {
-	return 2*int(math.Ceil(math.Log(float64(n+1)))) + 2
+	return int(math.Ceil(math.Log(float64(n+1)))) + 4
 }
--- a/internal/process/gossiper/spreader.go
+++ b/internal/process/gossiper/spreader.go
@@ -41,19 +41,27 @@
 	return kept
 }
 
-// sendRumours passes rumours on to a few random members.
+// sendRumours passes rumours on to a few random members: one message, or
+// several, each to others, while urgent ones were sent only a few times.
 func (c *Core) sendRumours(now time.Time) {
-	if now.Before(c.nextGossip) || c.rumours.len() == 0 || !c.budget.allows(now) {
+	if now.Before(c.nextGossip) || c.rumours.len() == 0 {
 		return
 	}
 	c.nextGossip = now.Add(c.timing.Gossip)
-	receivers := c.pick(fanout, "")
-	if len(receivers) == 0 {
+	receivers := c.pick(fanout*urgentMessages, "")
+	copies := min(fanout, len(receivers))
+	if copies == 0 {
 		return
 	}
-	items := c.takeRumours(maxBody-headerRoom, len(receivers))
-	for _, id := range receivers {
-		c.post(c.members[id].record.Address, header{Kind: kindGossip}, items)
+	for i := range urgentMessages {
+		if !c.budget.allows(now) || i > 0 && !c.rumours.isUrgent() {
+			return
+		}
+		items := c.takeRumours(maxBody-headerRoom, copies)
+		for j := range copies {
+			id := receivers[(i*copies+j)%len(receivers)]
+			c.post(c.members[id].record.Address, header{Kind: kindGossip}, items)
+		}
 	}
 }
 
--- a/internal/process/runner/entry.go
+++ b/internal/process/runner/entry.go
@@ -10,6 +10,7 @@
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/observer"
+	"hyssoprudder/internal/process/parser"
 	"hyssoprudder/internal/process/poller"
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/request/claimer"
@@ -30,6 +31,7 @@
 const (
 	digestLoad uint8 = iota + 1
 	digestDemand
+	digestMoves
 )
 
 // entry is the part of a node that serves callers.
@@ -73,6 +75,8 @@
 		Do: r.dialer.Do, Status: r.dialer.Status, Generate: r.dialer.Generate, Export: r.dialer.Export, Import: r.dialer.Import,
 		Until:   r.table.Until,
 		Claimer: e.claimer,
+		Began:   func(to lister.Endpoint, route string) { r.versions.began(to, route) },
+		Ended:   func(to lister.Endpoint, route string, a handler.Attempt) { r.versions.ended(to, route, a) },
 		Peers:   handler.Peers{Nodes: r.entries, Read: e.readPeer, Hand: e.handPeer},
 	})
 	r.entry = e
@@ -90,15 +94,26 @@
 		Load: func(ctx context.Context, at lister.Endpoint) (dialer.LoadReport, error) {
 			return r.dialer.Load(ctx, at.Address())
 		},
-		Events: func(ctx context.Context, at lister.Endpoint, after uint64) ([]dialer.CacheEvent, error) {
-			return r.dialer.Events(ctx, at.Address(), after)
-		},
+		Events: r.cacheEvents,
 	})
 	e.group.Add(2)
 	go e.sweepLoop()
 	go e.digestLoop()
 }
 
+// cacheEvents reads the cache events of an engine. A plain service has none, and
+// would take the question for a call.
+func (r *Runner) cacheEvents(ctx context.Context, at lister.Endpoint, after uint64) ([]dialer.CacheEvent, error) {
+	rules := r.rules.rules()
+	if rules == nil {
+		return nil, nil
+	}
+	if service, known := rules.Service(at.Service()); !known || service.Kind() != parser.KindModel {
+		return nil, nil
+	}
+	return r.dialer.Events(ctx, at.Address(), after)
+}
+
 // stop ends the entry's loops. No call runs any more.
 func (e *entry) stop() {
 	e.poller.Stop()
@@ -171,7 +186,7 @@
 		keep[endpoint.ID()] = true
 		r.entry.observer.SetLeaving(endpoint.ID(), r.table.Leaving(endpoint.ID()))
 	}
-	r.entry.router.Update(all, targets)
+	r.entry.router.Update(r.versions.usable(all), targets)
 	r.entry.observer.Forget(keep)
 }
 
--- a/internal/request/handler/generation.go
+++ b/internal/request/handler/generation.go
@@ -170,10 +170,13 @@
 			}
 			timer.Reset(superviseInterval)
 		case <-g.stream.Done():
+			if a.isWhole() {
+				return g.ended(ctx, a, <-a.done)
+			}
 			a.stop(excused)
 			return step{end: true}
 		case <-ctx.Done():
-			a.stop(excused)
+			a.stop(endedBy(ctx))
 			g.sent = true
 			g.lose("the answer did not come in time")
 			return step{end: true}
@@ -195,7 +198,7 @@
 	failure := failureOf(err)
 	g.sent = g.sent || failure == retrier.Lost
 	if errors.Is(err, errReplaced) || g.stream.Held() || ctx.Err() != nil {
-		a.finish(excused)
+		a.finish(endedBy(ctx))
 		if ctx.Err() != nil {
 			g.lose("the answer did not come in time")
 		}
@@ -225,7 +228,7 @@
 
 // recompute counts the prefill that the next engine does again.
 func (g *generation) recompute() {
-	if choice, ok := g.handler.cfg.Router.Choose(g.handler.cfg.Clock.Now(), g.route()); ok {
+	if choice, ok := g.handler.cfg.Router.Estimate(g.handler.cfg.Clock.Now(), g.route()); ok {
 		g.stream.Recompute(choice.Work().Prompt)
 	}
 }
