--- a/internal/process/applier/claims.go
+++ b/internal/process/applier/claims.go
@@ -6,7 +6,7 @@
 )
 
 // recordOverhead is the memory of a claim besides its strings, in bytes.
-const recordOverhead = 256
+const recordOverhead = 384
 
 // Claim is the record of one key of a customer.
 type Claim struct {
--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -18,7 +18,7 @@
 	// starts an election, and the time during which it votes for no other.
 	DefaultElection = time.Second
 	// DefaultHeartbeat is the time between two rounds of heartbeats.
-	DefaultHeartbeat = 100 * time.Millisecond
+	DefaultHeartbeat = 250 * time.Millisecond
 	// DriftPercent bounds how much faster or slower than true time the monotonic
 	// clock of a keeper may run, in percent.
 	DriftPercent = 2
--- a/internal/process/keeper/join.go
+++ b/internal/process/keeper/join.go
@@ -20,7 +20,7 @@
 func (j *joiner) run() {
 	defer j.keeper.workers.Done()
 	k := j.keeper
-	for clock.Sleep(k.config.Clock, 2*k.config.Heartbeat, k.quit) {
+	for clock.Sleep(k.config.Clock, k.config.Election/5, k.quit) {
 		if k.Err() != nil {
 			return
 		}
--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -58,6 +58,8 @@
 	// DefaultSnapshotEvery is the number of entries between two snapshots.
 	DefaultSnapshotEvery = 8192
 
+	handOverPause = 10 * time.Millisecond
+
 	inboxSize     = 1024 // batches
 	proposalsSize = 1024
 	maxGroup      = 4096     // commands
@@ -217,7 +219,7 @@
 		return
 	}
 	for k.Status().Role == RoleLeader && ctx.Err() == nil {
-		if !clock.Sleep(k.config.Clock, k.config.Heartbeat, ctx.Done()) {
+		if !clock.Sleep(k.config.Clock, handOverPause, ctx.Done()) {
 			return
 		}
 	}
--- a/internal/process/proposer/loopback_test.go
+++ b/internal/process/proposer/loopback_test.go
@@ -74,7 +74,7 @@
 			k, err := keeper.New(keeper.Config{
 				Journal: name, Name: peers[i].Name, Folder: filepath.Join(folder, peers[i].Name), Peers: peers,
 				Clock: clock.System{}, Log: log.New(io.Discard), Call: m.Call, Register: m.Register, Applier: applier.New(),
-				Election: election, Heartbeat: election / 10,
+				Election: election, Heartbeat: election / 4,
 			})
 			require.NoError(t, err)
 			s.keepers[i] = append(s.keepers[i], k)
