Leave room for urgent calls at other entries; weigh waits for a slot more

Cause: an entry without urgent calls in its queue filled free room with less urgent ones, while urgent calls waited at the other entries. A call that waits for a slot at an engine waits behind more urgent ones that come later, which the predicted wait leaves out. Change: less urgent calls leave a tenth of the limit free while urgent ones arrive; a wait for a slot costs five times its time. TestLessUrgentCallsLeaveTheReserve fails without the reserve.

--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -161,6 +161,9 @@
 // Failing returns the weight of recent failures, from 0 to 1.
 func (l *Load) Failing() float64 { return l.failures }
 
+// Wait predicts how long a further call waits for a slot, if no more urgent one comes.
+func (l *Load) Wait(now time.Time) time.Duration { return toDuration(l.queueWait(l.Running(now))) }
+
 func (l *Load) queueWait(running float64) float64 {
 	slots := float64(l.Slots())
 	if running < slots {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -34,6 +34,9 @@
 type Room struct {
 	Free  float64 // calls that may start now
 	Limit float64 // calls of this entry that may run at once
+	// Reserve is the room that less urgent calls leave free while more urgent ones
+	// arrive. Other entries may have urgent calls when this one has none.
+	Reserve float64
 }
 
 // Kind is what was decided about a call.
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -149,6 +149,20 @@
 	require.Equal(t, admitter.Queue, d.Kind(), "another customer does not wait behind the whole queue")
 }
 
+// While urgent calls arrive, less urgent ones leave room for those at other entries.
+func TestLessUrgentCallsLeaveTheReserve(t *testing.T) {
+	a := admitter.New(admitter.Fair(), admitter.DefaultLimits())
+	offer := func(now time.Time, id uint64, priority int, free float64) admitter.Kind {
+		decisions := a.Offer(now, admitter.Request{ID: id, Customer: "masons", Priority: priority, Run: time.Second}, admitter.Room{Free: free, Limit: 10, Reserve: 2})
+		return decisions[len(decisions)-1].Kind()
+	}
+	require.Equal(t, admitter.Admit, offer(epoch, 1, 2, 1), "no urgent call has come")
+	require.Equal(t, admitter.Admit, offer(epoch, 2, 0, 1))
+	require.Equal(t, admitter.Queue, offer(epoch, 3, 2, 2))
+	require.Len(t, a.Release(epoch, admitter.Room{Free: 3, Limit: 10, Reserve: 2}), 1)
+	require.Equal(t, admitter.Admit, offer(epoch.Add(time.Minute), 4, 2, 1), "urgent calls have ceased")
+}
+
 // load runs calls at a factor of what can be served through one admitter, on
 // endpoints with 20 slots that become slower when more run.
 type load struct {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -12,13 +12,15 @@
 	paceMax    = 4.0
 	meanGain   = 0.05
 	retryFloor = 100 * time.Millisecond
+	urgentHold = 10 * time.Second // a level without calls for so long reserves no room
 )
 
 // level is the queue of one priority: start-time fair queueing over the flows of
 // the customers.
 type level struct {
 	priority int
-	virtual  float64 // start tag of the call admitted last
+	offered  time.Time // when the last call came
+	virtual  float64   // start tag of the call admitted last
 	flows    map[string]*flow
 }
 
@@ -61,6 +63,7 @@
 	}
 	a.mean += meanGain * (r.work() - a.mean)
 	l := a.level(r.Priority)
+	l.offered = now
 	f := l.flow(r)
 	wait := a.predict(l, f, r, room)
 	if late := a.lateness(now, r, wait); late > 0 {
@@ -213,8 +216,9 @@
 // release admits calls while there is room and refuses those that have become late.
 func (a *Admitter) release(now time.Time, room Room) []Decision {
 	var decisions []Decision
+	least := 1.0
 	for _, l := range a.levels {
-		for room.Free >= 1 {
+		for room.Free >= least {
 			f := l.next()
 			if f == nil {
 				break
@@ -231,6 +235,9 @@
 			a.learn(w, waited)
 			decisions = append(decisions, Decision{id: w.request.ID, waited: waited})
 		}
+		if now.Sub(l.offered) < urgentHold {
+			least = 1 + room.Reserve
+		}
 	}
 	if now.Before(a.due) {
 		return decisions
--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -178,7 +178,7 @@
 func (s serviceRoom) room(now time.Time) admitter.Room {
 	room := s.handler.cfg.Router.Room(now, s.name)
 	even := 1 / float64(s.handler.cfg.Observer.Peers()+1)
-	return admitter.Room{Free: room.Free(), Limit: room.Limit() * max(room.Share(), even)}
+	return admitter.Room{Free: room.Free(), Limit: room.Limit() * max(room.Share(), even), Reserve: room.Reserve()}
 }
 
 // limit refuses a call over its customer's limit.
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -62,6 +62,7 @@
 const (
 	firstMargin = 0.7 // of the target
 	nextMargin  = 0.85
+	waitPenalty = 4.0 // a call may wait behind more urgent ones that come later
 	latePenalty = 4.0
 	boundFactor = 1.25
 	maxHomes    = 8
@@ -97,7 +98,7 @@
 func (v *view) cost(o option) float64 {
 	decode := float64(v.call.Decode)
 	first, next := o.first.Seconds(), o.next.Seconds()
-	cost := first + decode*next + o.running*(o.prefill+decode*o.growth) + o.penalty
+	cost := first + waitPenalty*o.wait + decode*next + o.running*(o.prefill+decode*o.growth) + o.penalty
 	if target := v.group.target.First.Seconds(); target > 0 {
 		cost += latePenalty * max(first-firstMargin*target, 0)
 	}
--- a/internal/request/router/room.go
+++ b/internal/request/router/room.go
@@ -7,6 +7,8 @@
 	"hyssoprudder/internal/process/observer"
 )
 
+const reserveShare = 0.1 // of the limit
+
 // Room is what a service can still take within its latency target.
 type Room struct {
 	free  float64
@@ -31,6 +33,9 @@
 	return r.own / r.total
 }
 
+// Reserve returns the room that less urgent calls leave to more urgent ones at any entry.
+func (r Room) Reserve() float64 { return reserveShare * r.limit }
+
 // First returns the shortest predicted time to the first byte, of a call without work.
 func (r Room) First() time.Duration { return r.first }
 
--- a/internal/request/router/view.go
+++ b/internal/request/router/view.go
@@ -19,6 +19,7 @@
 	own     int
 	first   time.Duration
 	next    time.Duration
+	wait    float64 // seconds, for a slot
 	growth  float64 // seconds per token and further call
 	prefill float64 // seconds for the words that are not cached
 	penalty float64 // seconds
@@ -61,6 +62,7 @@
 		own:     load.Own(),
 		first:   load.First(v.now, work),
 		next:    load.Next(v.now, 1),
+		wait:    load.Wait(v.now).Seconds(),
 		growth:  load.Growth().Seconds(),
 		prefill: float64(work.Prompt) / load.PrefillRate(),
 		penalty: v.group.far[i],
--- a/internal/standin/measurer/entry.go
+++ b/internal/standin/measurer/entry.go
@@ -233,7 +233,7 @@
 func (e *entry) room(now time.Time) admitter.Room {
 	room := e.router.Room(now, e.site.firm.Service)
 	share := max(room.Share(), 1/float64(len(e.site.firm.Load.Entries)))
-	return admitter.Room{Free: room.Free(), Limit: room.Limit() * share}
+	return admitter.Room{Free: room.Free(), Limit: room.Limit() * share, Reserve: room.Reserve()}
 }
 
 func (e *entry) name() string {
