--- a/internal/request/router/room.go
+++ b/internal/request/router/room.go
@@ -42,6 +42,9 @@
 // Next returns the predicted time between two tokens at the limit.
 func (r Room) Next() time.Duration { return r.next }
 
+// roomHold is how long the room of a group too large to look at on each call is kept.
+const roomHold = 10 * time.Millisecond
+
 // Room returns what a service can still take. Endpoints that are leaving or ejected
 // take nothing.
 func (r *Router) Room(now time.Time, service string) Room {
@@ -49,6 +52,19 @@
 	if !ok {
 		return Room{}
 	}
+	if len(g.endpoints) <= fullScan {
+		return r.measureRoom(now, service, g)
+	}
+	f := g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if age := now.Sub(f.roomAt); age < 0 || age >= roomHold {
+		f.room, f.roomAt = r.measureRoom(now, service, g), now
+	}
+	return f.room
+}
+
+func (r *Router) measureRoom(now time.Time, service string, g *group) Room {
 	room := Room{first: math.MaxInt64}
 	r.observer.Visit(g.handles, g.all, func(i int, load *observer.Load) {
 		running := load.Running(now)
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -130,6 +130,10 @@
 type flow struct {
 	turn    atomic.Uint64
 	arrived counter
+
+	mu     sync.Mutex
+	room   Room
+	roomAt time.Time
 }
 
 // Update replaces the endpoints and targets. Rows of the observer are kept.
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -344,3 +345,48 @@
 		}
 	}
 }
+
+func BenchmarkRoom(b *testing.B) {
+	for _, n := range []int{10, 100, 810} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			r := router.New(observer.New(epoch), "focsani", router.Predictive())
+			r.Update(endpoints(n, "pumice"), targets)
+			now := epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				_ = r.Room(now, "pumice")
+			}
+		})
+	}
+}
+
+// The memory of a router whose prefix index is full.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{10, 100, 810} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r := router.New(observer.New(epoch), "focsani", router.Predictive())
+				list := endpoints(n, "pumice")
+				r.Update(list, targets)
+				random := rand.New(rand.NewPCG(1, 1))
+				prefixes := make([]uint64, 1<<10)
+				for i := range 1 << 8 {
+					for k := range prefixes {
+						prefixes[k] = random.Uint64()
+					}
+					for copies := range 3 {
+						r.Learn(list[(i+copies)%n].ID(), prefixes)
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
