Keep to the classes that a service runs on; wait when starts are rate-limited

The demo with the controller at first replaced the large engines by small ones, since the size counts instances and small ones cost less: 130 of 289 answers for one customer were refused in 30 s.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -57,6 +57,8 @@
 const (
 	// leaseMargin is the least time left in the lease for an act outside the log.
 	leaseMargin = 200 * time.Millisecond
+	// leastPause is the shortest wait after the platform has limited the starts.
+	leastPause = time.Second
 	// callTimeout bounds one call of a round.
 	callTimeout = 2 * time.Second
 	// classesInterval is the time between two reads of what the platform sells.
@@ -215,6 +217,9 @@
 // start asks the platform for the instance of an intent. Only a refusal closes
 // the intent: after any other error the instance may exist.
 func (c *Controller) start(ctx context.Context, i *IntentWrite) error {
+	if c.core.IsPaused(c.config.Clock.Now()) {
+		return nil
+	}
 	instance, err := c.config.Start(ctx, provisioner.Start{
 		Intent: i.ID, Domain: i.Body.Domain, Class: i.Body.Class, Market: i.Body.Market,
 		Service: i.Body.Service, Version: i.Body.Version,
@@ -224,6 +229,11 @@
 		_, err = c.config.Propose(ctx, applier.Command{IntentClose: &applier.IntentClose{ID: i.ID}})
 		return err
 	}
+	var busy *provisioner.BusyError
+	if errors.As(err, &busy) {
+		c.core.Pause(c.config.Clock.Now().Add(max(busy.After(), leastPause)))
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/process/controller/core.go
+++ b/internal/process/controller/core.go
@@ -18,7 +18,8 @@
 type Pace struct {
 	Mover  mover.Config
 	Loader loader.Config
-	// OnDemand is the part of the stated size that is bought on demand.
+	// OnDemand is the part of the stated size that is bought on demand if the
+	// loss of a domain is not covered by spare instances.
 	OnDemand float64
 	// StartTimeout is when a started instance that was never listed is given up.
 	StartTimeout time.Duration
@@ -51,6 +52,7 @@
 	made    map[string]string // intent to the instance that it has started
 	usual   map[string]string // service to the version that it was last seen to serve
 	ordered map[string]time.Time
+	paused  time.Time // the platform takes no starts until then
 }
 
 // NewCore returns a core; newID makes the ids of intents.
@@ -197,7 +199,10 @@
 // targets returns the needs of a service's versions, the one that must stay
 // whole first. Other versions need none.
 func (c *Core) targets(s Snapshot, f *fleet, size parser.Size, state *mover.State) []target {
-	whole := scaler.Need{Min: size.Min(), Max: size.Max(), Spare: size.Spare(), Price: size.Price(), OnDemand: c.pace.OnDemand}
+	whole := scaler.Need{Min: size.Min(), Max: size.Max(), Spare: size.Spare(), Price: size.Price()}
+	if !size.Spare() {
+		whole.OnDemand = c.pace.OnDemand
+	}
 	if state == nil {
 		return []target{{version: c.versionOf(s, f), need: whole}}
 	}
@@ -241,7 +246,7 @@
 func (c *Core) capacity(s Snapshot, f *fleet, size parser.Size, state *mover.State, fence bool) ([]Action, []loader.Need) {
 	var actions []Action
 	var needs []loader.Need
-	offers := c.backoff.Allowed(s.Offers, s.Now)
+	offers := c.backoff.Allowed(f.usualClasses(s.Offers), s.Now)
 	targets := c.targets(s, f, size, state)
 	settled := true
 	spare := make(map[string]bool) // instances that no version needs
@@ -319,6 +324,21 @@
 	}}
 }
 
+// usualClasses returns the offers of the classes that the service runs on, or
+// all of them if it runs on none: the size counts instances, so a cheaper class
+// with less power would count as much.
+func (f *fleet) usualClasses(offers []scaler.Offer) []scaler.Offer {
+	used := make(map[string]bool)
+	for _, e := range f.live {
+		used[e.Class()] = true
+	}
+	usual := slices.DeleteFunc(slices.Clone(offers), func(o scaler.Offer) bool { return !used[o.Class()] })
+	if len(usual) == 0 {
+		return offers
+	}
+	return usual
+}
+
 // instances returns the instances of a version for the scaler, with those that
 // an open intent is starting.
 func (f *fleet) instances(version string) []scaler.Instance {
--- a/internal/process/controller/intents.go
+++ b/internal/process/controller/intents.go
@@ -43,7 +43,7 @@
 	case s.Now.Sub(i.Body.Made) > c.pace.StartTimeout:
 		delete(c.made, i.ID)
 		return []Action{{Close: i.ID}}
-	case made:
+	case made || s.Now.Before(c.paused):
 		return nil
 	default:
 		return []Action{{Start: &i}}
@@ -73,6 +73,12 @@
 // Refused notes that the platform has no capacity for a start.
 func (c *Core) Refused(i IntentWrite, now time.Time) { c.backoff.Refused(i.Body.offer(), now) }
 
+// Pause notes that the platform takes no more starts for a while.
+func (c *Core) Pause(until time.Time) { c.paused = until }
+
+// IsPaused reports whether the platform has asked to wait with starts.
+func (c *Core) IsPaused(now time.Time) bool { return now.Before(c.paused) }
+
 // Loaded notes how the weight store has answered; busy is true if it is
 // rate-limited.
 func (c *Core) Loaded(a Action, busy bool, after time.Duration, err error, now time.Time) {
--- a/internal/process/scaler/scaler.go
+++ b/internal/process/scaler/scaler.go
@@ -79,9 +79,9 @@
 // Short returns by how many instances the plan falls short of the stated size.
 func (p Plan) Short() int { return p.short }
 
-// kept is the part of its price at which a running instance is counted, so that
-// a slightly cheaper offer does not replace it.
-const kept = 0.8
+// kept is the part of its price at which a running instance is counted: only an
+// offer at less than half of it replaces the instance.
+const kept = 0.5
 
 // unit is one instance that can be part of a choice.
 type unit struct {
