--- a/internal/process/gossiper/core.go
+++ b/internal/process/gossiper/core.go
@@ -162,7 +162,7 @@
 	nextJoin   time.Time
 	nextSweep  time.Time
 	lastSync   time.Time
-	differs    bool // whether the view of the peer last heard differed
+	differs    bool      // whether the view of the peer last heard differed
 	writtenOff time.Time // members that died before no longer count as peers
 }
 
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -15,6 +15,7 @@
 	duration *prometheus.HistogramVec
 	running  prometheus.Gauge
 	attempts prometheus.Counter
+	again    prometheus.Counter
 }
 
 // NewCalls registers the metrics of the calls.
@@ -32,7 +33,8 @@
 		running:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "hyssoprudder_calls_running", Help: "Calls that are being served."}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "hyssoprudder_attempts_total", Help: "Calls to endpoints, retries included."}),
 	}
-	r.MustRegister(c.total, c.duration, c.running, c.attempts)
+	c.again = prometheus.NewCounter(prometheus.CounterOpts{Name: "hyssoprudder_recomputed_tokens_total", Help: "Words and tokens that engines prefilled again after a stream went on elsewhere."})
+	r.MustRegister(c.total, c.duration, c.running, c.attempts, c.again)
 	return c
 }
 
@@ -46,6 +48,7 @@
 	Outcome  string
 	Status   int
 	Attempts int
+	Again    int // words and tokens that were prefilled again
 	Duration time.Duration
 }
 
@@ -55,4 +58,5 @@
 	c.total.WithLabelValues(e.Route, e.Customer, e.Outcome, strconv.Itoa(e.Status/100)+"xx").Inc()
 	c.duration.WithLabelValues(e.Route).Observe(e.Duration.Seconds())
 	c.attempts.Add(float64(e.Attempts))
+	c.again.Add(float64(e.Again))
 }
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -67,6 +67,7 @@
 		dialer:      dialer.New(),
 	}
 	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.registry.MustRegister(&collector{runner: r})
 	cert, err := r.certifier()
 	if err != nil {
 		return nil, err
