--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -23,6 +23,10 @@
 	// clock of a keeper may run, in percent.
 	DriftPercent = 2
 
+	// unknownSkew stands for the wall clock of a replica that has not answered: it
+	// is so far behind that it lets no time pass.
+	unknownSkew = 100 * 365 * 24 * time.Hour
+
 	maxAppendBytes = 512 << 10
 	maxInflight    = 64 // append messages without a reply, per replica
 	entryOverhead  = 32 // bytes
@@ -86,9 +90,10 @@
 	match    uint64
 	next     uint64
 	inflight int
-	round    uint64    // newest round that was answered
-	active   time.Time // newest answer
-	snapshot time.Time // while a snapshot is on its way: when to send it again
+	round    uint64        // newest round that was answered
+	active   time.Time     // newest answer
+	ahead    time.Duration // of its wall clock against the own one
+	snapshot time.Time     // while a snapshot is on its way: when to send it again
 }
 
 type round struct {
--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -359,3 +359,36 @@
 	d.eventually("the message", func() bool { return k.Status().Term == 2 })
 	require.Equal(t, manual.Now().Add(d.election), k.view().contact)
 }
+
+// wrongClock is ahead of the system's clock.
+type wrongClock struct {
+	clock.System
+	ahead time.Duration
+}
+
+func (c wrongClock) Now() time.Time { return c.System.Now().Add(c.ahead) }
+
+func TestClaimsOutliveALeaderWithAWrongClock(t *testing.T) {
+	d := newDeployment(t, 3)
+	t.Cleanup(d.killAll)
+	d.clocks = map[string]clock.Clock{"b": wrongClock{ahead: 48 * time.Hour}}
+	for _, name := range d.names {
+		d.start(name)
+	}
+	claim := func(request string) applier.ClaimOutcome {
+		return d.propose(applier.Command{ClaimGrant: &applier.ClaimGrant{
+			Customer: "masons", Key: "order-7", BodyHash: "h", Entry: "e", Request: request, Keep: applier.MinKeep,
+			Deadline: time.Now().UnixNano(),
+		}}).Claim.Outcome
+	}
+	require.Equal(t, applier.ClaimGranted, claim("r0"))
+	b := d.keepers["b"]
+	for holds := false; !holds; _, holds = b.Lease() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		d.leader().handOver(ctx)
+		cancel()
+		d.leader()
+		require.Equal(t, applier.ClaimJoined, claim("r1"), "the claim has expired too early")
+	}
+	require.Equal(t, applier.ClaimJoined, claim("r2"), "the claim has expired too early")
+}
--- a/internal/process/keeper/message.go
+++ b/internal/process/keeper/message.go
@@ -45,6 +45,8 @@
 	// Reject refuses a request. Hint is then the last entry that may match.
 	Reject bool   `msgpack:"r,omitempty"`
 	Hint   uint64 `msgpack:"h,omitempty"`
+	// Wall is the wall clock of a replica that answers, in nanoseconds since 1970.
+	Wall int64 `msgpack:"w,omitempty"`
 	// Transfer marks a campaign that the leader itself has ordered.
 	Transfer bool                `msgpack:"x,omitempty"`
 	Snapshot *journaler.Snapshot `msgpack:"s,omitempty"`
--- a/internal/process/keeper/network_test.go
+++ b/internal/process/keeper/network_test.go
@@ -110,6 +110,7 @@
 
 	election, heartbeat time.Duration
 	clock               clock.Clock
+	clocks              map[string]clock.Clock // of single keepers
 }
 
 func newDeployment(t testing.TB, size int) *deployment {
@@ -138,8 +139,12 @@
 func (d *deployment) start(name string) *Keeper {
 	d.t.Helper()
 	self := d.address(name)
+	tells := d.clocks[name]
+	if tells == nil {
+		tells = d.clock
+	}
 	k, err := New(Config{
-		Journal: "rules", Name: name, Folder: filepath.Join(d.folder, name), Peers: d.peers, Clock: d.clock,
+		Journal: "rules", Name: name, Folder: filepath.Join(d.folder, name), Peers: d.peers, Clock: tells,
 		Log: log.New(io.Discard), Rand: rand.New(rand.NewPCG(1, uint64(self.Port()))), Applier: applier.New(),
 		Election: d.election, Heartbeat: d.heartbeat, SnapshotEvery: d.every,
 		Call: func(_ context.Context, to netip.AddrPort, _ string, args, reply any) error {
--- a/internal/process/keeper/propose.go
+++ b/internal/process/keeper/propose.go
@@ -67,14 +67,15 @@
 	if len(commands) == 0 {
 		return nil, nil
 	}
-	if !k.isLeader() {
+	view := k.view()
+	if view.role != RoleLeader {
 		return nil, k.notLeader()
 	}
 	p := &proposal{
 		commands: make([][]byte, len(commands)), results: make([]applier.Result, len(commands)),
 		open: len(commands), done: make(chan error, 1),
 	}
-	at := k.config.Clock.Now().UnixNano()
+	at := k.config.Clock.Now().Add(view.skew).UnixNano()
 	for i, c := range commands {
 		c.At = at
 		data, err := c.Encode()
--- a/internal/process/keeper/replicate.go
+++ b/internal/process/keeper/replicate.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -101,7 +102,7 @@
 		panic(fmt.Sprintf("keeper: two leaders in term %d", m.Term))
 	}
 	c.follow(now, m.From)
-	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Wall: now.UnixNano()}
 	entries, prev := m.Entries, m.Index
 	if prev < c.commit {
 		skip := min(c.commit-prev, uint64(len(entries)))
@@ -200,6 +201,9 @@
 	}
 	p.active, p.inflight = now, 0
 	p.round = max(p.round, m.Round)
+	if m.Wall != 0 {
+		p.ahead = time.Duration(m.Wall - now.UnixNano())
+	}
 	switch {
 	case !m.Reject && m.Index > p.match:
 		p.match = m.Index
@@ -226,7 +230,13 @@
 
 // quorumValue returns the highest value that a quorum of the voters has reached.
 func (c *Core) quorumValue(own uint64, of func(*progress) uint64) uint64 {
-	var values []uint64
+	return lowerMedian(c, own, of)
+}
+
+// lowerMedian returns the highest value that more than half of the voters have
+// reached, or zero if there are none.
+func lowerMedian[T cmp.Ordered](c *Core, own T, of func(*progress) T) T {
+	var values []T
 	for _, m := range c.members() {
 		switch {
 		case !m.Voter:
@@ -237,12 +247,23 @@
 		}
 	}
 	if len(values) == 0 {
-		return 0
+		var none T
+		return none
 	}
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
 
+// Skew returns what a leader adds to its wall clock to get the one that commands
+// carry: the median of the voters, so that a single clock that is wrong moves
+// nothing. Until a quorum has answered in the term, time stands still.
+func (c *Core) Skew() time.Duration {
+	if c.role != RoleLeader {
+		return 0
+	}
+	return lowerMedian(c, 0, func(p *progress) time.Duration { return p.ahead })
+}
+
 func (c *Core) hasQuorum(ok func(*progress) bool) bool {
 	return c.quorumValue(1, func(p *progress) uint64 {
 		if ok(p) {
--- a/internal/process/keeper/status.go
+++ b/internal/process/keeper/status.go
@@ -19,6 +19,7 @@
 	segments   int
 	leaseUntil time.Time
 	leaseOK    bool
+	skew       time.Duration
 	contact    time.Time
 	failure    error
 }
@@ -27,7 +28,7 @@
 	c := k.core
 	p := published{
 		role: c.role, term: c.state.Term, members: c.Members(), empty: c.IsEmpty(), commit: c.commit, last: c.log.last(),
-		applied: c.applied, snapshot: k.snapshotAt, segments: k.journal.Segments(), contact: c.promise,
+		applied: c.applied, snapshot: k.snapshotAt, segments: k.journal.Segments(), contact: c.promise, skew: c.Skew(),
 	}
 	p.leader, _ = findMember(p.members, c.leader)
 	p.leaseUntil, p.leaseOK = c.Lease(k.config.Clock.Now())
--- a/internal/process/keeper/vote.go
+++ b/internal/process/keeper/vote.go
@@ -117,6 +117,6 @@
 
 func (c *Core) addPeer(now time.Time, id string) {
 	if id != c.id && c.peers[id] == nil {
-		c.peers[id] = &progress{next: c.log.last() + 1, active: now}
+		c.peers[id] = &progress{next: c.log.last() + 1, active: now, ahead: -unknownSkew}
 	}
 }
