--- a/internal/request/router/room.go
+++ b/internal/request/router/room.go
@@ -7,6 +7,8 @@
 	"hyssoprudder/internal/process/observer"
 )
 
+const reserveShare = 0.1 // of the limit
+
 // Room is what a service can still take within its latency target.
 type Room struct {
 	free  float64
@@ -31,12 +33,18 @@
 	return r.own / r.total
 }
 
+// Reserve returns the room that less urgent calls leave to more urgent ones at any entry.
+func (r Room) Reserve() float64 { return reserveShare * r.limit }
+
 // First returns the shortest predicted time to the first byte, of a call without work.
 func (r Room) First() time.Duration { return r.first }
 
 // Next returns the predicted time between two tokens at the limit.
 func (r Room) Next() time.Duration { return r.next }
 
+// roomHold is how long the room of a group too large to look at on each call is kept.
+const roomHold = 10 * time.Millisecond
+
 // Room returns what a service can still take. Endpoints that are leaving or ejected
 // take nothing.
 func (r *Router) Room(now time.Time, service string) Room {
@@ -44,6 +52,19 @@
 	if !ok {
 		return Room{}
 	}
+	if len(g.endpoints) <= fullScan {
+		return r.measureRoom(now, service, g)
+	}
+	f := g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if age := now.Sub(f.roomAt); age < 0 || age >= roomHold {
+		f.room, f.roomAt = r.measureRoom(now, service, g), now
+	}
+	return f.room
+}
+
+func (r *Router) measureRoom(now time.Time, service string, g *group) Room {
 	room := Room{first: math.MaxInt64}
 	r.observer.Visit(g.handles, g.all, func(i int, load *observer.Load) {
 		running := load.Running(now)
