--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -58,9 +58,12 @@
 	// DefaultSnapshotEvery is the number of entries between two snapshots.
 	DefaultSnapshotEvery = 8192
 
+	handOverPause = 10 * time.Millisecond
+
 	inboxSize     = 1024 // batches
 	proposalsSize = 1024
-	maxGroup      = 4096 // commands
+	maxGroup      = 4096     // commands
+	maxLogSize    = 16 << 20 // bytes of entries between two snapshots
 )
 
 // Keeper runs one replica of one log. It is safe for concurrent use.
@@ -87,6 +90,8 @@
 	nextRead     uint64
 	snapshotAt   uint64
 	snapshotting bool
+	snapshotSize int // bytes of the newest snapshot
+	logSize      int // bytes of entries executed since
 	senders      map[string]*sender
 	assembler    assembler
 
@@ -169,7 +174,7 @@
 			return err
 		}
 	}
-	k.snapshotAt = snapshot.Index
+	k.snapshotAt, k.snapshotSize = snapshot.Index, len(snapshot.Data)
 	snapshot.Data = nil
 	self, _ := k.config.peer(k.config.Name)
 	k.self = Member{ID: state.Identity, Name: self.Name, Address: self.Address}
@@ -214,7 +219,7 @@
 		return
 	}
 	for k.Status().Role == RoleLeader && ctx.Err() == nil {
-		if !clock.Sleep(k.config.Clock, k.config.Heartbeat, ctx.Done()) {
+		if !clock.Sleep(k.config.Clock, handOverPause, ctx.Done()) {
 			return
 		}
 	}
