Take the write deadline back after a streamed answer

Cause: the deadline for a caller to take a batch stayed on the kept connection, so that an answer to a later call on it failed once 30 s had passed. Run: TestStreamLeavesNoDeadlineOnTheConnection fails without the change.

--- a/internal/request/handler/model.go
+++ b/internal/request/handler/model.go
@@ -65,6 +65,7 @@
 		return h.fail(w, call, NewProblem(http.StatusBadRequest, OutcomeNotRun, "Bad body", err.Error()), Result{Err: err})
 	}
 	f := &follower{handler: h, call: call, writer: w, out: http.NewResponseController(w), after: call.after, streamed: prompt.Streamed()}
+	defer f.close()
 	record := streamer.Record{
 		Customer: call.customer.Name(), Name: streamName(call), Request: call.id, Route: call.route.Name(),
 		Service: call.service.Name(), Prompt: prompt.Prompt, Max: prompt.Max, Priority: call.route.Priority(), Deadline: call.deadline,
@@ -211,6 +212,13 @@
 	header.Set(HeaderOutcome, string(OutcomeDone))
 }
 
+// close takes the deadline back: the connection may serve other calls.
+func (f *follower) close() {
+	if f.begun {
+		_ = f.out.SetWriteDeadline(time.Time{})
+	}
+}
+
 func (f *follower) writeEvent(head string, data any) error {
 	raw, err := json.Marshal(data)
 	if err != nil {
--- a/internal/request/handler/stream_test.go
+++ b/internal/request/handler/stream_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -273,3 +275,26 @@
 	resp.Body.Close()
 	require.Equal(t, "notrun", resp.Header.Get(handler.HeaderOutcome))
 }
+
+// deadlineWriter keeps the write deadline that was set last.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
+// A deadline that stays on a kept connection would cut a later answer on it.
+func TestStreamLeavesNoDeadlineOnTheConnection(t *testing.T) {
+	_, fleet := startEngines(t, 1, nil)
+	e := newEntry(t, fleet, nil)
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder(), deadline: time.Unix(1, 0)}
+	r := httptest.NewRequest(http.MethodPost, "/v1/answers", strings.NewReader(`{"prompt":"a b c","max":5}`))
+	r.Header.Set("Customer", "masons")
+	e.ServeHTTP(w, r)
+	require.Contains(t, w.Body.String(), "event: done")
+	require.Zero(t, w.deadline)
+}
