--- a/internal/version/judge/judge_test.go
+++ b/internal/version/judge/judge_test.go
@@ -76,6 +76,7 @@
 			alarms++
 		}
 	}
+	t.Logf("%d false alarms in %d moves at alpha %g", alarms, moves, config.Alpha)
 	require.LessOrEqual(t, float64(alarms), config.Alpha*moves, "false alarms in %d moves", moves)
 }
 
