--- a/cmd/hyssoprudder/main.go
+++ b/cmd/hyssoprudder/main.go
@@ -12,6 +12,7 @@
 	"hyssoprudder/internal/command/endpointlister"
 	"hyssoprudder/internal/command/factory"
 	"hyssoprudder/internal/command/keycreator"
+	"hyssoprudder/internal/command/keypromoter"
 	"hyssoprudder/internal/command/memberlister"
 	"hyssoprudder/internal/command/moveaborter"
 	"hyssoprudder/internal/command/movelister"
@@ -44,6 +45,7 @@
 		claimshower.New(f),
 		statedumper.New(f, nil),
 		keycreator.New(f, nil),
+		keypromoter.New(f, nil),
 		versionprinter.New(f),
 	)
 	os.Exit(d.Run(context.Background(), os.Args[1:]))
--- a/internal/command/keycreator/keycreator.go
+++ b/internal/command/keycreator/keycreator.go
@@ -19,7 +19,7 @@
 type Options struct {
 	factory *factory.Factory
 	file    string
-	first   bool
+	add     bool
 }
 
 // New returns the command. A run function replaces its own in tests.
@@ -35,7 +35,7 @@
 		Example: `hyssoprudder key create deployment.key
 			hyssoprudder key create -add deployment.key`,
 		Flags: func(set *flag.FlagSet) {
-			set.BoolVar(&o.first, "add", false, "add a key in front of those in FILE; the first one signs, all are accepted")
+			set.BoolVar(&o.add, "add", false, "add a key behind those in FILE; it is accepted, and signs after \"key promote\"")
 		},
 		Run: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
@@ -53,12 +53,12 @@
 		return fmt.Errorf("draw a key: %w", err)
 	}
 	text := hex.EncodeToString(raw) + "\n"
-	if o.first {
+	if o.add {
 		return addKey(o.file, text)
 	}
 	f, err := os.OpenFile(o.file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
 	if err != nil {
-		return fmt.Errorf("create the key: %w; a key is never overwritten, use -add to replace one", err)
+		return fmt.Errorf("create the key: %w; a key is never overwritten; -add adds one", err)
 	}
 	if _, err := f.WriteString(text); err != nil {
 		f.Close()
--- a/internal/connection/operator/messages.go
+++ b/internal/connection/operator/messages.go
@@ -68,7 +68,7 @@
 	Market   string  `json:"market"`
 	Price    float64 `json:"price"`
 	Leaving  bool    `json:"leaving"`
-	Inflight int     `json:"inflight"`
+	Inflight int     `json:"inflight"` // calls of the answering node
 }
 
 // Waiting lists the live members that do not run a revision yet.
--- a/internal/process/runner/operators.go
+++ b/internal/process/runner/operators.go
@@ -122,9 +122,14 @@
 	all := r.table.All()
 	out := make([]operator.Endpoint, 0, len(all))
 	for _, e := range all {
+		inflight := 0
+		if r.entry != nil {
+			load := r.entry.observer.Load(e.ID())
+			inflight = load.Own()
+		}
 		out = append(out, operator.Endpoint{
 			ID: e.ID(), Service: e.Service(), Version: e.Version(), Domain: e.Domain(), Address: e.Address().String(),
-			Class: e.Class(), Market: string(e.Market()), Price: e.Price(), Leaving: r.table.Leaving(e.ID()),
+			Class: e.Class(), Market: string(e.Market()), Price: e.Price(), Leaving: r.table.Leaving(e.ID()), Inflight: inflight,
 		})
 	}
 	return out
