Say what the claim says when an answer claims that a call was not run

Cause: the handler ignored the verdict of Turn.NotRun, so a call of which a byte went out could be reported as not run if its parts ever disagreed.

--- a/internal/request/handler/once.go
+++ b/internal/request/handler/once.go
@@ -38,7 +38,11 @@
 	case OutcomeDone:
 		turn.Done(recorded(got.answer))
 	case OutcomeNotRun:
-		turn.NotRun(errors.Is(got.result.Err, dialer.ErrNotRun))
+		if o := turn.NotRun(errors.Is(got.result.Err, dialer.ErrNotRun)); o.Kind() == claimer.Unknown {
+			found := outcomeReply(o)
+			found.result = got.result
+			got = found
+		}
 	case OutcomeUnknown:
 		settle, stop := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 		defer stop()
