--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -392,3 +395,63 @@
 	}
 	require.Equal(t, applier.ClaimJoined, claim("r2"), "the claim has expired too early")
 }
+
+func TestReplacedKeeperAtANewAddressGetsALargeSnapshot(t *testing.T) {
+	tests := map[string]bool{"with its folder": false, "with an empty folder": true}
+	for name, empty := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 3)
+			d.startAll()
+			large := strings.Repeat("rule ", 8<<10)
+			for i := range uint64(60) {
+				c := rule(fmt.Sprint("change-", i), i)
+				c.RuleApply.Text = large
+				require.Equal(t, i+1, d.propose(c).Rule.Revision)
+				if i == 5 {
+					d.kill("b")
+				}
+			}
+			if empty {
+				d.wipe("b")
+			}
+			moved := netip.MustParseAddrPort("127.0.0.1:2001")
+			d.peers = []Peer{d.peers[0], {Name: "b", Address: moved}, d.peers[2]}
+			d.start("b")
+			d.requireVoters(3)
+			d.requireRevision(60)
+			d.eventually("the new address", func() bool {
+				for _, m := range d.leader().Status().Members {
+					if m.Name == "b" {
+						return m.Address == moved
+					}
+				}
+				return false
+			})
+			require.Equal(t, large, d.keepers["b"].applier.Rules().Text)
+		})
+	}
+}
+
+func TestKeepersAreAddedAndRemoved(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.startAll()
+	d.applyRules(0, 5)
+	for i, name := range []string{"d", "e"} {
+		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1010+i))
+		d.peers = append(slices.Clone(d.peers), Peer{Name: name, Address: at})
+		d.start(name)
+		d.requireVoters(4 + i)
+	}
+	d.applyRules(5, 10)
+	d.requireRevision(10)
+	gone := "a"
+	if d.leader().config.Name == gone {
+		gone = "b"
+	}
+	d.kill(gone)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	d.eventually("the removal", func() bool { return d.leader().Remove(ctx, gone) == nil })
+	d.requireVoters(4)
+	d.applyRules(10, 12)
+}
