End an ejection by one probe, also while older calls run

Cause: an endpoint whose ejection had passed stayed out for as long as any call ran on it, so for the length of its longest stream. A stream that was taken over after its deadline was given up at once. Change: the call that begins after the ejection is the probe; an answer has at least 5 s after its deadline, or after it was taken over, to become whole. Run: TestEjectionEndsWithOneProbeAtATime fails with the old condition.

--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -57,6 +57,7 @@
 	failures float64
 	ejected  time.Time
 	backoff  time.Duration
+	probing  bool // a call tells whether the ejection is over
 }
 
 func newLoad(id string, c *crowd) *Load { return &Load{id: id, crowd: c, factor: 1} }
@@ -155,7 +156,7 @@
 	if l.ejected.IsZero() {
 		return false
 	}
-	return now.Before(l.ejected) || l.running > 0
+	return now.Before(l.ejected) || l.probing
 }
 
 // Failing returns the weight of recent failures, from 0 to 1.
@@ -205,7 +206,8 @@
 	return 1 + (l.factor-1)*math.Exp2(-max(age, 0))
 }
 
-func (l *Load) begin(now time.Time, work Work) {
+// begin counts a call and reports whether it is the one that probes an ejected endpoint.
+func (l *Load) begin(now time.Time, work Work) bool {
 	if l.running == 0 {
 		l.progress = now
 	}
@@ -213,6 +215,9 @@
 	l.prompt += work.Prompt
 	l.decode += work.Decode
 	l.note(now)
+	probe := !l.ejected.IsZero() && !now.Before(l.ejected) && !l.probing
+	l.probing = l.probing || probe
+	return probe
 }
 
 func (l *Load) learnFirst(actual, expected time.Duration) {
--- a/internal/process/observer/observer.go
+++ b/internal/process/observer/observer.go
@@ -150,7 +150,7 @@
 	defer h.shard.mu.Unlock()
 	c := &Call{handle: h, work: work, start: now, left: work.Decode}
 	c.expected = h.load.First(now, work)
-	h.load.begin(now, work)
+	c.probe = h.load.begin(now, work)
 	return c
 }
 
@@ -164,6 +164,7 @@
 	left     int
 	begun    bool
 	ended    bool
+	probe    bool // of an endpoint that was ejected
 }
 
 // Expected returns the time to the first byte that was predicted at the start.
@@ -222,5 +223,8 @@
 		load.prompt -= c.work.Prompt
 	}
 	load.note(now)
+	if c.probe {
+		load.probing = false
+	}
 	load.finish(now, result, now.Sub(c.start))
 }
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -134,6 +134,31 @@
 	require.Less(t, fresh.First(epoch, work), load.First(now, work))
 }
 
+// After an ejection one call at a time goes to the endpoint until one is answered,
+// whatever else still runs there.
+func TestEjectionEndsWithOneProbeAtATime(t *testing.T) {
+	o := observer.New(epoch)
+	ejected := func(now time.Time) bool {
+		load := o.Load("a")
+		return load.Ejected(now)
+	}
+	o.Start(epoch, "a", observer.Work{Decode: 1000}) // runs on
+	o.Start(epoch, "a", observer.Work{}).End(epoch, observer.Refused)
+	require.True(t, ejected(epoch))
+	later := epoch.Add(time.Minute)
+	require.False(t, ejected(later))
+	probe := o.Start(later, "a", observer.Work{})
+	require.True(t, ejected(later))
+	probe.End(later, observer.Failed)
+	require.True(t, ejected(later), "the ejection is longer")
+	later = later.Add(time.Minute)
+	probe = o.Start(later, "a", observer.Work{})
+	probe.End(later, observer.Done)
+	require.False(t, ejected(later))
+	o.Start(later, "a", observer.Work{})
+	require.False(t, ejected(later))
+}
+
 func TestSilentEndpointIsPredictedToBeLate(t *testing.T) {
 	o := observer.New(epoch)
 	call := o.Start(epoch, "frozen", observer.Work{Prompt: 10, Decode: 50})
--- a/internal/request/handler/generation.go
+++ b/internal/request/handler/generation.go
@@ -21,6 +21,7 @@
 	kvRate            = 20000.0 // words per second of a copy of the KV cache
 	kvSetup           = 20 * time.Millisecond
 	ratioGain         = 0.05
+	lateLimit         = 5 * time.Second // least time after the deadline for an answer to become whole
 )
 
 // generation generates the answer of one stream, on one engine after another.
@@ -58,7 +59,8 @@
 	defer h.running.Done()
 	now := h.cfg.Clock.Now()
 	// A whole answer that is late is better than a part of one.
-	hard := g.record.Deadline.Add(max(g.record.Deadline.Sub(now), 0))
+	left := max(g.record.Deadline.Sub(now), 0)
+	hard := now.Add(left + max(left, lateLimit))
 	ctx, cancel := context.WithTimeout(h.base, hard.Sub(now))
 	defer cancel()
 	budget := h.budgetOf(g.record.Service)
