Fill the history of own calls from its last step after an idle time

Cause: after 1.6 s without a call the history of an endpoint was filled from whatever an old step held, so that for the next 1.6 s the guess of the others' calls was wrong. Change: it is filled from the last count.

--- a/internal/process/observer/load.go
+++ b/internal/process/observer/load.go
@@ -275,15 +275,13 @@
 
 // note records the number of own calls at a time, for later reports about it.
 func (l *Load) note(now time.Time) {
-	bucket := now.UnixNano() / int64(historyStep)
-	if l.pastAt == 0 || bucket-l.pastAt >= historySlots {
-		l.pastAt = bucket - historySlots
-	}
-	for b := l.pastAt + 1; b < bucket; b++ {
-		l.past[b%historySlots] = l.past[(b-1+historySlots)%historySlots]
+	bucket := max(now.UnixNano()/int64(historyStep), l.pastAt)
+	last := l.past[l.pastAt%historySlots]
+	for b := max(l.pastAt+1, bucket-historySlots+1); b < bucket; b++ {
+		l.past[b%historySlots] = last
 	}
 	l.past[bucket%historySlots] = int32(l.running)
-	l.pastAt = max(bucket, l.pastAt)
+	l.pastAt = bucket
 }
 
 func (l *Load) ownAt(at time.Time) int {
--- a/internal/process/observer/observer_test.go
+++ b/internal/process/observer/observer_test.go
@@ -134,6 +134,61 @@
 	require.Less(t, fresh.First(epoch, work), load.First(now, work))
 }
 
+// What the others are taken to have done since their digest is what the entry itself has
+// done since then, by a naive history of its calls.
+func TestOthersAreTakenToHaveDoneAlike(t *testing.T) {
+	const step, slots = 25 * time.Millisecond, 64
+	rapid.Check(t, func(t *rapid.T) {
+		o, peer := observer.New(epoch), observer.New(epoch)
+		now, digested := epoch, epoch
+		merge := func() {
+			data, err := peer.Digest(now)
+			require.NoError(t, err)
+			require.NoError(t, o.Merge(now, "peer", data))
+			digested = now
+		}
+		now = now.Add(time.Millisecond)
+		merge()
+		var calls []*observer.Call
+		history := make(map[int64]int) // own calls at the end of a step
+		last := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 3, 30, 400, 1700}).Draw(t, "wait")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				calls = append(calls, o.Start(now, "a", observer.Work{}))
+			case 1:
+				if len(calls) == 0 {
+					continue
+				}
+				calls[0].End(now, observer.Canceled)
+				calls = calls[1:]
+			default:
+				merge()
+				continue
+			}
+			last = now.UnixNano() / int64(step)
+			history[last] = len(calls)
+		}
+		age := min(now.Sub(digested), 3*time.Second)
+		bucket, then := now.Add(-age).UnixNano()/int64(step), 0
+		if last == 0 {
+			return
+		}
+		for b := max(bucket, last-slots+1); b > 0; b-- {
+			if count, ok := history[b]; ok {
+				then = count
+				break
+			}
+			if b < epoch.UnixNano()/int64(step) {
+				break
+			}
+		}
+		load := o.Load("a")
+		require.InDelta(t, max(float64(len(calls)-then), 0), load.Running(now)-float64(len(calls)), 1e-9)
+	})
+}
+
 // After an ejection one call at a time goes to the endpoint until one is answered,
 // whatever else still runs there.
 func TestEjectionEndsWithOneProbeAtATime(t *testing.T) {
