Block the slow caller of the test for certain

Cause: the answer fitted into the socket's buffers, so that the slow caller held up nothing in any case. Change: its writer takes nothing until the other caller has the whole answer. Run: go test -race -count=3 -run TestSlow ./internal/request/handler passes. Conclusion: the test is stricter than before.

--- a/internal/request/handler/stream_test.go
+++ b/internal/request/handler/stream_test.go
@@ -1,6 +1,7 @@
 package handler_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -224,14 +225,54 @@
 	c.check(c.post(false))
 }
 
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	*httptest.ResponseRecorder
+	blocked chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	w.once.Do(w.block)
+	return w.ResponseRecorder.Write(b)
+}
+
+func (w *blockedWriter) block() {
+	close(w.blocked)
+	<-w.release
+}
+
+type serving struct {
+	entry *entry
+	done  chan struct{}
+}
+
+func (s serving) run(w http.ResponseWriter, r *http.Request) {
+	defer close(s.done)
+	s.entry.ServeHTTP(w, r)
+}
+
+// A caller that takes nothing holds up neither the engine nor another caller of the same
+// answer, and gets the whole of it later.
 func TestSlowCallerDoesNotHoldUpOthers(t *testing.T) {
 	_, fleet := startEngines(t, 1, nil)
 	e := newEntry(t, fleet, nil)
-	slow := &caller{entry: e, customer: "masons", key: "slow", prompt: text(1, 50), max: 400}
-	resp := slow.post(false) // reads nothing yet
-	fast := &caller{entry: e, customer: "masons", key: "slow", prompt: text(1, 50), max: 400}
+	w := &blockedWriter{ResponseRecorder: httptest.NewRecorder(), blocked: make(chan struct{}), release: make(chan struct{})}
+	fast := &caller{entry: e, customer: "masons", key: "k", prompt: text(1, 50), max: 400}
+	body, err := json.Marshal(handler.Prompt{Prompt: fast.prompt, Max: fast.max})
+	require.NoError(t, err)
+	r := httptest.NewRequest(http.MethodPost, "/v1/answers", bytes.NewReader(body))
+	r.Header.Set("Customer", "masons")
+	r.Header.Set(handler.HeaderKey, "k")
+	slow := serving{entry: e, done: make(chan struct{})}
+	go slow.run(w, r)
+	<-w.blocked
 	fast.check(fast.post(false))
-	slow.check(resp)
+	close(w.release)
+	<-slow.done
+	late := &caller{entry: e, prompt: fast.prompt, max: fast.max}
+	late.check(w.Result())
 }
 
 func TestRefusalsOfAModelCall(t *testing.T) {
