--- a/internal/request/router/room.go
+++ b/internal/request/router/room.go
@@ -66,11 +66,12 @@
 
 func (r *Router) measureRoom(now time.Time, service string, g *group) Room {
 	room := Room{first: math.MaxInt64}
+	closed := r.closedVersions(service, g)
 	r.observer.Visit(g.handles, g.all, func(i int, load *observer.Load) {
 		running := load.Running(now)
 		room.own += float64(load.Own())
 		room.total += running
-		if load.Leaving() || load.Ejected(now) || r.unweighted(service, g, i) {
+		if load.Leaving() || load.Ejected(now) || closed != nil && closed[g.version[i]] {
 			return
 		}
 		limit := limitOf(now, load, g.target)
@@ -85,8 +86,17 @@
 	return room
 }
 
-func (r *Router) unweighted(service string, g *group, i int) bool {
-	return r.Weigh != nil && r.Weigh(service, "", g.versions[g.version[i]]) <= 0
+// closedVersions tells for each version of the group whether it gets no calls. Nil means
+// that all get calls.
+func (r *Router) closedVersions(service string, g *group) []bool {
+	if r.Weigh == nil {
+		return nil
+	}
+	closed := make([]bool, len(g.versions))
+	for n, version := range g.versions {
+		closed[n] = r.Weigh(service, "", version) <= 0
+	}
+	return closed
 }
 
 // limitOf returns how many calls an endpoint runs within the target.
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -346,6 +346,24 @@
 	}
 }
 
+func TestRoomLeavesOutWhatGetsNoCalls(t *testing.T) {
+	o := observer.New(epoch)
+	r := router.New(o, "focsani", router.Predictive())
+	r.Update(endpoints(6, "pumice"), targets)
+	whole := r.Room(epoch, "pumice").Limit()
+	r.Weigh = func(_, _, version string) float64 {
+		if version == "13" {
+			return 0
+		}
+		return 1
+	}
+	require.InDelta(t, whole/2, r.Room(epoch, "pumice").Limit(), 1e-9)
+	o.SetLeaving("pumice-0", true)
+	o.Start(epoch, "pumice-2", observer.Work{}).End(epoch, observer.Refused)
+	require.InDelta(t, whole/6, r.Room(epoch, "pumice").Limit(), 1e-9)
+	require.Zero(t, r.Room(epoch, "bookings").Free())
+}
+
 func BenchmarkRoom(b *testing.B) {
 	for _, n := range []int{10, 100, 810} {
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
