--- a/internal/process/runner/streams_process_test.go
+++ b/internal/process/runner/streams_process_test.go
@@ -94,16 +94,7 @@
 // while the first still drains: no answer is lost and every entry knows the
 // leaving endpoints.
 func TestReclaimedDomainsLoseNoAnswer(t *testing.T) {
-	d := startWith(t, 3, 3, func(d *deployment) {
-		raw, err := os.ReadFile("../../../examples/vrancea/platform.toml")
-		require.NoError(d.t, err)
-		d.write("platform.toml", string(raw))
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(d.t, err)
-		d.platform = listener.Addr().String()
-		listener.Close()
-		d.standinAddress("platform", "-config", d.path("platform.toml"), "-free", "-listen", d.platform)
-	})
+	d := startWith(t, 3, 3, (*deployment).fleet)
 	d.eventually("endpoints known", func() bool {
 		return strings.Count(d.command("endpoint", "list").out, "\tpumice\t") == 9
 	})
@@ -119,6 +110,18 @@
 	require.Equal(t, summary.sent, summary.whole, "%+v", summary)
 }
 
+// fleet starts a platform with the fleet of Vrancea's example.
+func (d *deployment) fleet() {
+	raw, err := os.ReadFile("../../../examples/vrancea/platform.toml")
+	require.NoError(d.t, err)
+	d.write("platform.toml", string(raw))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	d.platform = listener.Addr().String()
+	listener.Close()
+	d.standinAddress("platform", "-config", d.path("platform.toml"), "-free", "-listen", d.platform)
+}
+
 func (d *deployment) reclaim(domain string) {
 	d.t.Helper()
 	resp, err := http.Post("http://"+d.platform+"/reclaim", "application/json", strings.NewReader(`{"domain":"`+domain+`","notice_ms":4000}`))
--- a/internal/process/runner/versions_process_test.go
+++ b/internal/process/runner/versions_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +120,52 @@
 	})
 	return by
 }
+
+// A reclaimed domain is replaced although the leader is killed at the time, by
+// as many instances as are missing.
+func TestLostDomainIsReplacedThoughTheLeaderIsKilled(t *testing.T) {
+	d := startWith(t, 3, 3, (*deployment).fleet)
+	d.write("rules.txt", d.rules("size pumice min=6 max=12 spare=domain # staff, Vrancea"))
+	d.eventually("size accepted", func() bool { return d.command("rule", "apply", d.path("rules.txt")).code == 0 })
+	d.eventually("fleet known", func() bool { return d.serving("n1", "focsani") == 3 })
+	d.reclaim("focsani")
+	d.eventually("domain leaves", func() bool { return d.serving("n1", "focsani") == 0 })
+	leader := d.leader(d.names...)
+	d.kill(leader)
+	d.run(leader)
+	d.eventually("whole again", func() bool {
+		return d.serving("n1", "") == 9 && d.serving("n1", "focsani") <= 3 && d.serving("n1", "adjud") <= 3
+	})
+	require.Len(t, d.started(), 3, "nothing is started twice")
+}
+
+// started returns the instances that the logs of all nodes say were started.
+func (d *deployment) started() map[string]bool {
+	found := make(map[string]bool)
+	for _, name := range d.names {
+		raw, err := os.ReadFile(d.path(name + ".log"))
+		require.NoError(d.t, err)
+		for _, line := range strings.Split(string(raw), "\n") {
+			if _, id, ok := strings.Cut(line, " instance="); ok && strings.Contains(line, "instance started") {
+				found[id] = true
+			}
+		}
+	}
+	return found
+}
+
+// serving returns how many endpoints of the model service a node uses in a
+// domain, or in all.
+func (d *deployment) serving(node, domain string) int {
+	endpoints, err := d.client(node).Endpoints(context.Background())
+	if err != nil {
+		return -1
+	}
+	count := 0
+	for _, e := range endpoints {
+		if e.Service == "pumice" && !e.Leaving && (domain == "" || e.Domain == domain) {
+			count++
+		}
+	}
+	return count
+}
