Accept a change of rules only where most nodes can be seen

Cause: a quorum of keepers that lost most nodes could accept a change while those nodes, in touch with each other, went on serving without it (listed as not proved by the membership tests). Ruled out: a lease for each node, which makes serving depend on the keepers. Change: the proposing node refuses a change unless it sees most nodes; nodes that are dead for longer than the freshness bound no longer count.

--- a/internal/process/runner/operators.go
+++ b/internal/process/runner/operators.go
@@ -34,6 +34,10 @@
 	if _, err := parser.Parse(change.Text); err != nil {
 		return operator.Changed{}, &operator.Fault{Code: operator.CodeInvalid, Message: err.Error()}
 	}
+	if !r.seesMost() {
+		return operator.Changed{}, &operator.Fault{Code: operator.CodeUnavailable,
+			Message: "this node does not see most of the nodes, so the change could not be in force everywhere; nothing was changed, \"member list\" shows who is missing"}
+	}
 	result, err := r.state.proposer.Propose(ctx, applier.Command{RuleApply: &applier.RuleApply{
 		ChangeID: change.ID, Base: change.Base, Text: change.Text, By: change.By,
 	}})
@@ -46,6 +50,14 @@
 	return operator.Changed{Revision: result.Rule.Revision}, nil
 }
 
+// seesMost reports whether most nodes would hear of a change from this one.
+// Without it a quorum of keepers that lost most nodes could accept rules under
+// which those never run, while they still serve.
+func (r *Runner) seesMost() bool {
+	contact := r.gossiper.Contact(r.settings.Limits().Freshness())
+	return contact.Peers() == 0 || contact.HasMost()
+}
+
 // conflict tells what changed since the base of a refused change.
 func (r *Runner) conflict(ctx context.Context, base uint64, result *applier.RuleResult) error {
 	fault := &operator.Fault{
--- a/internal/process/runner/rules_process_test.go
+++ b/internal/process/runner/rules_process_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -159,3 +160,23 @@
 	require.Contains(t, history.out, "customer next")
 	require.Contains(t, history.out, "customer third")
 }
+
+// A quorum of keepers that lost sight of most nodes accepts no change, since
+// those nodes would go on serving without it.
+func TestNoChangeWithoutMostNodes(t *testing.T) {
+	d := start(t, 4, 1)
+	for _, name := range []string{"n2", "n3", "n4"} {
+		d.nodes[name].signal(t, syscall.SIGSTOP)
+	}
+	d.write("next.txt", d.changed("next"))
+	d.eventually("a refusal", func() bool {
+		ran := d.command("rule", "apply", "-id", "c2", "-base", "1", d.path("next.txt"))
+		return ran.code == 1 && strings.Contains(ran.err, "does not see most of the nodes")
+	})
+	for _, name := range []string{"n2", "n3", "n4"} {
+		d.nodes[name].signal(t, syscall.SIGCONT)
+	}
+	d.eventually("accepted again", func() bool {
+		return d.command("rule", "apply", "-id", "c2", "-base", "1", "-wait", "11s", d.path("next.txt")).code == 0
+	})
+}
