--- a/internal/process/parser/nouns.go
+++ b/internal/process/parser/nouns.go
@@ -14,6 +14,9 @@
 	defaultFirst   = 1300 * time.Millisecond
 	defaultNext    = 52 * time.Millisecond
 	maxTimeout     = time.Hour
+	defaultKeep    = time.Hour
+	minKeep        = time.Minute
+	maxKeep        = 24 * time.Hour
 	tokenPrefix    = "sha256:"
 	tokenBytes     = 32
 )
@@ -40,7 +43,7 @@
 			required: []string{"kind"}, build: buildService,
 		},
 		"route": {
-			keys:     map[string]string{"path": "a path that begins with /", "service": "the name of a service", "once": "true or false", "priority": "a whole number from 0 to 9", "worth": "a number from 0 to 1000"},
+			keys:     map[string]string{"path": "a path that begins with /", "service": "the name of a service", "once": "true or false", "priority": "a whole number from 0 to 9", "worth": "a number from 0 to 1000", "keep": "a duration from 1m to 24h, on a route with once=true"},
 			required: []string{"path", "service"}, build: buildRoute,
 		},
 		"move": {
@@ -92,14 +95,19 @@
 }
 
 func buildRoute(p *pass, name string, v *values) {
-	p.rules.routes = append(p.rules.routes, Route{
+	r := Route{
 		name:     name,
 		path:     v.path("path", ""),
 		service:  v.given["service"],
 		once:     v.choice("once", "false", "true", "false") == "true",
 		priority: v.integer("priority", 1, 0, 9),
 		worth:    v.number("worth", 1, 0, 1000),
-	})
+		keep:     v.durationIn("keep", defaultKeep, minKeep, maxKeep),
+	}
+	if _, given := v.given["keep"]; given && !r.once {
+		v.bad("keep")
+	}
+	p.rules.routes = append(p.rules.routes, r)
 }
 
 func buildMove(p *pass, name string, v *values) {
@@ -178,12 +186,16 @@
 }
 
 func (v *values) duration(key string, missing time.Duration) time.Duration {
+	return v.durationIn(key, missing, time.Nanosecond, maxTimeout)
+}
+
+func (v *values) durationIn(key string, missing, low, high time.Duration) time.Duration {
 	text, ok := v.given[key]
 	if !ok {
 		return missing
 	}
 	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 || d > maxTimeout {
+	if err != nil || d < low || d > high {
 		v.bad(key)
 		return missing
 	}
--- a/internal/process/parser/rules.go
+++ b/internal/process/parser/rules.go
@@ -150,6 +150,7 @@
 	once     bool
 	priority int
 	worth    float64
+	keep     time.Duration
 }
 
 // Name returns the name of the route.
@@ -170,6 +171,10 @@
 // Worth returns the weight of one answer in time; 1 is usual.
 func (r Route) Worth() float64 { return r.worth }
 
+// Keep returns how long the record of a call that may run at most once outlives
+// its deadline. A key that is repeated later counts as a new call.
+func (r Route) Keep() time.Duration { return r.keep }
+
 // Move asks that a service changes its version by a deadline.
 type Move struct {
 	service string
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -59,6 +59,9 @@
 	// Print is the fingerprint that a repetition must share.
 	Print    string
 	Deadline time.Time
+	// Keep is how long the record outlives the deadline; the Keep of the Config
+	// if zero.
+	Keep time.Duration
 	// Resolve asks the service's status path what became of the call; nil if
 	// there is none. The outcome is OutcomeDone with an answer, or OutcomeNotRun
 	// if the call has not run and will not.
@@ -220,6 +223,13 @@
 func (c *Claimer) grant(call Call) applier.Command {
 	return applier.Command{ClaimGrant: &applier.ClaimGrant{
 		Customer: call.Customer, Key: call.Key, BodyHash: call.Print, Entry: c.config.Entry,
-		Request: call.Request, Deadline: call.Deadline.UnixNano(), Keep: c.config.Keep,
+		Request: call.Request, Deadline: call.Deadline.UnixNano(), Keep: c.keepOf(call),
 	}}
 }
+
+func (c *Claimer) keepOf(call Call) time.Duration {
+	if call.Keep > 0 {
+		return call.Keep
+	}
+	return c.config.Keep
+}
--- a/internal/request/claimer/turn.go
+++ b/internal/request/claimer/turn.go
@@ -105,7 +105,7 @@
 	if c.config.IsNotRun(err) {
 		c.forget(t)
 	} else {
-		c.push(recording{turn: t, outcome: applier.OutcomeNotRun, until: c.config.Clock.Now().Add(c.config.Keep)})
+		c.push(recording{turn: t, outcome: applier.OutcomeNotRun, until: c.config.Clock.Now().Add(c.keepOf(t.call))})
 	}
 	return Outcome{kind: Refused, reason: "the claim could not be committed"}
 }
@@ -159,7 +159,7 @@
 	if c.write(ctx, r) {
 		return
 	}
-	r.until = c.config.Clock.Now().Add(c.config.Keep)
+	r.until = c.config.Clock.Now().Add(c.keepOf(r.turn.call))
 	c.push(r)
 }
 
--- a/internal/request/handler/once.go
+++ b/internal/request/handler/once.go
@@ -23,7 +23,7 @@
 		return h.fail(w, call, claimProblem("claims cannot be made here"), Result{})
 	}
 	outcome := h.cfg.Claimer.Begin(ctx, claimer.Call{
-		Customer: call.customer.Name(), Key: call.key, Request: call.id, Deadline: call.deadline,
+		Customer: call.customer.Name(), Key: call.key, Request: call.id, Deadline: call.deadline, Keep: call.route.Keep(),
 		Print: claimer.Fingerprint(call.method, call.path, call.body), Resolve: h.resolver(call),
 	})
 	turn := outcome.Turn()
