--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -80,6 +80,12 @@
 	return fetch[Claim](ctx, c, http.MethodGet, "/claims?"+query.Encode(), nil)
 }
 
+// Cut cuts links of the node, where its settings allow drills.
+func (c *Client) Cut(ctx context.Context, cut Cut) error {
+	_, err := fetch[Cut](ctx, c, http.MethodPost, "/links/cut", cut)
+	return err
+}
+
 // State copies the node's state dump, which is JSON, to w.
 func (c *Client) State(ctx context.Context, w io.Writer) error {
 	var raw json.RawMessage
--- a/internal/connection/operator/messages.go
+++ b/internal/connection/operator/messages.go
@@ -3,7 +3,10 @@
 // never open to callers.
 package operator
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Rules is a revision of the rules.
 type Rules struct {
@@ -100,6 +103,14 @@
 	Expires  time.Time `json:"expires"`
 }
 
+// Cut says which links of a node are cut, to exercise a network partition. An
+// empty list mends all.
+type Cut struct {
+	Peers    []netip.AddrPort `json:"peers"`
+	Inbound  bool             `json:"inbound"`
+	Outbound bool             `json:"outbound"`
+}
+
 // Fault is the body of an answer that is not 200.
 type Fault struct {
 	Code    Code    `json:"code"`
--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -46,6 +46,8 @@
 	Abort     func(ctx context.Context, service string) (Move, error)
 	Claim     func(ctx context.Context, customer, key string) (Claim, error)
 	State     func() (any, error)
+	// Cut is nil where drills are not allowed.
+	Cut func(cut Cut) error
 }
 
 // Server answers operators.
@@ -83,6 +85,9 @@
 		return s.cfg.Claim(r.Context(), r.FormValue("customer"), r.FormValue("key"))
 	}))
 	mux.HandleFunc("GET /state", answer(func(*http.Request) (any, error) { return s.cfg.State() }))
+	if s.cfg.Cut != nil {
+		mux.HandleFunc("POST /links/cut", answer(s.cut))
+	}
 	mux.Handle("GET /metrics", s.cfg.Metrics)
 	return s.authenticate(mux)
 }
@@ -138,13 +143,9 @@
 }
 
 func (s *Server) apply(r *http.Request) (any, error) {
-	raw, err := io.ReadAll(r.Body)
+	change, err := decode[Change](r)
 	if err != nil {
-		return nil, &Fault{Code: CodeInvalid, Message: err.Error()}
-	}
-	var change Change
-	if err := json.Unmarshal(raw, &change); err != nil {
-		return nil, &Fault{Code: CodeInvalid, Message: "the change is no JSON: " + err.Error()}
+		return nil, err
 	}
 	if change.ID == "" {
 		return nil, &Fault{Code: CodeInvalid, Message: "the change needs an id"}
@@ -152,6 +153,27 @@
 	return s.cfg.Apply(r.Context(), change)
 }
 
+func (s *Server) cut(r *http.Request) (any, error) {
+	cut, err := decode[Cut](r)
+	if err != nil {
+		return nil, err
+	}
+	return cut, s.cfg.Cut(cut)
+}
+
+// decode reads the JSON body of a request.
+func decode[T any](r *http.Request) (T, error) {
+	var value T
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return value, &Fault{Code: CodeInvalid, Message: err.Error()}
+	}
+	if err := json.Unmarshal(raw, &value); err != nil {
+		return value, &Fault{Code: CodeInvalid, Message: "the body is not as expected: " + err.Error()}
+	}
+	return value, nil
+}
+
 func (s *Server) waiting(r *http.Request) (any, error) {
 	revision, err := strconv.ParseUint(r.FormValue("revision"), 10, 64)
 	if err != nil {
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -145,7 +145,7 @@
 	}
 	domains := []string{"focsani", "adjud", "panciu"}
 	fmt.Fprintf(&b, "id = \"n%d\"\nfirm = \"vrancea\"\ndomain = %q\ndomains = [\"focsani\", \"adjud\", \"panciu\"]\nroles = [%s]\n", i+1, domains[i%3], roles)
-	fmt.Fprintf(&b, "data = \"data-n%d\"\nkey = \"deployment.key\"\ntoken = \"operators.token\"\n", i+1)
+	fmt.Fprintf(&b, "drill = true\ndata = \"data-n%d\"\nkey = \"deployment.key\"\ntoken = \"operators.token\"\n", i+1)
 	if d.platform != "" {
 		fmt.Fprintf(&b, "platform = %q\n", d.platform)
 	}
--- a/internal/process/runner/operators.go
+++ b/internal/process/runner/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"hyssoprudder/internal/connection/operator"
@@ -173,3 +174,17 @@
 	}
 	return &operator.Fault{Code: code, Message: err.Error()}
 }
+
+// cutLinks drops all messages between this node and the peers, in one direction
+// or both.
+func (r *Runner) cutLinks(cut operator.Cut) error {
+	r.log.Warn("links cut for a drill", "peers", len(cut.Peers), "inbound", cut.Inbound, "outbound", cut.Outbound)
+	peers := make(map[netip.AddrPort]bool, len(cut.Peers))
+	for _, peer := range cut.Peers {
+		peers[peer] = true
+	}
+	r.messenger.SetFilter(func(peer netip.AddrPort, outbound bool) bool {
+		return peers[peer] && (outbound && cut.Outbound || !outbound && cut.Inbound)
+	})
+	return nil
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -143,12 +143,16 @@
 	if strings.TrimSpace(string(token)) == "" {
 		return fmt.Errorf("%s holds no token; make one with \"hyssoprudder key create\"", r.settings.Token())
 	}
-	r.operators = operator.NewServer(operator.Config{
+	config := operator.Config{
 		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Log: r.log,
 		Metrics: promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}),
 		Rules:   r.currentRules, Apply: r.applyRules, History: r.history, Waiting: r.waiting,
 		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, State: r.dump,
-	})
+	}
+	if r.settings.Drill() {
+		config.Cut = r.cutLinks
+	}
+	r.operators = operator.NewServer(config)
 	return nil
 }
 
--- a/internal/process/settings/file.go
+++ b/internal/process/settings/file.go
@@ -28,6 +28,7 @@
 	Token    value        `toml:"token"`
 	Seeds    value        `toml:"seeds"`
 	Platform value        `toml:"platform"`
+	Drill    value        `toml:"drill"`
 	Listen   fileListen   `toml:"listen"`
 	TLS      fileTLS      `toml:"tls"`
 	Log      fileLog      `toml:"log"`
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -149,7 +149,7 @@
 	r.fault("file", err.Error())
 }
 
-var knownKeys = []string{"id", "firm", "region", "domain", "domains", "cell", "roles", "data", "key", "token", "seeds", "platform",
+var knownKeys = []string{"id", "firm", "region", "domain", "domains", "cell", "roles", "data", "key", "token", "seeds", "platform", "drill",
 	"listen.callers", "listen.nodes", "listen.operators", "tls.cert", "tls.key", "log.level", "keepers.id", "keepers.address",
 	"limits.body", "limits.header", "limits.buffer", "limits.idle", "limits.read", "limits.stop", "limits.lame",
 	"limits.freshness", "limits.poll", "limits.streams"}
@@ -181,6 +181,7 @@
 		certKey:   r.filePath(r.text("tls.key", f.TLS.Key, false)),
 		platform:  r.address("platform", f.Platform, false),
 		logLevel:  r.level(f.Log.Level),
+		drill:     r.flag("drill", f.Drill),
 		limits:    r.limits(&f.Limits),
 	}
 	for _, name := range r.texts("roles", f.Roles) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -54,6 +54,7 @@
 	seeds     []netip.AddrPort
 	platform  netip.AddrPort
 	logLevel  string
+	drill     bool
 	limits    Limits
 }
 
@@ -164,5 +165,9 @@
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
+// Drill reports whether operators may cut this node's links, to exercise
+// network partitions.
+func (s *Settings) Drill() bool { return s.drill }
+
 // Limits returns the bounds of the node.
 func (s *Settings) Limits() Limits { return s.limits }
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -61,6 +61,7 @@
 		"unlisted domain": {`domain = "focsani"`, `domain = "iasi"`, "domain", "focsani, adjud, panciu"},
 		"long duration":   {`"1m"`, `"9h"`, "limits.idle", "choose from 1s to 1h0m0s"},
 		"no duration":     {`"1m"`, `60`, "limits.idle", "must be a duration in quotes"},
+		"no flag":         {`key = "key"`, "key = \"key\"\ndrill = 1", "drill", "must be true or false, not 1"},
 		"unknown role":    {`"keeper"]`, `"keper"]`, "roles", `did you mean "keeper"?`},
 		"data is a file":  {`data = "data"`, `data = "key/data"`, "data", "is not a folder"},
 		"missing key":     {`key = "key"`, `key = "none"`, "key", "cannot be read"},
--- a/internal/process/settings/values.go
+++ b/internal/process/settings/values.go
@@ -27,6 +27,17 @@
 	return text
 }
 
+func (r *reader) flag(key string, v value) bool {
+	if !v.set {
+		return false
+	}
+	b, ok := v.raw.(bool)
+	if !ok {
+		r.fault(key, fmt.Sprintf("must be true or false, not %v", v.raw))
+	}
+	return b
+}
+
 func (r *reader) texts(key string, v value) []string {
 	if !v.set {
 		return nil
