--- a/internal/request/handler/once.go
+++ b/internal/request/handler/once.go
@@ -23,7 +23,7 @@
 		return h.fail(w, call, claimProblem("claims cannot be made here"), Result{})
 	}
 	outcome := h.cfg.Claimer.Begin(ctx, claimer.Call{
-		Customer: call.customer.Name(), Key: call.key, Request: call.id, Deadline: call.deadline,
+		Customer: call.customer.Name(), Key: call.key, Request: call.id, Deadline: call.deadline, Keep: call.route.Keep(),
 		Print: claimer.Fingerprint(call.method, call.path, call.body), Resolve: h.resolver(call),
 	})
 	turn := outcome.Turn()
@@ -38,7 +38,11 @@
 	case OutcomeDone:
 		turn.Done(recorded(got.answer))
 	case OutcomeNotRun:
-		turn.NotRun(errors.Is(got.result.Err, dialer.ErrNotRun))
+		if o := turn.NotRun(errors.Is(got.result.Err, dialer.ErrNotRun)); o.Kind() == claimer.Unknown {
+			found := outcomeReply(o)
+			found.result = got.result
+			got = found
+		}
 	case OutcomeUnknown:
 		settle, stop := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 		defer stop()
