--- a/internal/version/mover/mover.go
+++ b/internal/version/mover/mover.go
@@ -35,9 +35,6 @@
 	Reserve time.Duration
 	// Proposal is the longest time from a proposal to its commit.
 	Proposal time.Duration
-	// Load is the part of the peak load per instance that a last step should
-	// have shown before the move is done.
-	Load float64
 	// Calls is the number of finished calls on the new version that a step
 	// with the whole traffic needs; smaller steps need fewer, by the root of
 	// their share, and at least LeastCalls.
@@ -58,7 +55,6 @@
 		Spread:     0.7,
 		Reserve:    10 * time.Second,
 		Proposal:   5 * time.Second,
-		Load:       0.7,
 		Calls:      60,
 		LeastCalls: 12,
 		Overload:   1.25,
@@ -135,9 +131,6 @@
 	Withdrawn bool
 	// Ready is the number of live instances of the new version.
 	Ready int
-	// Peak is the highest rate of calls per second that the service has to
-	// carry, or 0 if that is not known.
-	Peak float64
 }
 
 // Mover decides the next state of one move, as long as its node leads. It is
@@ -313,11 +306,7 @@
 	if verdict.Outcome() != judge.Good || o.Now.Sub(s.Since) < m.config.Dwell {
 		return false
 	}
-	paced := m.pace(s)
-	if o.Now.Before(paced) {
-		return false
-	}
-	return next < len(s.Steps) || m.loaded(s, o) || o.Now.After(m.patience(s))
+	return !o.Now.Before(m.pace(s))
 }
 
 func (m *Mover) advance(s State, o Observation) State {
@@ -336,24 +325,3 @@
 	part := m.config.Spread * float64(s.At) / float64(len(s.Steps)-1)
 	return s.Begun.Add(time.Duration(part * float64(window)))
 }
-
-// patience returns until when a move waits for more load before it is done.
-func (m *Mover) patience(s State) time.Time {
-	window := s.Until.Add(-m.config.Proposal).Sub(s.Begun)
-	return s.Until.Add(-m.config.Proposal).Add(-window / 10)
-}
-
-// loaded reports whether each instance of the new version has carried enough
-// of its peak load in the present step.
-func (m *Mover) loaded(s State, o Observation) bool {
-	spent := o.Now.Sub(s.Since).Seconds()
-	if o.Peak == 0 || spent <= 0 {
-		return true
-	}
-	var calls uint64
-	for _, p := range m.tally.Table() {
-		calls += p.New().Finished()
-	}
-	carried := float64(calls) / spent / float64(max(s.Instances(), 1))
-	return carried >= m.config.Load*o.Peak/float64(max(s.Size, 1))
-}
