Never tell the follower of a running call that it did not run

Cause: reading the claimer showed that a resend which had joined a running call was answered notrun when the log then could not be reached; and at a node cut off from the log a call waited its whole deadline for the refusal (10 s in the cut test). Change: such a resend is answered unknown; a claim is given up after 4 s, longer than a leader is replaced in. Before: TestFollowerOfARunningCallIsNeverToldNotRun fails (refused in place of unknown); after: passes.

--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -22,6 +22,7 @@
 
 	shards        = 16
 	recordTimeout = 2 * time.Second
+	grantTimeout  = 4 * time.Second
 	resolvePause  = 200 * time.Millisecond
 	pollPause     = 100 * time.Millisecond
 	// ownerGrace is how long after its deadline a call may still be recorded by
@@ -192,14 +193,14 @@
 	t := &Turn{claimer: c, call: call, ended: make(chan struct{})}
 	t.machine.deadline = call.Deadline
 	c.keep(t) // before the claim, so that no other entry takes it for lost
-	for {
-		result, err := c.config.Propose(ctx, c.grant(call))
+	for joined := false; ; joined = true {
+		result, err := c.propose(ctx, call)
 		if err != nil {
-			return t.abandon(err)
+			return t.abandon(err).after(joined)
 		}
 		claim := result.Claim
 		if claim == nil {
-			return t.abandon(errors.New("the log gave no result"))
+			return t.abandon(errors.New("the log gave no result")).after(joined)
 		}
 		kind := t.machine.claimed(claim.Outcome)
 		switch kind {
@@ -220,6 +221,23 @@
 	}
 }
 
+// propose asks for the claim. A log that cannot be reached is given up long
+// before most deadlines, so that the caller can go elsewhere.
+func (c *Claimer) propose(ctx context.Context, call Call) (applier.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	return c.config.Propose(ctx, c.grant(call))
+}
+
+// after corrects a refusal of a request that has seen another one run the call:
+// the request did not run, but the call may have.
+func (o Outcome) after(joined bool) Outcome {
+	if joined && o.kind == Refused {
+		return Outcome{kind: Unknown, reason: "the running call could not be followed"}
+	}
+	return o
+}
+
 func (c *Claimer) grant(call Call) applier.Command {
 	return applier.Command{ClaimGrant: &applier.ClaimGrant{
 		Customer: call.Customer, Key: call.Key, BodyHash: call.Print, Entry: c.config.Entry,
