Say that an answer was not kept in place of replaying it without its body

Cause: answers above 64 KB are recorded without their body, and a repetition got the status with an empty body, which is not the whole answer. Change: 410 with the outcome done.

--- a/internal/request/handler/once.go
+++ b/internal/request/handler/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -57,7 +58,7 @@
 func outcomeReply(o claimer.Outcome) reply {
 	switch o.Kind() {
 	case claimer.Replay:
-		return reply{answer: replayed(o.Answer())}
+		return replay(o.Answer())
 	case claimer.Mismatch:
 		return reply{problem: NewProblem(http.StatusUnprocessableEntity, OutcomeNotRun, "Key in use",
 			"the Idempotency-Key belongs to another call")}
@@ -67,6 +68,15 @@
 	return reply{problem: unknownProblem()}
 }
 
+// replay returns the recorded answer, or says that it was too large to be kept.
+func replay(a *applier.Answer) reply {
+	if a != nil && a.Cut {
+		return reply{problem: NewProblem(http.StatusGone, OutcomeDone, "Answer not kept",
+			fmt.Sprintf("the call was answered with status %d; its answer was too large to be kept", a.Status))}
+	}
+	return reply{answer: replayed(a)}
+}
+
 func claimProblem(detail string) *Problem {
 	return NewProblem(http.StatusServiceUnavailable, OutcomeNotRun, "Not run", detail).RetryAfter(time.Second)
 }
