--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -6,9 +6,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -18,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"hyssoprudder/internal/connection/certifier"
+	"hyssoprudder/internal/connection/listener"
 )
 
 const (
@@ -54,18 +53,15 @@
 type Server struct {
 	cfg      Config
 	token    [sha256.Size]byte
-	http     *http.Server
-	listener net.Listener
-	done     chan struct{}
+	listener *listener.Listener
 }
 
 // NewServer returns a server that does not listen yet.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, token: sha256.Sum256([]byte(cfg.Token)), done: make(chan struct{})}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: cfg.Log.StandardLog()}
-	if cfg.Certifier != nil {
-		s.http.TLSConfig = cfg.Certifier.Config()
-	}
+	s := &Server{cfg: cfg, token: sha256.Sum256([]byte(cfg.Token))}
+	s.listener = listener.New("operators", &http.Server{
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}, cfg.Certifier, cfg.Log)
 	return s
 }
 
@@ -93,40 +89,17 @@
 }
 
 // Start listens and serves until Stop.
-func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.cfg.Listen.String())
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
-	}
-	s.listener = listener
-	go s.run()
-	return nil
-}
-
-func (s *Server) run() {
-	defer close(s.done)
-	var err error
-	if s.http.TLSConfig != nil {
-		err = s.http.ServeTLS(s.listener, "", "")
-	} else {
-		err = s.http.Serve(s.listener)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		s.cfg.Log.Error("operators' server ended", "err", err)
-	}
-}
+func (s *Server) Start() error { return s.listener.Start(s.cfg.Listen) }
 
 // Address returns where the server listens.
-func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
+func (s *Server) Address() netip.AddrPort { return s.listener.Address() }
 
-// Stop ends the server after the answers that are being written.
+// Stop ends the server after the answers that are being written, or when ctx
+// ends.
 func (s *Server) Stop(ctx context.Context) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.http.Close()
+	if err := s.listener.Stop(ctx); err != nil {
+		s.listener.Close()
 	}
-	<-s.done
 }
 
 func (s *Server) authenticate(next http.Handler) http.Handler {
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"hyssoprudder/internal/connection/certifier"
+	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/meter"
 	"hyssoprudder/internal/process/parser"
@@ -42,62 +42,33 @@
 // Server serves callers.
 type Server struct {
 	cfg      Config
-	http     *http.Server
-	listener net.Listener
+	listener *listener.Listener
 	index    atomic.Pointer[index]
 	closing  atomic.Bool
 	running  atomic.Int64
-	done     chan struct{}
 }
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, done: make(chan struct{})}
+	s := &Server{cfg: cfg}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.serveHealth)
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("/", s.serveCall)
-	s.http = &http.Server{
+	s.listener = listener.New("callers", &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: cfg.Limits.Read(),
 		IdleTimeout:       cfg.Limits.Idle(),
 		MaxHeaderBytes:    cfg.Limits.Header(),
-		ErrorLog:          cfg.Log.StandardLog(),
-	}
-	if cfg.Certifier != nil {
-		s.http.TLSConfig = cfg.Certifier.Config()
-	}
+	}, cfg.Certifier, cfg.Log)
 	return s
 }
 
 // Start listens and serves until Stop.
-func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.cfg.Listen.String())
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	s.listener = listener
-	go s.run()
-	return nil
-}
-
-func (s *Server) run() {
-	defer close(s.done)
-	var err error
-	if s.http.TLSConfig != nil {
-		err = s.http.ServeTLS(s.listener, "", "")
-	} else {
-		err = s.http.Serve(s.listener)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		s.cfg.Log.Error("callers' server ended", "err", err)
-	}
-}
+func (s *Server) Start() error { return s.listener.Start(s.cfg.Listen) }
 
 // Address returns where the server listens.
-func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
+func (s *Server) Address() netip.AddrPort { return s.listener.Address() }
 
 // Running returns the number of calls that are being served.
 func (s *Server) Running() int64 { return s.running.Load() }
@@ -110,13 +81,11 @@
 // ends; then it cuts them and returns the number of calls that it cut.
 func (s *Server) Stop(ctx context.Context) int64 {
 	s.Drain()
-	err := s.http.Shutdown(ctx)
-	cut := int64(0)
-	if err != nil {
-		cut = s.running.Load()
-		s.http.Close()
+	if err := s.listener.Stop(ctx); err == nil {
+		return 0
 	}
-	<-s.done
+	cut := s.running.Load()
+	s.listener.Close()
 	return cut
 }
 
--- a/internal/process/runner/entry.go
+++ b/internal/process/runner/entry.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"hyssoprudder/internal/connection/dialer"
-	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/observer"
 	"hyssoprudder/internal/process/parser"
@@ -24,14 +23,6 @@
 	// maxStreamBytes bounds the answers that an entry holds, in bytes.
 	maxStreamBytes = 256 << 20
 	sweepInterval  = 5 * time.Second
-	digestInterval = 500 * time.Millisecond
-)
-
-// The kinds of digests that nodes publish.
-const (
-	digestLoad uint8 = iota + 1
-	digestDemand
-	digestMoves
 )
 
 // entry is the part of a node that serves callers.
@@ -44,22 +35,17 @@
 	handler  *handler.Handler
 	poller   *poller.Poller
 
-	serial uint64 // of the digests of this node
-	merged map[digestKey]uint64
+	sweeper *sweeper
+	sharer  *sharer
 
 	done  chan struct{}
 	group sync.WaitGroup
 }
 
-// digestKey names a digest of another node.
-type digestKey struct {
-	node        string
-	incarnation uint64
-	kind        uint8
-}
-
 func (r *Runner) buildEntry() error {
-	e := &entry{runner: r, limiter: limiter.New(1), merged: make(map[digestKey]uint64), done: make(chan struct{})}
+	e := &entry{runner: r, limiter: limiter.New(1), done: make(chan struct{})}
+	e.sweeper = &sweeper{entry: e}
+	e.sharer = &sharer{entry: e, merged: make(map[digestKey]digestMark)}
 	e.observer = observer.New(r.clock.Now())
 	e.router = router.New(e.observer, r.settings.Domain(), router.Predictive())
 	e.claimer = claimer.New(claimer.Config{
@@ -97,8 +83,8 @@
 		Events: r.cacheEvents,
 	})
 	e.group.Add(2)
-	go e.sweepLoop()
-	go e.digestLoop()
+	go e.sweeper.run()
+	go e.sharer.run()
 }
 
 // cacheEvents reads the cache events of an engine. A plain service has none, and
@@ -123,51 +109,6 @@
 	e.claimer.Stop()
 }
 
-func (e *entry) sweepLoop() {
-	defer e.group.Done()
-	for clock.Sleep(e.runner.clock, sweepInterval, e.done) {
-		e.handler.Sweep(e.runner.clock.Now())
-	}
-}
-
-// digestLoop tells the other entries of this one's load and takes in theirs.
-func (e *entry) digestLoop() {
-	defer e.group.Done()
-	for clock.Sleep(e.runner.clock, digestInterval, e.done) {
-		now := e.runner.clock.Now()
-		e.serial++
-		e.publish(digestLoad, now, e.observer.Digest)
-		e.publish(digestDemand, now, e.limiter.Digest)
-		e.limiter.SetEntries(1 + len(e.runner.entries()))
-		e.merge(digestLoad, now, e.observer.Merge)
-		e.merge(digestDemand, now, e.limiter.Merge)
-	}
-}
-
-func (e *entry) publish(kind uint8, now time.Time, encode func(time.Time) ([]byte, error)) {
-	body, err := encode(now)
-	if err == nil {
-		err = e.runner.gossiper.Publish(kind, e.serial, body)
-	}
-	if err != nil {
-		e.runner.log.Error("digest not published", "kind", kind, "err", err)
-	}
-}
-
-// merge takes in the digests that are newer than those taken in before.
-func (e *entry) merge(kind uint8, now time.Time, take func(time.Time, string, []byte) error) {
-	for _, d := range e.runner.gossiper.Digests(kind) {
-		key := digestKey{node: d.Node(), incarnation: d.Incarnation(), kind: kind}
-		if e.merged[key] >= d.Version() {
-			continue
-		}
-		e.merged[key] = d.Version()
-		if err := take(now, d.Node(), d.Body()); err != nil {
-			e.runner.log.Error("digest not read", "kind", kind, "from", d.Node(), "err", err)
-		}
-	}
-}
-
 // refresh takes the endpoints and targets over into the router after a change.
 func (r *Runner) refresh() {
 	rules := r.rules.rules()
