Send orders to engines by the dialer alone

Cause: orders and fencing numbers stood in the platform's client and in the endpoints' client. Change: the controller orders through the dialer, whose 409 is ErrStale; the tests moved along. Conclusion: connection, controller and process tests pass.

--- a/internal/connection/dialer/dialer_test.go
+++ b/internal/connection/dialer/dialer_test.go
@@ -146,3 +146,26 @@
 	require.True(t, errors.As(err, &status))
 	require.Equal(t, http.StatusNotFound, status.Status())
 }
+
+func ExampleDialer_Ordered() {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"fence":{"term":4,"count":9},"service":"pumice","version":"13","role":"serve","state":"ready"}`)
+	}))
+	defer engine.Close()
+	d := dialer.New()
+	defer d.Close()
+	order, err := d.Ordered(context.Background(), netip.MustParseAddrPort(engine.Listener.Addr().String()))
+	fmt.Println(order.Version, order.Fence.Term, err)
+	// Output: 13 4 <nil>
+}
+
+func TestOrderWithAnOldNumberIsStale(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusConflict)
+	}))
+	defer s.Close()
+	d := dialer.New()
+	defer d.Close()
+	err := d.Order(context.Background(), address(t, s), dialer.Order{Fence: dialer.Fence{Term: 1}})
+	require.ErrorIs(t, err, dialer.ErrStale)
+}
--- a/internal/connection/dialer/engine.go
+++ b/internal/connection/dialer/engine.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -153,10 +154,18 @@
 	return copied, err
 }
 
+// ErrStale says that an engine has seen an order with a newer fencing number.
+var ErrStale = errors.New("the order carries an old fencing number")
+
 // Order gives an engine the state that it is to reach. An engine that checks
-// fencing numbers answers 409 to an old one.
+// fencing numbers refuses an old one, which is ErrStale.
 func (d *Dialer) Order(ctx context.Context, to netip.AddrPort, order Order) error {
-	return d.callJSON(ctx, http.MethodPost, to, "/orders", order, nil)
+	err := d.callJSON(ctx, http.MethodPost, to, "/orders", order, nil)
+	var refused *StatusError
+	if errors.As(err, &refused) && refused.status == http.StatusConflict {
+		return ErrStale
+	}
+	return err
 }
 
 // Ordered reads back the order that an engine follows.
--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -1,5 +1,5 @@
 // Package provisioner is the client of the cloud platform and of its weight
-// store, and sends orders to engines.
+// store.
 package provisioner
 
 import (
@@ -27,8 +27,6 @@
 	ErrRefused = errors.New("the platform refused")
 	// ErrMissing means that the platform does not know the instance (404).
 	ErrMissing = errors.New("no such instance")
-	// ErrStale means that an engine has seen a newer fencing number (409).
-	ErrStale = errors.New("the order carries an old fencing number")
 )
 
 // BusyError means that the platform or the weight store is rate-limited (429).
@@ -113,21 +111,6 @@
 	Version string        `json:"version"`
 }
 
-// Fence is the fencing number of an order.
-type Fence struct {
-	Term  uint64 `json:"term"`
-	Count uint64 `json:"count"`
-}
-
-// Order is the full desired state of an engine. Repeating it is harmless.
-type Order struct {
-	Intent  string `json:"intent"`
-	Fence   Fence  `json:"fence"`
-	Service string `json:"service"`
-	Version string `json:"version"`
-	Role    string `json:"role"`
-}
-
 // Client calls the platform. It is safe for concurrent use. Calls end with
 // their context.
 type Client struct {
@@ -195,19 +178,6 @@
 	return c.call(ctx, http.MethodPost, c.base+"/weights", body, nil)
 }
 
-// Order sends an engine its desired state. ErrStale means that the engine obeys
-// a newer leader.
-func (c *Client) Order(ctx context.Context, engine netip.AddrPort, order Order) error {
-	return c.call(ctx, http.MethodPost, "http://"+engine.String()+"/orders", order, nil)
-}
-
-// Ordered returns the order that an engine follows.
-func (c *Client) Ordered(ctx context.Context, engine netip.AddrPort) (Order, error) {
-	var order Order
-	err := c.call(ctx, http.MethodGet, "http://"+engine.String()+"/orders", nil, &order)
-	return order, err
-}
-
 func (c *Client) call(ctx context.Context, method, address string, body, answer any) error {
 	var reader io.Reader
 	if body != nil {
@@ -249,8 +219,6 @@
 		return nil
 	case status == http.StatusNotFound:
 		return ErrMissing
-	case status == http.StatusConflict:
-		return ErrStale
 	case status == http.StatusServiceUnavailable:
 		return ErrRefused
 	case status == http.StatusTooManyRequests:
--- a/internal/connection/provisioner/provisioner_test.go
+++ b/internal/connection/provisioner/provisioner_test.go
@@ -45,7 +45,6 @@
 		"busy":               {status: 429, header: "7", check: func(err error) { require.ErrorAs(t, err, &busy); require.Equal(t, 7*time.Second, busy.After()) }},
 		"busy with bad wait": {status: 429, header: "soon", check: func(err error) { require.ErrorAs(t, err, &busy); require.Zero(t, busy.After()) }},
 		"missing":            {status: 404, check: func(err error) { require.ErrorIs(t, err, provisioner.ErrMissing) }},
-		"stale":              {status: 409, check: func(err error) { require.ErrorIs(t, err, provisioner.ErrStale) }},
 		"broken":             {status: 500, check: func(err error) { require.ErrorAs(t, err, &other); require.Equal(t, 500, other.Status()) }},
 		"malformed":          {status: 200, check: func(err error) { require.Error(t, err) }},
 	}
@@ -71,14 +70,3 @@
 	_, err = list.Instances[1].Endpoint()
 	require.Error(t, err)
 }
-
-func ExampleClient_Ordered() {
-	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, `{"fence":{"term":4,"count":9},"service":"pumice","version":"13","role":"serve","state":"ready"}`)
-	}))
-	defer engine.Close()
-	client := provisioner.New(netip.MustParseAddrPort("127.0.0.1:1"))
-	order, err := client.Ordered(context.Background(), addressOf(engine))
-	fmt.Println(order.Version, order.Fence.Term, err)
-	// Output: 13 4 <nil>
-}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hyssoprudder/internal/connection/dialer"
 	"hyssoprudder/internal/connection/provisioner"
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
@@ -50,8 +51,8 @@
 	Release func(ctx context.Context, id string) error
 	Load    func(ctx context.Context, service, version, id string) error
 	// Order sends an engine its desired state, Ordered reads it back.
-	Order   func(ctx context.Context, engine netip.AddrPort, order provisioner.Order) error
-	Ordered func(ctx context.Context, engine netip.AddrPort) (provisioner.Order, error)
+	Order   func(ctx context.Context, engine netip.AddrPort, order dialer.Order) error
+	Ordered func(ctx context.Context, engine netip.AddrPort) (dialer.Order, error)
 }
 
 const (
@@ -272,8 +273,8 @@
 	if !c.holds(term) || result.Fence == nil {
 		return nil
 	}
-	fence := provisioner.Fence{Term: result.Fence.Term, Count: result.Fence.Count}
-	wanted := provisioner.Order{Service: o.Endpoint.Service(), Version: o.Version, Role: "serve", Fence: fence}
+	fence := dialer.Fence{Term: result.Fence.Term, Count: result.Fence.Count}
+	wanted := dialer.Order{Service: o.Endpoint.Service(), Version: o.Version, Role: "serve", Fence: fence}
 	if err := c.config.Order(ctx, o.Endpoint.Address(), wanted); err != nil || o.Fence {
 		return err
 	}
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"hyssoprudder/internal/connection/dialer"
 	"hyssoprudder/internal/connection/provisioner"
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
@@ -55,7 +56,7 @@
 	lose      func() bool
 	marked    map[string]time.Time
 	released  []string
-	orders    map[netip.AddrPort]provisioner.Order
+	orders    map[netip.AddrPort]dialer.Order
 	loads     int
 }
 
@@ -67,7 +68,7 @@
 		instances: make(map[string]*lister.Spec), leaving: make(map[string]bool),
 		listedAt: make(map[string]time.Time), intents: make(map[string]string),
 		refuse: func(provisioner.Start) bool { return false }, lose: func() bool { return false },
-		marked: make(map[string]time.Time), orders: make(map[netip.AddrPort]provisioner.Order),
+		marked: make(map[string]time.Time), orders: make(map[netip.AddrPort]dialer.Order),
 	}
 }
 
@@ -125,7 +126,7 @@
 	return nil
 }
 
-func (s *site) order(_ context.Context, engine netip.AddrPort, o provisioner.Order) error {
+func (s *site) order(_ context.Context, engine netip.AddrPort, o dialer.Order) error {
 	s.orders[engine] = o
 	for _, spec := range s.instances {
 		if spec.Address == engine {
@@ -160,7 +161,7 @@
 		Start: s.begin, Release: s.release,
 		Load:  func(context.Context, string, string, string) error { s.loads++; return nil },
 		Order: s.order,
-		Ordered: func(_ context.Context, engine netip.AddrPort) (provisioner.Order, error) {
+		Ordered: func(_ context.Context, engine netip.AddrPort) (dialer.Order, error) {
 			return s.orders[engine], nil
 		},
 	})
