--- a/internal/process/runner/versions.go
+++ b/internal/process/runner/versions.go
@@ -29,6 +29,9 @@
 	movesTimeout = time.Second
 	// moveDigest is the size of a digest, in bytes.
 	moveDigest = 1000
+	// idleRounds is how many rounds pass between two readings of the moves
+	// while no move is under way.
+	idleRounds = 10
 )
 
 // versions is the part of a node that concerns version moves and capacity.
@@ -38,6 +41,8 @@
 	recorder   *judge.Recorder
 	controller *controller.Controller // nil without the role keeper
 	serial     uint64
+	round      int  // since the last reading of the moves
+	open       bool // a move had no verdict at the last reading
 
 	done  chan struct{}
 	group sync.WaitGroup
@@ -96,7 +101,9 @@
 func (v *versions) run() {
 	defer v.group.Done()
 	for clock.Sleep(v.runner.clock, judge.Interval, v.done) {
-		v.follow()
+		if v.isReadDue() {
+			v.follow()
+		}
 		for _, fault := range v.recorder.Check() {
 			v.runner.log.Warn("new version gets no more calls here", "route", fault.Route, "kind", fault.Kind, "evidence", fault.Value)
 		}
@@ -106,6 +113,18 @@
 	}
 }
 
+// isReadDue reports whether to read the moves in this round: in each round while
+// a move is under way or the rules ask for one, else now and then.
+func (v *versions) isReadDue() bool {
+	rules := v.runner.rules.rules()
+	v.round++
+	if !v.open && (rules == nil || len(rules.Moves()) == 0) && v.round < idleRounds {
+		return false
+	}
+	v.round = 0
+	return true
+}
+
 // follow reads the moves. If that fails, what is known stays; a move that has
 // no verdict in time counts as taken back all the same.
 func (v *versions) follow() {
@@ -117,6 +136,7 @@
 		return
 	}
 	news := false
+	v.open = false
 	for _, m := range moves {
 		state, err := mover.Decode(m.Body)
 		if err != nil {
@@ -128,6 +148,7 @@
 			v.recorder.Forget(state.Service)
 			continue
 		}
+		v.open = true
 		v.recorder.Follow(state.Subject(v.routes(state.Service)))
 	}
 	if news {
