--- a/internal/command/ruleapplier/ruleapplier.go
+++ b/internal/command/ruleapplier/ruleapplier.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -134,8 +135,8 @@
 func (o *Options) send(ctx context.Context, client factory.Client, change operator.Change) (operator.Changed, error) {
 	for attempt := 1; ; attempt++ {
 		changed, err := client.Apply(ctx, change)
-		fault, ok := err.(*operator.Fault) //nolint:errorlint // the client returns it unwrapped
-		retry := ok && (fault.Code == operator.CodeUnknown || fault.Code == operator.CodeUnavailable)
+		var fault *operator.Fault
+		retry := errors.As(err, &fault) && (fault.Code == operator.CodeUnknown || fault.Code == operator.CodeUnavailable)
 		if !retry || attempt == sendAttempts || !clock.Sleep(o.factory.Clock, retryDelay, ctx.Done()) {
 			if retry {
 				return changed, fmt.Errorf("%w\nrepeat with: -id %s -base %d", err, change.ID, change.Base)
@@ -147,8 +148,8 @@
 
 // explain adds to a conflict what changed since the base.
 func explain(err error) error {
-	fault, ok := err.(*operator.Fault) //nolint:errorlint // the client returns it unwrapped
-	if !ok || fault.Code != operator.CodeConflict || fault.Changes == nil {
+	var fault *operator.Fault
+	if !errors.As(err, &fault) || fault.Code != operator.CodeConflict || fault.Changes == nil {
 		return err
 	}
 	var text strings.Builder
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -207,8 +207,8 @@
 	}
 	m.socket = &datagramSocket{fd: fd}
 	m.group.Add(2)
-	go m.datagramLoop()
-	go m.maintenanceLoop()
+	go deliverer{m}.run()
+	go maintainer{m}.run()
 	return nil
 }
 
@@ -238,34 +238,6 @@
 
 func (m *Messenger) markBooted() { close(m.booted) }
 
-func (m *Messenger) datagramLoop() {
-	defer m.group.Done()
-	for {
-		select {
-		case d := <-m.datagrams:
-			if m.onDatagram != nil {
-				m.onDatagram(d.from, d.body)
-			}
-		case <-m.done:
-			return
-		}
-	}
-}
-
-// maintenanceLoop closes connections that are idle or whose peer has not said
-// who it is.
-func (m *Messenger) maintenanceLoop() {
-	defer m.group.Done()
-	for clock.Sleep(m.clock, maintenanceInterval, m.done) {
-		now := m.clock.Now()
-		m.links.closeIdle(now.Add(-idleTimeout))
-		for _, s := range m.streams.overdue(now.Add(-handshakeTimeout)) {
-			m.drop(dropExpired, Sender{})
-			s.close()
-		}
-	}
-}
-
 func (m *Messenger) drop(reason error, from Sender) {
 	var d dropError
 	if !errors.As(reason, &d) {
--- a/internal/process/fetcher/fetcher.go
+++ b/internal/process/fetcher/fetcher.go
@@ -104,8 +104,8 @@
 // Start begins to read and to fetch.
 func (f *Fetcher) Start() {
 	f.group.Add(2)
-	go f.readLoop()
-	go f.fetchLoop()
+	go leaderReader{f}.run()
+	go revisionFetcher{f}.run()
 }
 
 // Stop ends reading and fetching.
@@ -169,8 +169,13 @@
 	return f.core.Judge(b, f.clock.Now())
 }
 
-// readLoop reads through the leader when that is needed.
-func (f *Fetcher) readLoop() {
+// leaderReader reads through the leader when that is needed.
+type leaderReader struct {
+	fetcher *Fetcher
+}
+
+func (r leaderReader) run() {
+	f := r.fetcher
 	defer f.group.Done()
 	for clock.Sleep(f.clock, loopInterval, f.done) {
 		if f.isReadNeeded() {
@@ -208,8 +213,13 @@
 	f.core.ReadDone(b.Revision, asked, f.clock.Now())
 }
 
-// fetchLoop fetches newer revisions.
-func (f *Fetcher) fetchLoop() {
+// revisionFetcher fetches newer revisions.
+type revisionFetcher struct {
+	fetcher *Fetcher
+}
+
+func (t revisionFetcher) run() {
+	f := t.fetcher
 	defer f.group.Done()
 	for clock.Sleep(f.clock, loopInterval, f.done) {
 		if r, ok := f.wanted(); ok {
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -95,7 +95,7 @@
 	g.started = true
 	g.group.Add(2)
 	go g.run()
-	go g.changeLoop()
+	go teller{g}.run()
 }
 
 // Stop ends the protocol without a word to the others.
@@ -156,8 +156,13 @@
 	}
 }
 
-// changeLoop tells the owner of changes, outside the lock.
-func (g *Gossiper) changeLoop() {
+// teller tells the owner of a gossiper of changes, outside the lock.
+type teller struct {
+	gossiper *Gossiper
+}
+
+func (t teller) run() {
+	g := t.gossiper
 	defer g.group.Done()
 	for {
 		select {
