--- a/internal/connection/server/server_test.go
+++ b/internal/connection/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -38,11 +39,16 @@
 type serve func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result
 
 func start(t *testing.T, serve serve) (*server.Server, string) {
+	t.Helper()
+	return startLogging(t, serve, io.Discard)
+}
+
+func startLogging(t *testing.T, serve serve, out io.Writer) (*server.Server, string) {
 	t.Helper()
 	rules, err := parser.Parse(rulesText)
 	require.NoError(t, err)
 	srv := server.New(server.Config{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: limits(t), Clock: clock.System{}, Log: log.New(io.Discard),
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: limits(t), Clock: clock.System{}, Log: log.NewWithOptions(out, log.Options{Level: log.DebugLevel, Formatter: log.LogfmtFormatter}),
 		Meter: meter.NewCalls(prometheus.NewRegistry()),
 		Rules: func() *parser.Rules { return rules },
 		Ready: func() error { return nil },
@@ -196,3 +202,25 @@
 }
 
 func (s *stopper) run() { s.cut <- s.srv.Stop(context.Background()) }
+
+// A log line names the request, customer, route and outcome, and never the
+// token, the key or the body.
+func TestLogHoldsNoSecret(t *testing.T) {
+	var out bytes.Buffer
+	srv, address := startLogging(t, answerRoute, &out)
+	for _, body := range []string{"secret-body", strings.Repeat("secret-body", 9)} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/orders", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer masons-demo")
+		req.Header.Set("Idempotency-Key", "secret-key")
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+	}
+	srv.Stop(context.Background())
+	require.Contains(t, out.String(), "customer=masons route=orders")
+	require.Contains(t, out.String(), "outcome=notrun")
+	for _, secret := range []string{"masons-demo", "secret-key", "secret-body"} {
+		require.NotContains(t, out.String(), secret)
+	}
+}
--- a/internal/process/runner/versions_process_test.go
+++ b/internal/process/runner/versions_process_test.go
@@ -51,23 +51,33 @@
 }
 
 func TestBadVersionIsTakenBackAndHarmsNoCaller(t *testing.T) {
-	d := start(t, 3, 3)
-	l := d.load(25*time.Second, 10, shortAnswers)
-	d.move(`{"version":"13","fail_rate":1}`, 10*time.Minute)
-	d.eventually("taken back", func() bool { return d.moved("n1").Verdict == "takenback" })
-	require.Contains(t, d.moved("n2").Reason, "failure on route")
-	d.eventually("every entry knows", func() bool {
-		for _, name := range d.names {
-			if d.seen(name).Verdict != "takenback" {
-				return false
-			}
-		}
-		return true
-	})
-	l.process.wait()
-	summary := l.summary()
-	require.NotZero(t, summary.sent)
-	require.Equal(t, summary.sent, summary.whole, "failed calls are repeated on the old version: %+v", summary)
+	cases := map[string]struct{ fault, reason string }{
+		"fails at once": {`{"version":"13","fail_rate":1}`, "failure on route"},
+		"fails in part": {`{"version":"13","fail_rate":0.4}`, "failure on route"},
+		"fails later":   {`{"version":"13","fail_rate":1,"fail_after":15}`, "failure on route"},
+		"slow":          {`{"version":"13","slow":8}`, "on route"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, 3, 3)
+			l := d.load(45*time.Second, 15, shortAnswers)
+			d.move(tc.fault, 10*time.Minute)
+			d.eventually("taken back", func() bool { return d.moved("n1").Verdict == "takenback" })
+			require.Contains(t, d.moved("n2").Reason, tc.reason)
+			d.eventually("every entry knows", func() bool {
+				for _, name := range d.names {
+					if d.seen(name).Verdict != "takenback" {
+						return false
+					}
+				}
+				return true
+			})
+			l.process.wait()
+			summary := l.summary()
+			require.NotZero(t, summary.sent)
+			require.Equal(t, summary.sent, summary.whole, "failed calls are repeated on the old version: %+v", summary)
+		})
+	}
 }
 
 // The verdict comes before the deadline although the leader is killed, and a
