Prove that a planned stop hands long streams over

Cause: planned stops were proved with streams that end in time only. Change: the generator comes back elsewhere after moved, and counts error as unknown; a process test with streams that outlast the time to stop.

--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -89,6 +89,7 @@
 	service  string   // address of the booking service, if there is one
 	platform string   // address of the platform, if there is one
 	named    []string // rules for endpoints
+	limits   string   // further settings of the section limits
 	others   []*process
 }
 
@@ -150,7 +151,7 @@
 		fmt.Fprintf(&b, "platform = %q\n", d.platform)
 	}
 	fmt.Fprintf(&b, "[listen]\ncallers = \"%s:%d\"\nnodes = \"%s:%d\"\noperators = \"%s:%d\"\n", d.host, 8101+i, d.host, 7101+i, d.host, 9101+i)
-	fmt.Fprintf(&b, "[limits]\nlame = \"500ms\"\n")
+	fmt.Fprintf(&b, "[limits]\nlame = \"500ms\"\n%s\n", d.limits)
 	for k := range keepers {
 		fmt.Fprintf(&b, "[[keepers]]\nid = \"n%d\"\naddress = \"%s:%d\"\n", k+1, d.host, 7101+k)
 	}
@@ -278,6 +279,7 @@
 type state struct {
 	Moves    []operator.Move `json:"moves"`
 	Ready    string          `json:"ready"`
+	Running  int             `json:"running"`
 	Revision uint64          `json:"revision"`
 	Keeper   *struct {
 		Role     string `json:"role"`
--- a/internal/process/runner/streams_process_test.go
+++ b/internal/process/runner/streams_process_test.go
@@ -149,3 +149,36 @@
 		})
 	}
 }
+
+// A planned stop hands over the streams that would outlast it: the node exits
+// in time without cutting one, and the callers get the rest at another entry.
+func TestPlannedStopHandsLongStreamsOver(t *testing.T) {
+	d := startWith(t, 3, 3, func(d *deployment) {
+		d.engines(2)
+		d.limits = `stop = "6s"`
+	})
+	l := d.load(6*time.Second, 3, `
+[[call]]
+name = "draft"
+kind = "model"
+path = "/v1/answers"
+share = 1.0
+prompt = [40, 80]
+max = [500, 600]
+timeout = "60s"
+`)
+	d.eventually("streams at n3", func() bool {
+		s, ok := d.dump("n3")
+		return ok && s.Running >= 2
+	})
+	d.nodes["n3"].signal(t, syscall.SIGTERM)
+	require.Zero(t, d.nodes["n3"].wait())
+	raw, err := os.ReadFile(d.path("n3.log"))
+	require.NoError(t, err)
+	require.Contains(t, string(raw), "msg=\"streams handed over\"")
+	l.process.wait()
+	summary := l.summary()
+	require.NotZero(t, summary.sent)
+	require.Equal(t, summary.sent, summary.whole, "%+v", summary)
+	require.NotEmpty(t, l.repeated(), "some callers came back at another entry")
+}
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -45,6 +45,8 @@
 var (
 	errWrong   = errors.New("the answer is not the one to this request")
 	errDropped = errors.New("the caller cut its stream")
+	errMoved   = errors.New("the stream goes on at another entry")
+	errEnded   = errors.New("the entry gave the stream up")
 )
 
 // caller sends one request, comes back after a lost connection and checks the answer.
@@ -176,6 +178,8 @@
 		return Whole
 	case errors.Is(err, errWrong):
 		return Wrong
+	case errors.Is(err, errEnded):
+		return Unknown
 	}
 	return c.lost(ctx)
 }
@@ -283,6 +287,10 @@
 				return errWrong
 			}
 			return nil
+		case strings.HasPrefix(line, "data:") && event == "moved":
+			return errMoved
+		case strings.HasPrefix(line, "data:") && event == "error":
+			return errEnded
 		case strings.HasPrefix(line, "data:"):
 			if err := c.token(id, line[5:], want); err != nil {
 				return err
