--- a/internal/process/runner/state.go
+++ b/internal/process/runner/state.go
@@ -35,7 +35,7 @@
 	var err error
 	r.state.proposer, err = proposer.New(proposer.Config{
 		Journal: journalName, Keepers: addresses, Clock: r.clock, Log: r.log.With("part", "proposer"), Call: r.messenger.Call,
-		IsNotRun: func(err error) bool { return errors.Is(err, messenger.ErrUnsent) },
+		IsNotRun: func(err error) bool { return errors.Is(err, messenger.ErrUnsent) || errors.Is(err, messenger.ErrBusy) },
 	})
 	if err != nil {
 		return err
