--- a/internal/process/runner/streams_process_test.go
+++ b/internal/process/runner/streams_process_test.go
@@ -110,6 +110,34 @@
 	require.Equal(t, summary.sent, summary.whole, "%+v", summary)
 }
 
+// The leader is killed while a reclaimed failure domain drains, under bookings
+// and streams: no answer is lost and no booking doubled.
+func TestLeaderKilledInTheMiddleOfAReclaim(t *testing.T) {
+	d := startWith(t, 3, 3, (*deployment).fleet)
+	d.eventually("endpoints known", func() bool {
+		return strings.Count(d.command("endpoint", "list").out, "\tpumice\t") == 9
+	})
+	for _, line := range strings.Split(d.command("endpoint", "list").out, "\n") {
+		if f := strings.Split(line, "\t"); len(f) > 4 && f[1] == "bookings" && f[3] == "panciu" {
+			d.service = f[4]
+		}
+	}
+	require.NotEmpty(t, d.service)
+	l := d.load(15*time.Second, 12, longStreams+bookingCalls)
+	d.streaming()
+	d.reclaim("focsani")
+	leader := d.leader(d.names...)
+	d.kill(leader)
+	d.run(leader)
+	d.ready(leader)
+	d.awaitLeaving("focsani")
+	audit := l.audit()
+	require.Zero(t, audit.code, audit.out)
+	summary := l.summary()
+	require.NotZero(t, summary.sent)
+	require.Equal(t, summary.sent, summary.whole, "%+v", summary)
+}
+
 // fleet starts a platform with the fleet of Vrancea's example.
 func (d *deployment) fleet() {
 	raw, err := os.ReadFile("../../../examples/vrancea/platform.toml")
