--- /dev/null
+++ b/internal/process/keeper/model_test.go
@@ -0,0 +1,438 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/journaler"
+)
+
+const (
+	modelElection  = 100 * time.Millisecond
+	modelHeartbeat = 15 * time.Millisecond
+	stepsPerCheck  = 400
+	snapshotGap    = 12
+)
+
+// replica is one keeper of the model: a core, what its disk holds and its clock.
+type replica struct {
+	name   string
+	core   *Core // nil while it is down
+	app    *applier.Applier
+	frozen bool
+	rate   float64 // of its clock against true time
+
+	state    journaler.State
+	snapshot journaler.Snapshot
+	entries  []journaler.Entry
+	rev      uint64
+	handed   time.Time // end of the newest lease that was handed out, on its clock
+}
+
+// holds reports whether the disk of the replica has the entry.
+func (r *replica) holds(e journaler.Entry) bool {
+	if e.Index <= r.snapshot.Index {
+		return true
+	}
+	i := e.Index - r.snapshot.Index - 1
+	return i < uint64(len(r.entries)) && r.entries[i].Term == e.Term
+}
+
+func (r *replica) last() uint64 { return r.snapshot.Index + uint64(len(r.entries)) }
+
+// model runs cores against a network and disks that lose what they may lose.
+type model struct {
+	t         *rapid.T
+	replicas  []*replica
+	flight    []Message
+	cut       map[[2]string]bool // links by the names of sender and receiver
+	names     map[string]string  // of identities
+	chaos     int                // percentage of steps that move single messages
+	elapsed   time.Duration
+	ids       int
+	nextRead  uint64
+	reads     map[uint64]uint64 // id of the read, commit index when it was asked
+	leaders   map[uint64]string // term, identity
+	committed []journaler.Entry
+	results   []applier.Result
+	granted   map[string]string // key, request
+	wiped     map[string]bool
+	changes   int
+	revision  uint64
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, reads: make(map[uint64]uint64), leaders: make(map[uint64]string),
+		granted: make(map[string]string), wiped: make(map[string]bool),
+		cut: make(map[[2]string]bool), names: make(map[string]string),
+	}
+	m.chaos = rapid.SampledFrom([]int{10, 25, 60}).Draw(t, "chaos")
+	size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
+	var members []Member
+	for i := range size {
+		r := &replica{name: fmt.Sprint("k", i), rate: 1 + float64(rapid.SampledFrom([]int{-DriftPercent, 0, DriftPercent}).Draw(t, "drift"))/100}
+		m.replicas = append(m.replicas, r)
+		m.boot(r)
+		members = append(members, Member{ID: r.state.Identity, Name: r.name, Voter: true})
+	}
+	m.replicas[0].core.Create(m.now(m.replicas[0]), "cluster", members)
+	m.execute(m.replicas[0], noCrash)
+	return m
+}
+
+func (m *model) now(r *replica) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(m.elapsed) * r.rate))
+}
+
+// boot starts a replica from its disk; an empty disk gets a new identity.
+func (m *model) boot(r *replica) {
+	if r.state.Identity == "" {
+		m.ids++
+		r.state.Identity = fmt.Sprint("id-", m.ids)
+		m.names[r.state.Identity] = r.name
+	}
+	r.app, r.rev = applier.New(), 0 // until it has heard the leader again
+	if r.snapshot.Index > 0 {
+		require.NoError(m.t, r.app.Restore(r.snapshot.Data))
+	}
+	r.core = NewCore(CoreConfig{
+		State: r.state, Snapshot: r.snapshot, Entries: slices.Clone(r.entries), Now: m.now(r),
+		Rand: rand.New(rand.NewPCG(uint64(r.name[1]), uint64(m.elapsed))), Election: modelElection, Heartbeat: modelHeartbeat,
+	})
+}
+
+// The places at which a crash may interrupt the handling of an output.
+const (
+	noCrash = iota
+	crashBeforeDisk
+	crashAfterState
+	crashAfterDisk
+)
+
+func (m *model) crash(r *replica) { r.core, r.app, r.handed = nil, nil, time.Time{} }
+
+// execute does what the core asks for, as the adapter does.
+func (m *model) execute(r *replica, crashAt int) {
+	for {
+		out := r.core.Take()
+		if out.IsEmpty() {
+			return
+		}
+		m.flight = append(m.flight, out.Early...)
+		if crashAt == crashBeforeDisk {
+			m.crash(r)
+			return
+		}
+		if out.State != nil {
+			r.state = *out.State
+		}
+		if crashAt == crashAfterState {
+			m.crash(r)
+			return
+		}
+		if s := out.Snapshot; s != nil {
+			r.snapshot, r.entries = *s, nil
+			require.NoError(m.t, r.app.Restore(s.Data))
+		}
+		if len(out.Entries) > 0 {
+			keep := out.Entries[0].Index - r.snapshot.Index - 1
+			r.entries = append(slices.Clone(r.entries[:keep]), out.Entries...)
+		}
+		if crashAt == crashAfterDisk {
+			m.crash(r)
+			return
+		}
+		m.checkDurable(r, &out)
+		m.flight = append(m.flight, out.Messages...)
+		for _, e := range out.Committed {
+			m.apply(r, e)
+		}
+		for _, done := range out.Reads {
+			if done.OK {
+				require.GreaterOrEqual(m.t, r.core.applied, m.reads[done.ID], "a read misses what was committed before it")
+			}
+			delete(m.reads, done.ID)
+		}
+		r.core.Persisted(m.now(r))
+		m.compact(r)
+	}
+}
+
+// checkDurable requires that what a replica tells others is on its disk.
+func (m *model) checkDurable(r *replica, out *Output) {
+	for _, msg := range out.Messages {
+		switch {
+		case msg.Kind == KindVote, msg.Kind == KindVoteReply && !msg.Reject:
+			require.Equal(m.t, msg.Term, r.state.Term, "a term is told before it is saved")
+			if msg.Kind == KindVoteReply {
+				require.Equal(m.t, msg.To, r.state.Vote, "a vote is given before it is saved")
+			}
+		case msg.Kind == KindAppendReply && !msg.Reject:
+			require.Equal(m.t, msg.Term, r.state.Term, "entries are confirmed in a term that is not saved")
+			require.LessOrEqual(m.t, msg.Index, r.last(), "entries are confirmed before they are saved")
+		}
+	}
+	before := r.core.points
+	for _, e := range out.Entries {
+		if e.Kind != journaler.KindMembers || r.core.role != RoleLeader || len(before) < 2 {
+			continue
+		}
+		for _, member := range decodeMembers(e.Data) {
+			old, known := findMember(before[len(before)-2].members, member.ID)
+			if learner := known && !old.Voter; learner && member.Voter {
+				require.GreaterOrEqual(m.t, m.byID(member.ID).last(), r.core.commit, "a learner becomes a voter too early")
+			}
+		}
+	}
+}
+
+func (m *model) byID(id string) *replica {
+	for _, r := range m.replicas {
+		if r.state.Identity == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// checkQuorum requires that a quorum of the voters has the entry on disk, or had
+// it before its disk was wiped.
+func (m *model) checkQuorum(leader *replica, e journaler.Entry) {
+	voters, holders := 0, 0
+	for _, member := range leader.core.members() {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if r := m.byID(member.ID); r == nil || r.holds(e) {
+			holders++
+		}
+	}
+	require.Greater(m.t, holders, voters/2, "entry %d is committed on too few disks", e.Index)
+}
+
+// apply executes an entry and compares it with what was committed anywhere.
+func (m *model) apply(r *replica, e journaler.Entry) {
+	var result applier.Result
+	if e.Kind == journaler.KindCommand {
+		c, err := applier.Decode(e.Data)
+		require.NoError(m.t, err)
+		result = r.app.Apply(e.Index, e.Term, c)
+		m.checkGrant(c, result)
+	} else {
+		r.app.Skip(e.Index)
+	}
+	require.Equal(m.t, r.app.Index(), e.Index)
+	if n := uint64(len(m.committed)); e.Index == n+1 {
+		m.checkQuorum(r, e)
+		m.committed = append(m.committed, e)
+		m.results = append(m.results, result)
+		if rule := result.Rule; rule != nil && rule.Outcome == applier.RuleAccepted && rule.Revision > m.revision {
+			require.Equal(m.t, m.revision+1, rule.Revision, "revisions rise by one")
+			m.revision = rule.Revision
+		}
+		return
+	}
+	require.LessOrEqual(m.t, e.Index, uint64(len(m.committed)), "a gap in what is committed")
+	require.Equal(m.t, m.committed[e.Index-1], e, "a committed entry has changed")
+	require.Equal(m.t, m.results[e.Index-1], result, "replicas disagree on a result")
+}
+
+func (m *model) checkGrant(c applier.Command, result applier.Result) {
+	if c.ClaimGrant == nil || result.Claim.Outcome != applier.ClaimGranted {
+		return
+	}
+	key := c.ClaimGrant.Key
+	if holder, ok := m.granted[key]; ok {
+		require.Equal(m.t, holder, c.ClaimGrant.Request, "key %s granted twice", key)
+	}
+	m.granted[key] = c.ClaimGrant.Request
+}
+
+func (m *model) compact(r *replica) {
+	index := r.core.applied
+	term, ok := r.core.log.term(index)
+	if index < r.snapshot.Index+snapshotGap || !ok {
+		return
+	}
+	data, err := r.app.Capture().Encode()
+	require.NoError(m.t, err)
+	rest := r.entries[index-r.snapshot.Index:]
+	r.snapshot = journaler.Snapshot{Index: index, Term: term, Members: encodeMembers(r.core.membersAt(index)), Data: data}
+	r.entries = slices.Clone(rest)
+	r.core.Compact(index)
+	r.core.log.compact(index) // without the entries that are kept for slow replicas
+}
+
+// check holds the invariants over all replicas.
+func (m *model) check() {
+	holders := 0
+	for _, r := range m.replicas {
+		if r.core == nil {
+			continue
+		}
+		if until, ok := r.core.Lease(m.now(r)); ok && until.After(r.handed) {
+			r.handed = until
+		}
+		if m.now(r).Before(r.handed) {
+			holders++ // also after a step-down: others in the process may still act on it
+		}
+		rev := r.app.Rules().Number
+		require.GreaterOrEqual(m.t, rev, r.rev, "the revision at %s falls", r.name)
+		r.rev = rev
+		if r.core.role != RoleLeader {
+			continue
+		}
+		if id, ok := m.leaders[r.core.state.Term]; ok {
+			require.Equal(m.t, id, r.core.id, "two leaders in term %d", r.core.state.Term)
+			continue
+		}
+		m.leaders[r.core.state.Term] = r.core.id
+		require.GreaterOrEqual(m.t, r.core.log.last(), uint64(len(m.committed)), "a leader lacks committed entries")
+		for i := r.core.log.first(); i <= uint64(len(m.committed)); i++ {
+			require.Equal(m.t, m.committed[i-1], r.core.log.slice(i, i)[0], "a leader holds another entry")
+		}
+	}
+	require.LessOrEqual(m.t, holders, 1, "two leases at a time")
+}
+
+func (m *model) find(id string) *replica {
+	for _, r := range m.replicas {
+		if r.state.Identity == id && r.core != nil && !r.frozen {
+			return r
+		}
+	}
+	return nil
+}
+
+// deliver hands message i to its receiver; keep leaves a copy in flight.
+func (m *model) deliver(i int, keep bool, crashAt int) {
+	msg := m.flight[i]
+	if !keep {
+		m.flight = slices.Delete(m.flight, i, i+1)
+	}
+	m.handOver(msg, crashAt)
+}
+
+func (m *model) handOver(msg Message, crashAt int) {
+	if m.cut[[2]string{m.names[msg.From], m.names[msg.To]}] {
+		return
+	}
+	if msg.Kind == KindSnapshot && msg.Snapshot == nil {
+		from := m.find(msg.From)
+		if from == nil || from.snapshot.Index == 0 {
+			return
+		}
+		s := from.snapshot
+		msg.Snapshot = &s
+	}
+	if to := m.find(msg.To); to != nil {
+		to.core.Step(m.now(to), msg)
+		m.execute(to, crashAt)
+	}
+}
+
+func (m *model) command() []byte {
+	m.changes++
+	c := applier.Command{}
+	switch rapid.IntRange(0, 2).Draw(m.t, "command") {
+	case 0:
+		c.RuleApply = &applier.RuleApply{
+			ChangeID: fmt.Sprint("change-", rapid.IntRange(0, m.changes).Draw(m.t, "change")),
+			Base:     uint64(rapid.IntRange(0, m.changes).Draw(m.t, "base")), Text: fmt.Sprint("text ", m.changes),
+		}
+		if rapid.Bool().Draw(m.t, "current") {
+			for _, r := range m.replicas {
+				if r.core != nil {
+					c.RuleApply.Base = r.app.Rules().Number
+				}
+			}
+		}
+	case 1:
+		c.FenceNext = &applier.FenceNext{}
+	default:
+		c.ClaimGrant = &applier.ClaimGrant{
+			Customer: "masons", Key: fmt.Sprint("key-", rapid.IntRange(0, 20).Draw(m.t, "key")), BodyHash: "h",
+			Entry: "entry", Request: fmt.Sprint("request-", m.changes), Keep: time.Hour,
+		}
+	}
+	data, err := c.Encode()
+	require.NoError(m.t, err)
+	return data
+}
+
+// mayWipe reports whether the last repair is over: all members are voters that
+// still have their disks, and every replica that is up knows it.
+func (m *model) mayWipe() bool {
+	for _, r := range m.replicas {
+		if r.core == nil || r.core.points == nil || r.core.points[len(r.core.points)-1].index > r.core.commit {
+			return false
+		}
+		for _, member := range r.core.members() {
+			if !member.Voter || m.wiped[member.ID] {
+				return false
+			}
+		}
+		if len(r.core.members()) != len(m.replicas) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *model) wipe(r *replica) {
+	if !m.mayWipe() {
+		return
+	}
+	m.wiped[r.state.Identity] = true
+	*r = replica{name: r.name, rate: r.rate}
+	m.boot(r)
+}
+
+// joinAll lets replicas that are outside the log ask a leader.
+func (m *model) joinAll() {
+	for _, leader := range m.replicas {
+		if leader.core == nil || leader.frozen || leader.core.role != RoleLeader {
+			continue
+		}
+		for _, r := range m.replicas {
+			if r.core == nil {
+				continue
+			}
+			if _, known := findMember(leader.core.members(), r.state.Identity); !known {
+				leader.core.Join(m.now(leader), Member{ID: r.state.Identity, Name: r.name})
+			}
+		}
+		m.execute(leader, noCrash)
+	}
+}
+
+func (m *model) tick(r *replica, crashAt int) {
+	if r.core == nil || r.frozen {
+		return
+	}
+	r.core.Tick(m.now(r))
+	m.execute(r, crashAt)
+}
+
+// calm lets all replicas that are up talk without loss for a while.
+func (m *model) calm(pause time.Duration, hops int) {
+	m.elapsed += pause
+	for _, r := range m.replicas {
+		m.tick(r, noCrash)
+	}
+	for range hops {
+		for n := len(m.flight); n > 0; n-- {
+			m.deliver(0, false, noCrash)
+		}
+		m.check()
+	}
+	m.joinAll()
+}
