--- a/internal/command/factory/factory.go
+++ b/internal/command/factory/factory.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/x509"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -28,9 +27,6 @@
 	EnvCA      = "HYSSOPRUDDER_CA"
 )
 
-// ErrUsage says that a command was called wrongly. Its text has been printed.
-var ErrUsage = errors.New("wrong use")
-
 // UsageError is a wrong use of a command that has not been printed yet.
 type UsageError struct {
 	message string
