Move the composition root of a node above the areas

Cause: process/runner imported request and connection, so the area process imported upwards, and a second composition for another outside could not stand beside it. Change: the package moves to internal/node/runner; nothing else changes. Ruled out: splitting it first; no other package imports it but its command. Run: go build and go vet of all packages.

--- a/internal/command/noderunner/noderunner.go
+++ b/internal/command/noderunner/noderunner.go
@@ -13,7 +13,7 @@
 
 	"hyssoprudder/internal/command/dispatcher"
 	"hyssoprudder/internal/command/factory"
-	"hyssoprudder/internal/process/runner"
+	"hyssoprudder/internal/node/runner"
 	"hyssoprudder/internal/process/settings"
 )
 
