--- /dev/null
+++ b/cmd/hyssoprudder-managed/main.go
@@ -0,0 +1,98 @@
+// Command hyssoprudder-managed runs a node that a platform places. Its settings
+// file is named by the environment.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"hyssoprudder/internal/node/assembler"
+	"hyssoprudder/internal/process/settings"
+	"hyssoprudder/platform"
+)
+
+const (
+	// cloudTimeout bounds a call to the platform.
+	cloudTimeout = 1400 * time.Millisecond
+	// stopReserve is how much sooner than the platform's limit a stop is over.
+	stopReserve = 150 * time.Millisecond
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	s, err := settings.LoadManaged(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	level, err := log.ParseLevel(s.LogLevel())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	logger := log.NewWithOptions(os.Stdout, log.Options{
+		ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: level,
+	}).With("node", s.ID())
+	if err := serve(s, logger); err != nil {
+		logger.Error("the process ends", "err", err)
+		return 1
+	}
+	return 0
+}
+
+func serve(s *settings.Managed, logger *log.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	node, err := assembler.New(s, outside(s), logger)
+	if err != nil {
+		return err
+	}
+	if err := node.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	defer close(done)
+	assembler.NewWatcher(node, done).Start()
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				node.Reload()
+				continue
+			}
+		case err := <-node.Failed():
+			return err
+		}
+		logger.Info("stopping", "limit", s.Bounds().Grace())
+		ctx, cancel := context.WithTimeout(context.Background(), s.Bounds().Grace()-stopReserve)
+		defer cancel()
+		return node.Stop(ctx)
+	}
+}
+
+// outside plugs the platform in.
+func outside(s *settings.Managed) assembler.Outside {
+	cloud := platform.NewCloud(s.Provider().Address(), cloudTimeout)
+	return assembler.Outside{
+		Front: func(serve assembler.Serve, isClosing func() bool, now func() time.Time) http.Handler {
+			return platform.Front(platform.Serve(serve), isClosing, now)
+		},
+		Ready: platform.Ready,
+		Control: func(o *assembler.Operators) http.Handler {
+			return platform.Control(&platform.Operators{
+				Log: o.Log, Put: o.Put, Document: o.Document, StartMove: o.StartMove, Move: o.Move,
+			})
+		},
+		Encode: platform.Encode, Decode: platform.Decode, Refuse: platform.Refuse,
+		List: cloud.List, SendUsage: cloud.SendUsage, SendSize: cloud.SendSize,
+		HasUsage: s.Provider().Has(platform.DutyUsage), HasSize: s.Provider().Has(platform.DutySize),
+	}
+}
--- /dev/null
+++ b/internal/node/assembler/entry.go
@@ -0,0 +1,260 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hyssoprudder/internal/connection/listener"
+	"hyssoprudder/internal/connection/pooler"
+	"hyssoprudder/internal/connection/screener"
+	"hyssoprudder/internal/process/accountant"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/coordinator"
+	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/reporter"
+	"hyssoprudder/internal/request/apportioner"
+	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/placer"
+)
+
+const (
+	// balancerTime is how long the balancer may take to see that a node is not
+	// ready: two questions, a second apart, and their answers.
+	balancerTime = 3200 * time.Millisecond
+	// stopMargin is left of the time to stop when the last calls are cut.
+	stopMargin = 350 * time.Millisecond
+	// sweepPause is the time between two looks at idle connections.
+	sweepPause = time.Second
+	// slackUsed is the part of the tolerance on customers' limits that is used:
+	// what a burst needs is there, and the bound keeps a margin.
+	slackUsed = 0.7
+	// maxHeader bounds a request's header, in bytes, before the rules are known.
+	maxHeader = 64 << 10
+)
+
+// entry is the part of a node that serves callers.
+type entry struct {
+	node      *Node
+	forwarder *forwarder.Forwarder
+	placer    *placer.Placer
+	pool      *pooler.Pool
+	quotas    *apportioner.Quotas
+	counter   *accountant.Counter
+	recorder  *recorder
+	callers   *http.Server
+	listening net.Listener
+	ready     *listener.Listener
+	isClosing atomic.Bool
+	done      chan struct{}
+	group     sync.WaitGroup
+
+	mu    sync.Mutex
+	table coordinator.TableID
+	ahead time.Duration // of the agreed time against the steady clock
+}
+
+func (n *Node) buildEntry() {
+	b := n.settings.Bounds()
+	e := &entry{
+		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(),
+		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
+	}
+	n.entry = e
+	config := reporter.Config{
+		Clock: n.steady, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Take: e.take,
+	}
+	if n.keeper != nil {
+		config.Local = n.keeper.coordinator.Beat
+	}
+	n.reporter = reporter.New(config)
+	e.forwarder = forwarder.New(forwarder.Config{
+		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed,
+		Encode: n.outside.Encode, Decode: n.outside.Decode, Refuse: n.outside.Refuse, Began: e.began, Ended: e.recorder.ended,
+		Quotas: e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+	})
+	e.callers = &http.Server{
+		Handler:     n.outside.Front(e.forwarder.Serve, e.isClosing.Load, n.clock.Now),
+		ConnContext: screener.Context, ConnState: screener.State, MaxHeaderBytes: maxHeader, ErrorLog: n.log.StandardLog(),
+	}
+	e.ready = listener.New("the balancer", &http.Server{Handler: n.outside.Ready(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
+}
+
+// isConfirmed reports whether the rules were confirmed so short a while ago that
+// no key that they hold can have been refused everywhere else.
+func (e *entry) isConfirmed() bool {
+	bound := time.Duration(confirmedShare * float64(e.node.settings.Bounds().Revoke()))
+	return e.node.steady.Now().Sub(e.node.reporter.Confirmed()) < bound
+}
+
+func (e *entry) isReady() bool {
+	return !e.node.stopping.Load() && e.forwarder.Table() != nil && e.isConfirmed()
+}
+
+// start listens. Callers are taken at once, so that connections are not refused
+// while the first rules are on their way.
+func (e *entry) start() error {
+	address := e.node.settings.Callers()
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	e.listening = screener.New(e.limits, e.node.clock.Now).Wrap(l)
+	e.group.Add(2)
+	go e.run()
+	go (&sweeper{entry: e}).run()
+	e.node.reporter.Start()
+	return e.ready.Start(e.node.settings.Ready())
+}
+
+func (e *entry) limits() screener.Limits {
+	t := e.forwarder.Table()
+	if t == nil {
+		return screener.Limits{}
+	}
+	return screener.Limits{Head: t.Limits().HeaderTime, Idle: t.Limits().IdleTime}
+}
+
+// run serves callers.
+func (e *entry) run() {
+	defer e.group.Done()
+	if err := e.callers.Serve(e.listening); err != http.ErrServerClosed {
+		e.node.failed <- err
+	}
+}
+
+// sweeper closes connections to endpoints that are not used any more.
+type sweeper struct {
+	*entry
+}
+
+func (s *sweeper) run() {
+	defer s.group.Done()
+	for clock.Sleep(s.node.clock, sweepPause, s.done) {
+		s.pool.Sweep(s.placer.IsKnown)
+		s.recorder.flush()
+	}
+}
+
+// stop serves what arrives until the balancer has seen that the node is not
+// ready, and finishes what runs.
+func (e *entry) stop(ctx context.Context) {
+	e.isClosing.Store(true)
+	clock.Sleep(e.node.clock, balancerTime, ctx.Done())
+	last := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		last, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
+		defer cancel()
+	}
+	if err := e.callers.Shutdown(last); err != nil {
+		e.node.log.Warn("calls cut at the end of the time to stop", "err", err)
+		e.callers.Close()
+	}
+	e.node.reporter.Stop()
+	e.ready.Close()
+	close(e.done)
+	e.group.Wait()
+	e.pool.Close()
+}
+
+// began counts a call for the usage, by the agreed time.
+func (e *entry) began(customer string) {
+	e.mu.Lock()
+	ahead := e.ahead
+	e.mu.Unlock()
+	e.counter.Add(customer, e.node.steady.Now().Add(ahead))
+}
+
+// fill completes a report.
+func (e *entry) fill(r *coordinator.Report) {
+	now := e.node.clock.Now()
+	r.Node, r.Incarnation, r.Entry, r.Wall = e.node.settings.ID(), e.node.incarnation, true, now.UnixNano()
+	r.Ruleset = e.forwarder.Table().Number()
+	r.Demand, r.Held = e.quotas.Demand(now), e.quotas.Shares(now)
+	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
+	e.mu.Lock()
+	r.Table = e.table
+	e.mu.Unlock()
+	for place, l := range e.placer.Loads() {
+		r.Loads = append(r.Loads, coordinator.Load{
+			Place: uint16(place), Calls: uint16(l.Calls), Waiting: uint16(l.Waiting), Unread: uint32(max(l.Unread, 0)), Held: uint32(max(l.Held, 0)),
+		})
+	}
+}
+
+// take obeys a directive.
+func (e *entry) take(d *coordinator.Directive, sent time.Time) bool {
+	now := e.node.clock.Now()
+	if len(d.Ruleset) > 0 && d.Number > e.forwarder.Table().Number() {
+		e.putRuleset(d.Number, d.Ruleset)
+	}
+	e.mu.Lock()
+	e.ahead = time.Unix(0, d.Time).Sub(e.node.steady.Now())
+	if d.Fresh {
+		e.table = d.Table
+		e.placer.SetEndpoints(endpointsOf(d.Endpoints))
+	}
+	same := e.table == d.Table
+	e.mu.Unlock()
+	if same {
+		e.placer.SetPeers(loadsOf(d.Loads), now)
+	}
+	e.forwarder.SetEntries(d.Entries)
+	e.forwarder.SetMoves(d.Moves)
+	age := e.node.steady.Now().Sub(sent)
+	e.quotas.SetShares(d.Shares, now, now.Add(d.Lasting-age))
+	return d.Number > 0 && e.forwarder.Table().Number() >= d.Number
+}
+
+// putRuleset puts rules in force.
+func (e *entry) putRuleset(number uint64, body []byte) {
+	var r registrar.Ruleset
+	if err := msgpack.Unmarshal(body, &r); err != nil {
+		e.node.log.Error("ruleset can't be decoded; the old rules stay in force", "number", number, "err", err)
+		return
+	}
+	t := registrar.NewTable(&r)
+	e.quotas.SetLimits(e.quotaLimits(t), e.node.clock.Now())
+	e.forwarder.SetTable(t)
+	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers))
+}
+
+// quotaLimits returns the customers' limits, widened by what the bounds tolerate
+// in a burst.
+func (e *entry) quotaLimits(t *registrar.Table) map[string]apportioner.Limit {
+	b := e.node.settings.Bounds()
+	out := make(map[string]apportioner.Limit)
+	for name, c := range t.Customers() {
+		if c.Rate <= 0 {
+			continue
+		}
+		tolerated := b.QuotaOver() * (c.Rate*b.QuotaWindow().Seconds() + c.Burst)
+		if c.Tokens {
+			tolerated += b.QuotaSlack()
+		}
+		out[name] = apportioner.Limit{Rate: c.Rate, Burst: c.Burst + slackUsed*tolerated}
+	}
+	return out
+}
+
+func endpointsOf(list []coordinator.Endpoint) []placer.Endpoint {
+	out := make([]placer.Endpoint, len(list))
+	for i, e := range list {
+		out[i] = placer.Endpoint(e)
+	}
+	return out
+}
+
+func loadsOf(list []coordinator.Load) map[int]placer.Load {
+	out := make(map[int]placer.Load, len(list))
+	for _, l := range list {
+		out[int(l.Place)] = placer.Load{Calls: int(l.Calls), Waiting: int(l.Waiting), Unread: int(l.Unread), Held: int(l.Held)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/accountant/accountant.go
@@ -0,0 +1,148 @@
+// Package accountant counts the calls that began, by customer and window of true
+// time: a Counter at each entry, and a Ledger that adds the counters up where the
+// usage is reported.
+package accountant
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// keptWindows is the number of windows that a counter keeps, so that a new
+// leader still hears of those that its predecessor has not reported.
+const keptWindows = 5
+
+// Window returns the number of the window of the given length that t lies in.
+func Window(t time.Time, length time.Duration) int64 { return t.UnixNano() / int64(length) }
+
+// End returns the end of a window.
+func End(window int64, length time.Duration) time.Time {
+	return time.Unix(0, (window+1)*int64(length))
+}
+
+// Counts are the calls that began in one window, by customer.
+type Counts struct {
+	Window int64          `msgpack:"w"`
+	Calls  map[string]int `msgpack:"c"`
+}
+
+// Counter counts at one node. It is safe for concurrent use.
+type Counter struct {
+	mu      sync.Mutex
+	length  time.Duration
+	windows map[int64]map[string]int
+}
+
+// NewCounter returns a counter for windows of the given length.
+func NewCounter(length time.Duration) *Counter {
+	return &Counter{length: length, windows: make(map[int64]map[string]int)}
+}
+
+// Add counts a call of a customer that began at the true time t.
+func (c *Counter) Add(customer string, t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := Window(t, c.length)
+	if c.windows[w] == nil {
+		c.windows[w] = make(map[string]int)
+		c.drop()
+	}
+	c.windows[w][customer]++
+}
+
+func (c *Counter) drop() {
+	for len(c.windows) > keptWindows {
+		oldest := int64(0)
+		for w := range c.windows {
+			if oldest == 0 || w < oldest {
+				oldest = w
+			}
+		}
+		delete(c.windows, oldest)
+	}
+}
+
+// Windows returns the counts of the newest windows.
+func (c *Counter) Windows() []Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Counts, 0, len(c.windows))
+	for w, calls := range c.windows {
+		out = append(out, Counts{Window: w, Calls: maps.Clone(calls)})
+	}
+	return out
+}
+
+// source is one incarnation of a node.
+type source struct {
+	node        string
+	incarnation uint64
+}
+
+// Ledger adds up what the nodes counted. It is not safe for concurrent use.
+type Ledger struct {
+	length time.Duration
+	counts map[int64]map[source]map[string]int
+	done   map[int64]bool
+	first  int64 // the oldest window that is of interest
+}
+
+// NewLedger returns a ledger that begins at the window of t. Windows that an
+// earlier ledger may not have reported are of interest too.
+func NewLedger(length time.Duration, t time.Time) *Ledger {
+	return &Ledger{
+		length: length, counts: make(map[int64]map[source]map[string]int), done: make(map[int64]bool),
+		first: Window(t, length) - keptWindows,
+	}
+}
+
+// Add takes the present counts of a node, which replace earlier ones of the same
+// incarnation.
+func (l *Ledger) Add(node string, incarnation uint64, windows []Counts) {
+	for _, w := range windows {
+		if w.Window < l.first || l.done[w.Window] {
+			continue
+		}
+		if l.counts[w.Window] == nil {
+			l.counts[w.Window] = make(map[source]map[string]int)
+		}
+		l.counts[w.Window][source{node, incarnation}] = w.Calls
+	}
+}
+
+// Due returns the windows that ended before t and are not done, the oldest first.
+func (l *Ledger) Due(t time.Time) []int64 {
+	var out []int64
+	for w := l.first; End(w, l.length).Before(t); w++ {
+		if !l.done[w] {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// Sum returns the calls of a window by customer.
+func (l *Ledger) Sum(window int64) map[string]int {
+	sum := make(map[string]int)
+	for _, calls := range l.counts[window] {
+		for customer, n := range calls {
+			sum[customer] += n
+		}
+	}
+	return sum
+}
+
+// Done notes that a window was reported, or never will be.
+func (l *Ledger) Done(window int64) {
+	l.done[window] = true
+	delete(l.counts, window)
+	for l.done[l.first] {
+		delete(l.done, l.first)
+		l.first++
+	}
+}
+
+// Windows returns the windows for which there are counts, the oldest first.
+func (l *Ledger) Windows() []int64 { return slices.Sorted(maps.Keys(l.counts)) }
--- a/internal/process/applier/applier.go
+++ b/internal/process/applier/applier.go
@@ -39,6 +39,14 @@
 	Term     uint64 `msgpack:"term"`
 }
 
+// Ruleset is the newest ruleset that came with a number of its own. Its slices
+// must not be changed.
+type Ruleset struct {
+	Number   uint64 `msgpack:"n"`
+	Body     []byte `msgpack:"b"`
+	Document []byte `msgpack:"d"`
+}
+
 // Move is the state of a service's version move.
 type Move struct {
 	Service string `msgpack:"svc"`
@@ -72,6 +80,7 @@
 	fence     Fence
 	intents   map[string]Intent
 	claims    *table
+	ruleset   Ruleset
 	hook      func(Revision)
 }
 
@@ -121,6 +130,8 @@
 	switch {
 	case c.RuleApply != nil:
 		return Result{Rule: a.applyRule(term, c.RuleApply)}
+	case c.RulesetPut != nil:
+		return Result{Ruleset: a.putRuleset(c.RulesetPut)}
 	case c.MoveSet != nil:
 		return Result{Move: a.setMove(c.MoveSet)}
 	case c.FenceNext != nil:
@@ -172,6 +183,14 @@
 	return &result
 }
 
+func (a *Applier) putRuleset(c *RulesetPut) *RulesetResult {
+	accepted := c.Number > a.ruleset.Number
+	if accepted {
+		a.ruleset = Ruleset{Number: c.Number, Body: c.Body, Document: c.Document}
+	}
+	return &RulesetResult{Accepted: accepted, Number: a.ruleset.Number}
+}
+
 func (a *Applier) compactRevisions() {
 	if n := len(a.revisions) - MaxTexts; n > 0 {
 		a.revisions[n-1].Text = ""
@@ -233,6 +252,13 @@
 	return a.current()
 }
 
+// Ruleset returns the ruleset in force; its Number is 0 if there is none.
+func (a *Applier) Ruleset() Ruleset {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.ruleset
+}
+
 // History returns the kept revisions, the oldest first.
 func (a *Applier) History() []Revision {
 	a.mu.RLock()
@@ -261,6 +287,14 @@
 	return a.fence
 }
 
+// Intent returns the intent with an id, if there is one.
+func (a *Applier) Intent(id string) (Intent, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	in, ok := a.intents[id]
+	return in, ok
+}
+
 // Intents returns all intents, ordered by id.
 func (a *Applier) Intents() []Intent {
 	a.mu.RLock()
--- a/internal/process/applier/command.go
+++ b/internal/process/applier/command.go
@@ -16,6 +16,7 @@
 	At int64 `msgpack:"at,omitempty"`
 
 	RuleApply    *RuleApply    `msgpack:"ra,omitempty"`
+	RulesetPut   *RulesetPut   `msgpack:"rp,omitempty"`
 	MoveSet      *MoveSet      `msgpack:"ms,omitempty"`
 	FenceNext    *FenceNext    `msgpack:"fn,omitempty"`
 	IntentPut    *IntentPut    `msgpack:"ip,omitempty"`
@@ -44,6 +45,16 @@
 	By       string `msgpack:"by"`
 }
 
+// RulesetPut replaces the ruleset in force if Number is higher than its number.
+// Numbers come from outside, and their steps may be uneven.
+type RulesetPut struct {
+	Number uint64 `msgpack:"n"`
+	// Body is the encoded ruleset that the nodes obey.
+	Body []byte `msgpack:"b"`
+	// Document is what the operator sent, which is read back unchanged.
+	Document []byte `msgpack:"d"`
+}
+
 // MoveSet replaces the state of a service's version move if its number is still
 // Base. The new state gets the number Base+1. A resent ID gets the first answer
 // again as long as no later change was accepted.
@@ -141,11 +152,12 @@
 // Result is the outcome of one command. The field that belongs to the command
 // is set.
 type Result struct {
-	Rule   *RuleResult   `msgpack:"r,omitempty"`
-	Move   *MoveResult   `msgpack:"m,omitempty"`
-	Fence  *Fence        `msgpack:"f,omitempty"`
-	Intent *IntentResult `msgpack:"i,omitempty"`
-	Claim  *ClaimResult  `msgpack:"c,omitempty"`
+	Rule    *RuleResult    `msgpack:"r,omitempty"`
+	Ruleset *RulesetResult `msgpack:"s,omitempty"`
+	Move    *MoveResult    `msgpack:"m,omitempty"`
+	Fence   *Fence         `msgpack:"f,omitempty"`
+	Intent  *IntentResult  `msgpack:"i,omitempty"`
+	Claim   *ClaimResult   `msgpack:"c,omitempty"`
 }
 
 // RuleOutcome says whether a change of the rules was accepted.
@@ -166,6 +178,12 @@
 	By       string      `msgpack:"by"`
 }
 
+// RulesetResult answers RulesetPut. Number is the number in force afterwards.
+type RulesetResult struct {
+	Accepted bool   `msgpack:"ok"`
+	Number   uint64 `msgpack:"n"`
+}
+
 // MoveResult answers MoveSet. On a conflict Number and Body are the current ones.
 type MoveResult struct {
 	Accepted bool   `msgpack:"ok"`
--- a/internal/process/applier/snapshot.go
+++ b/internal/process/applier/snapshot.go
@@ -19,6 +19,7 @@
 	Fence     Fence      `msgpack:"fence"`
 	Intents   []Intent   `msgpack:"intents"`
 	Claims    []*Claim   `msgpack:"claims"`
+	Ruleset   Ruleset    `msgpack:"ruleset"`
 }
 
 // Encode returns the image as msgpack. Equal states give equal bytes.
@@ -46,6 +47,7 @@
 		Fence:     a.fence,
 		Intents:   a.sortedIntents(),
 		Claims:    make([]*Claim, 0, len(a.claims.records)),
+		Ruleset:   a.ruleset,
 	}
 	for _, c := range a.claims.records {
 		image.Claims = append(image.Claims, c)
@@ -72,7 +74,7 @@
 
 func (a *Applier) load(image *Image) {
 	a.index, a.now, a.fence = image.Index, image.Now, image.Fence
-	a.revisions, a.changes = image.Revisions, image.Changes
+	a.revisions, a.changes, a.ruleset = image.Revisions, image.Changes, image.Ruleset
 	a.byChange = make(map[string]RuleResult, len(a.changes))
 	for _, c := range a.changes {
 		a.byChange[c.ID] = c.Result
--- /dev/null
+++ b/internal/process/coordinator/core.go
@@ -0,0 +1,169 @@
+// Package coordinator directs all nodes from the one that leads the log: which
+// ruleset is in force, which endpoints there are and what runs there, each node's
+// share of customers' limits, and the agreed time. What it knows is made anew
+// from the nodes' reports by each leader; only the log must survive.
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"hyssoprudder/internal/process/accountant"
+	"hyssoprudder/internal/process/divider"
+)
+
+const (
+	// minPause is the shortest time between two reports of a node.
+	minPause = 250 * time.Millisecond
+	// nodePause is what each entry adds to that time, so that the work of the
+	// leader does not grow with the fleet.
+	nodePause = 4 * time.Millisecond
+	// goneAfter is how long after its last report a node counts as gone.
+	goneAfter = 3 * time.Second
+	// clockAge is how old a report may be to count for the agreed time.
+	clockAge = 5 * time.Second
+)
+
+// node is what the leader knows of a node.
+type node struct {
+	report Report
+	at     time.Time
+	ahead  time.Duration // of its time of day against the leader's clock
+}
+
+// Core is the state of the leader in one term. It is a state machine without
+// input or output and not safe for concurrent use.
+type Core struct {
+	term      uint64
+	started   time.Time
+	nodes     map[string]*node
+	table     TableID
+	endpoints []Endpoint
+	divider   *divider.Divider
+	ledger    *accountant.Ledger
+}
+
+// NewCore returns the state of a leader whose term began at now. Shares of
+// limits last for share, and usage is counted in windows of the given length.
+func NewCore(term uint64, now time.Time, share, window time.Duration) *Core {
+	return &Core{
+		term: term, started: now, nodes: make(map[string]*node), divider: divider.New(now, share),
+		ledger: accountant.NewLedger(window, now),
+	}
+}
+
+// Term returns the term of the log that the core belongs to.
+func (c *Core) Term() uint64 { return c.term }
+
+// Age returns for how long this node has led.
+func (c *Core) Age(now time.Time) time.Duration { return now.Sub(c.started) }
+
+// Ledger returns the usage of the nodes.
+func (c *Core) Ledger() *accountant.Ledger { return c.ledger }
+
+// Endpoints returns the newest list; ok is false before it was read.
+func (c *Core) Endpoints() (list []Endpoint, ok bool) { return c.endpoints, c.table.Number > 0 }
+
+// SetEndpoints takes over a reading of the list. It reports whether it differs.
+func (c *Core) SetEndpoints(list []Endpoint) bool {
+	if c.table.Number > 0 && slices.Equal(list, c.endpoints) {
+		return false
+	}
+	c.table = TableID{Term: c.term, Number: c.table.Number + 1}
+	c.endpoints = list
+	return true
+}
+
+// Beat takes a report that arrived at now and answers it. names are the
+// customers with limits.
+func (c *Core) Beat(r *Report, names []string, now time.Time) Directive {
+	c.nodes[r.Node] = &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
+	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
+	d := Directive{
+		Leads: true, Table: c.table, Time: now.Add(c.Ahead(now)).UnixNano(), Lasting: c.divider.Length(),
+		Entries: c.entries(now),
+	}
+	d.Pause = max(minPause, time.Duration(d.Entries)*nodePause)
+	if !r.Entry {
+		return d
+	}
+	d.Shares = c.divider.Renew(r.Node, r.Incarnation, r.Demand, r.Held, names, now)
+	if c.table.Number > 0 && r.Table != c.table {
+		d.Fresh, d.Endpoints = true, c.endpoints
+	}
+	if r.Table == c.table {
+		d.Loads = c.loads(r.Node, now)
+	}
+	return d
+}
+
+func (c *Core) entries(now time.Time) int {
+	n := 0
+	for name, o := range c.nodes {
+		switch {
+		case now.Sub(o.at) > clockAge:
+			delete(c.nodes, name)
+		case o.report.Entry && now.Sub(o.at) < goneAfter:
+			n++
+		}
+	}
+	return n
+}
+
+// loads adds up what the nodes other than one have under way.
+func (c *Core) loads(except string, now time.Time) []Load {
+	sums := make([]Load, len(c.endpoints))
+	for name, o := range c.nodes {
+		if name == except || o.report.Table != c.table || now.Sub(o.at) > goneAfter {
+			continue
+		}
+		for _, l := range o.report.Loads {
+			if int(l.Place) < len(sums) {
+				sums[l.Place].add(l)
+			}
+		}
+	}
+	out := sums[:0]
+	for place, l := range sums {
+		if l.Calls > 0 {
+			l.Place = uint16(place)
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (l *Load) add(o Load) {
+	l.Calls += o.Calls
+	l.Waiting += o.Waiting
+	l.Unread += o.Unread
+	l.Held += o.Held
+}
+
+// Under returns what all nodes have under way, by place in the list.
+func (c *Core) Under(now time.Time) []Load { return c.loads("", now) }
+
+// Refused returns how many calls to a service the nodes refused, since their starts.
+func (c *Core) Refused(service string) uint64 {
+	sum := uint64(0)
+	for _, o := range c.nodes {
+		sum += o.report.Refused[service]
+	}
+	return sum
+}
+
+// Ahead returns how far the agreed time of day is ahead of the leader's clock:
+// the median over all nodes, so that the clocks of a few don't count.
+func (c *Core) Ahead(now time.Time) time.Duration {
+	var all []time.Duration
+	for _, o := range c.nodes {
+		if now.Sub(o.at) < clockAge {
+			all = append(all, o.ahead)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
--- /dev/null
+++ b/internal/process/coordinator/wire.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"net/netip"
+	"time"
+
+	"hyssoprudder/internal/process/accountant"
+)
+
+// ServiceName is the name under which Service is registered.
+const ServiceName = "Coordinator"
+
+// BeatMethod is the RPC method by which a node reports and is directed.
+const BeatMethod = ServiceName + ".Beat"
+
+// TableID names one reading of the list of endpoints. Readings of a later term,
+// or of the same term with a higher number, are newer.
+type TableID struct {
+	Term   uint64 `msgpack:"t"`
+	Number uint64 `msgpack:"n"`
+}
+
+// Endpoint is one endpoint of the list.
+type Endpoint struct {
+	ID          string         `msgpack:"i"`
+	Service     string         `msgpack:"s"`
+	Domain      string         `msgpack:"d"`
+	Version     string         `msgpack:"v"`
+	Address     netip.AddrPort `msgpack:"a"`
+	Slots       int            `msgpack:"n"`
+	Leaving     bool           `msgpack:"l,omitempty"`
+	Reclaimable bool           `msgpack:"r,omitempty"`
+}
+
+// Load is what a node has under way at the endpoint with the given place in the
+// list. Sizes are in tokens.
+type Load struct {
+	Place   uint16 `msgpack:"p"`
+	Calls   uint16 `msgpack:"c"`
+	Waiting uint16 `msgpack:"w,omitempty"`
+	Unread  uint32 `msgpack:"u,omitempty"`
+	Held    uint32 `msgpack:"h,omitempty"`
+}
+
+// Report is what a node says of itself.
+type Report struct {
+	Node        string `msgpack:"n"`
+	Incarnation uint64 `msgpack:"i"`
+	// Entry is true for nodes that serve callers.
+	Entry bool `msgpack:"e"`
+	// Ruleset is the number of the ruleset in force at the node.
+	Ruleset uint64 `msgpack:"r"`
+	// Table names the list of endpoints that the node has and Loads refers to.
+	Table TableID `msgpack:"t"`
+	// Wall is the node's time of day, in nanoseconds since 1970.
+	Wall  int64  `msgpack:"w"`
+	Loads []Load `msgpack:"l,omitempty"`
+	// Demand is what customers with limits ask for a second, and Held the shares
+	// of limits that the node holds.
+	Demand map[string]float64  `msgpack:"d,omitempty"`
+	Held   map[string]float64  `msgpack:"h,omitempty"`
+	Usage  []accountant.Counts `msgpack:"u,omitempty"`
+	// Refused counts calls by service, since the start, that were refused for
+	// want of capacity.
+	Refused map[string]uint64 `msgpack:"f,omitempty"`
+}
+
+// Directive answers a Report. Without Leads, only Leader and Keepers are set.
+type Directive struct {
+	// Leads says that the answering node held the lease of the log when it answered.
+	Leads   bool             `msgpack:"y"`
+	Leader  netip.AddrPort   `msgpack:"l"`
+	Keepers []netip.AddrPort `msgpack:"k,omitempty"`
+	// Number is the newest ruleset; Ruleset is its encoding if the node has another.
+	Number  uint64 `msgpack:"n"`
+	Ruleset []byte `msgpack:"r,omitempty"`
+	// Table is the newest list; Endpoints is its content if Fresh.
+	Table     TableID    `msgpack:"t"`
+	Fresh     bool       `msgpack:"f,omitempty"`
+	Endpoints []Endpoint `msgpack:"e,omitempty"`
+	// Loads are what all other nodes have under way, if they use the same list.
+	Loads []Load `msgpack:"o,omitempty"`
+	// Shares are the node's shares of customers' limits, which last for Lasting
+	// from when the report was sent.
+	Shares  map[string]float64 `msgpack:"s,omitempty"`
+	Lasting time.Duration      `msgpack:"a"`
+	// Time is the agreed time of day, in nanoseconds since 1970.
+	Time int64 `msgpack:"c"`
+	// Moves are the services that are moving or were moved to a version.
+	Moves []Move `msgpack:"v,omitempty"`
+	// Entries is the number of nodes that serve callers.
+	Entries int `msgpack:"m"`
+	// Pause is how long the node waits until its next report.
+	Pause time.Duration `msgpack:"p"`
+}
+
+// Move says which part of a service's calls goes to a version. Other versions
+// get the rest.
+type Move struct {
+	Service string `msgpack:"s"`
+	Version string `msgpack:"v"`
+	// Share is the part of the calls that may be repeated, Once that of the others.
+	Share float64 `msgpack:"r"`
+	Once  float64 `msgpack:"o"`
+}
--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -54,6 +54,8 @@
 	Rand      *rand.Rand
 	Election  time.Duration
 	Heartbeat time.Duration
+	// Retire is described in Config.
+	Retire time.Duration
 }
 
 // ReadDone reports that the read with the given id may go on, or must be
@@ -114,6 +116,7 @@
 	rand      *rand.Rand
 	election  time.Duration
 	heartbeat time.Duration
+	retire    time.Duration
 
 	state   journaler.State
 	log     entryLog
@@ -156,7 +159,7 @@
 		c.Heartbeat = DefaultHeartbeat
 	}
 	core := &Core{
-		id: c.State.Identity, rand: c.Rand, election: c.Election, heartbeat: c.Heartbeat,
+		id: c.State.Identity, rand: c.Rand, election: c.Election, heartbeat: c.Heartbeat, retire: c.Retire,
 		state: c.State, role: RoleFollower, peers: make(map[string]*progress),
 	}
 	core.log.reset(c.Snapshot.Index, c.Snapshot.Term)
--- a/internal/process/keeper/join.go
+++ b/internal/process/keeper/join.go
@@ -42,18 +42,19 @@
 	return p.role != RoleLeader && k.config.Clock.Now().Sub(p.contact) > 2*k.config.Election
 }
 
-// look asks all other keepers of the settings what they hold.
+// look asks all other keepers of the settings what they hold, and those of the
+// log as far as they are known.
 func (j *joiner) look() {
 	k := j.keeper
 	replies := make(map[string]ProbeReply)
+	members := slices.Clone(k.view().members)
 	for _, peer := range k.config.Peers {
 		if peer.Name == k.config.Name {
 			continue
 		}
-		var reply ProbeReply
-		err := j.call(peer.Address, peerService(k.config.Journal)+"."+methodProbe, &ProbeArgs{Name: k.config.Name}, &reply)
-		if err == nil && reply.Name == peer.Name {
+		if reply, err := j.probe(peer.Address); err == nil && reply.Name == peer.Name {
 			replies[peer.Name] = reply
+			members = append(members, reply.Members...)
 		}
 	}
 	for _, r := range replies {
@@ -61,11 +62,38 @@
 			return
 		}
 	}
-	if k.view().empty && len(replies) == len(k.config.Peers)-1 {
+	if k.view().empty && len(replies) == len(k.config.Peers)-1 && !k.config.JoinOnly {
 		j.create(replies)
+		return
+	}
+	j.lookAmong(members)
+}
+
+// lookAmong asks members that the settings don't name for the leader.
+func (j *joiner) lookAmong(members []Member) {
+	k := j.keeper
+	asked := map[netip.AddrPort]bool{k.self.Address: true}
+	for _, peer := range k.config.Peers {
+		asked[peer.Address] = true
+	}
+	for _, m := range members {
+		if asked[m.Address] {
+			continue
+		}
+		asked[m.Address] = true
+		if reply, err := j.probe(m.Address); err == nil && reply.Leader.IsValid() && j.join(reply.Leader) {
+			return
+		}
 	}
 }
 
+func (j *joiner) probe(address netip.AddrPort) (ProbeReply, error) {
+	var reply ProbeReply
+	k := j.keeper
+	err := j.call(address, peerService(k.config.Journal)+"."+methodProbe, &ProbeArgs{Name: k.config.Name}, &reply)
+	return reply, err
+}
+
 // create makes the log if all keepers are empty and this one is the first by name.
 func (j *joiner) create(replies map[string]ProbeReply) {
 	k := j.keeper
--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -34,8 +34,10 @@
 	Folder string
 	// Peers are all keepers of the settings, this one included.
 	Peers []Peer
-	Clock clock.Clock
-	Log   *log.Logger
+	// JoinOnly keepers never create a log, even if all Peers are empty.
+	JoinOnly bool
+	Clock    clock.Clock
+	Log      *log.Logger
 	// Rand makes identities and election timeouts; nil takes a random seed.
 	Rand *rand.Rand
 	// Call sends a request to another process and waits for the reply.
@@ -47,6 +49,9 @@
 	// Election and Heartbeat are DefaultElection and DefaultHeartbeat if zero.
 	Election  time.Duration
 	Heartbeat time.Duration
+	// Retire is the silence after which the leader takes a voter out of the log,
+	// as long as enough others are left; 0 means never. One that returns joins anew.
+	Retire time.Duration
 	// SnapshotEvery is the number of entries between snapshots;
 	// DefaultSnapshotEvery if zero.
 	SnapshotEvery uint64
@@ -180,7 +185,7 @@
 	k.self = Member{ID: state.Identity, Name: self.Name, Address: self.Address}
 	k.core = NewCore(CoreConfig{
 		State: state, Snapshot: snapshot, Entries: k.journal.TakeEntries(), Now: k.config.Clock.Now(),
-		Rand: k.config.Rand, Election: k.config.Election, Heartbeat: k.config.Heartbeat,
+		Rand: k.config.Rand, Election: k.config.Election, Heartbeat: k.config.Heartbeat, Retire: k.config.Retire,
 	})
 	k.config.Election, k.config.Heartbeat = k.core.election, k.core.heartbeat
 	k.publish()
--- a/internal/process/keeper/members.go
+++ b/internal/process/keeper/members.go
@@ -114,6 +114,34 @@
 			return
 		}
 	}
+	c.retireSilent(now)
+}
+
+// minVoters is the number of voters below which none is retired: two of three
+// are a quorum without it.
+const minVoters = 3
+
+// retireSilent takes a voter out of the log that has not answered for long, so
+// that instances that are gone for good don't count in quorums for ever. It
+// never takes more than the voters that are heard could decide without it.
+func (c *Core) retireSilent(now time.Time) {
+	if c.retire == 0 {
+		return
+	}
+	heard, silent := 1, ""
+	for _, m := range c.members() {
+		p := c.peers[m.ID]
+		switch {
+		case !m.Voter || p == nil:
+		case now.Sub(p.active) > c.retire:
+			silent = m.ID
+		case now.Sub(p.active) < c.election:
+			heard++
+		}
+	}
+	if silent != "" && heard >= minVoters {
+		c.removeMember(now, silent)
+	}
 }
 
 func (c *Core) isCaughtUp(now time.Time, id string) bool {
--- a/internal/process/keeper/service.go
+++ b/internal/process/keeper/service.go
@@ -103,6 +103,8 @@
 		reply.Moves = a.Moves()
 	case args.Intents:
 		reply.Intents = a.Intents()
+	case args.Ruleset:
+		reply.Ruleset = a.Ruleset()
 	case args.Claim != nil:
 		if c, ok := a.Claim(args.Claim.Customer, args.Claim.Key); ok {
 			reply.Claim = &c
--- a/internal/process/keeper/status.go
+++ b/internal/process/keeper/status.go
@@ -60,6 +60,10 @@
 // Lease returns the lease that this keeper holds now.
 func (k *Keeper) Lease() (Lease, bool) {
 	p := k.view()
+	return k.leaseOf(&p)
+}
+
+func (k *Keeper) leaseOf(p *published) (Lease, bool) {
 	if !p.leaseOK || p.failure != nil || !k.config.Clock.Now().Before(p.leaseUntil) {
 		return Lease{}, false
 	}
@@ -139,3 +143,21 @@
 // Err returns the failure that stopped the keeper, for example one that wraps
 // journaler.ErrFailed, or nil.
 func (k *Keeper) Err() error { return k.view().failure }
+
+// Settled returns the lease, like Lease, if this keeper has also executed all
+// that is committed, so that its state covers everything that was acknowledged.
+func (k *Keeper) Settled() (Lease, bool) {
+	p := k.view()
+	lease, ok := k.leaseOf(&p)
+	return lease, ok && k.applier.Index() >= p.commit
+}
+
+// Addresses returns the addresses of all keepers of the log.
+func (k *Keeper) Addresses() []netip.AddrPort {
+	members := k.view().members
+	out := make([]netip.AddrPort, len(members))
+	for i, m := range members {
+		out[i] = m.Address
+	}
+	return out
+}
--- a/internal/process/keeper/wire.go
+++ b/internal/process/keeper/wire.go
@@ -115,6 +115,7 @@
 	History bool          `msgpack:"history,omitempty"`
 	Moves   bool          `msgpack:"moves,omitempty"`
 	Intents bool          `msgpack:"intents,omitempty"`
+	Ruleset bool          `msgpack:"ruleset,omitempty"`
 	Claim   *ClaimQuery   `msgpack:"claim,omitempty"`
 }
 
@@ -133,4 +134,5 @@
 	Moves   []applier.Move     `msgpack:"moves,omitempty"`
 	Intents []applier.Intent   `msgpack:"intents,omitempty"`
 	Claim   *applier.Claim     `msgpack:"claim,omitempty"`
+	Ruleset applier.Ruleset    `msgpack:"ruleset"`
 }
--- a/internal/process/proposer/read.go
+++ b/internal/process/proposer/read.go
@@ -18,6 +18,13 @@
 	return reply.Rules, err
 }
 
+// Ruleset returns the newest committed ruleset that came with a number of its
+// own; its Number is 0 if there is none.
+func (p *Proposer) Ruleset(ctx context.Context) (applier.Ruleset, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Ruleset: true})
+	return reply.Ruleset, err
+}
+
 // History returns the kept revisions of the rules, the oldest first.
 func (p *Proposer) History(ctx context.Context) ([]applier.Revision, error) {
 	reply, err := p.read(ctx, keeper.ReadArgs{History: true})
--- /dev/null
+++ b/internal/process/registrar/table.go
@@ -0,0 +1,118 @@
+package registrar
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table answers look-ups on one ruleset. It does not change, so it may be used
+// by several goroutines.
+type Table struct {
+	number    uint64
+	keyed     bool
+	limits    Limits
+	routes    map[string][]*Route // by host, the longest prefix first
+	services  map[string]*Service
+	customers map[string]*Customer // by key
+	byName    map[string]*Customer
+}
+
+// NewTable returns the table of a ruleset that passed Check. The ruleset must
+// not be changed afterwards.
+func NewTable(r *Ruleset) *Table {
+	t := &Table{
+		number: r.Number, keyed: r.Keyed, limits: r.Limits,
+		routes:    make(map[string][]*Route),
+		services:  make(map[string]*Service, len(r.Services)),
+		customers: make(map[string]*Customer), byName: make(map[string]*Customer, len(r.Customers)),
+	}
+	for i := range r.Routes {
+		host := strings.ToLower(r.Routes[i].Host)
+		t.routes[host] = append(t.routes[host], &r.Routes[i])
+	}
+	for _, routes := range t.routes {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range r.Services {
+		t.services[r.Services[i].Name] = &r.Services[i]
+	}
+	for i := range r.Customers {
+		c := &r.Customers[i]
+		t.byName[c.Name] = c
+		for _, key := range c.Keys {
+			t.customers[key] = c
+		}
+	}
+	return t
+}
+
+// Number returns the number of the ruleset; 0 if there is none yet.
+func (t *Table) Number() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.number
+}
+
+// IsKeyed reports whether calls need a key unless their route is open.
+func (t *Table) IsKeyed() bool { return t.keyed }
+
+// Limits returns the bounds on what callers send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Route returns the route of the host with the longest prefix that begins path.
+// The host may carry a port.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	routes, ok := t.routes[strings.ToLower(host)]
+	if !ok {
+		name, _, err := net.SplitHostPort(host)
+		if err != nil {
+			return nil, false
+		}
+		routes = t.routes[strings.ToLower(name)]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of that name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services by name.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// Customer returns the customer who holds the key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.customers[key] }
+
+// CustomerNamed returns the customer of that name, or nil.
+func (t *Table) CustomerNamed(name string) *Customer { return t.byName[name] }
+
+// Customers returns all customers by name.
+func (t *Table) Customers() map[string]*Customer { return t.byName }
+
+// Pick returns the service of a share of the route; point lies between 0 and 1.
+func (r *Route) Pick(point float64) string {
+	sum := 0
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	left := point * float64(sum)
+	for _, s := range r.Shares {
+		left -= float64(s.Weight)
+		if left < 0 && s.Weight > 0 {
+			return s.Service
+		}
+	}
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/process/settings/managed.go
@@ -0,0 +1,397 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"hyssoprudder/internal/process/parser"
+)
+
+// Managed are the checked settings of a node that a provider places: the
+// provider renders them, lists the endpoints, and takes orders for capacity.
+type Managed struct {
+	file     string
+	id       string
+	domain   string
+	domains  []string
+	roles    []Role
+	data     string
+	secret   string
+	first    bool
+	logLevel string
+	callers  netip.AddrPort
+	ready    netip.AddrPort
+	nodes    netip.AddrPort
+	control  netip.AddrPort
+	metrics  netip.AddrPort
+	seeds    []netip.AddrPort
+	provider Provider
+	bounds   Bounds
+}
+
+// Provider is where the endpoints are listed and capacity is ordered.
+type Provider struct {
+	address netip.AddrPort
+	rate    float64
+	lag     time.Duration
+	duties  []string
+}
+
+// Address returns the address of the provider's interface.
+func (p Provider) Address() netip.AddrPort { return p.address }
+
+// Rate returns how many reads a second the provider takes from all nodes.
+func (p Provider) Rate() float64 { return p.rate }
+
+// Lag returns how far the provider's list may be behind.
+func (p Provider) Lag() time.Duration { return p.lag }
+
+// Has reports whether the nodes owe the provider a duty.
+func (p Provider) Has(duty string) bool { return slices.Contains(p.duties, duty) }
+
+// Bounds are the promises that hold for the whole deployment.
+type Bounds struct {
+	contact     time.Duration
+	drain       time.Duration
+	grace       time.Duration
+	change      time.Duration
+	revoke      time.Duration
+	lease       time.Duration
+	retryRatio  float64
+	retryExtra  float64
+	retryWindow time.Duration
+	quotaWindow time.Duration
+	quotaOver   float64
+	quotaSlack  float64
+	usageWindow time.Duration
+	usageLate   time.Duration
+	exposure    float64
+	exposed     float64
+	rollback    time.Duration
+}
+
+// Contact returns how long a node must have been undisturbed for bounds to hold.
+func (b Bounds) Contact() time.Duration { return b.contact }
+
+// Drain returns how long an endpoint that leaves may still get work.
+func (b Bounds) Drain() time.Duration { return b.drain }
+
+// Grace returns how long a planned stop may take.
+func (b Bounds) Grace() time.Duration { return b.grace }
+
+// Change returns the time within which an accepted change is in force.
+func (b Bounds) Change() time.Duration { return b.change }
+
+// Revoke returns the time after which a key that was taken away is refused by
+// every node, in touch or not.
+func (b Bounds) Revoke() time.Duration { return b.revoke }
+
+// Lease returns the time within which holders of a duty must not alternate.
+func (b Bounds) Lease() time.Duration { return b.lease }
+
+// RetryRatio returns the part of a service's calls that may be sent again.
+func (b Bounds) RetryRatio() float64 { return b.retryRatio }
+
+// RetryExtra returns how many calls more may be sent again in a RetryWindow.
+func (b Bounds) RetryExtra() float64 { return b.retryExtra }
+
+// RetryWindow returns the window of RetryRatio and RetryExtra.
+func (b Bounds) RetryWindow() time.Duration { return b.retryWindow }
+
+// QuotaWindow returns the window over which customers' limits are judged.
+func (b Bounds) QuotaWindow() time.Duration { return b.quotaWindow }
+
+// QuotaOver returns the part by which a limit may be exceeded in a window.
+func (b Bounds) QuotaOver() float64 { return b.quotaOver }
+
+// QuotaSlack returns what may be used in a window beyond that.
+func (b Bounds) QuotaSlack() float64 { return b.quotaSlack }
+
+// UsageWindow returns the length of the windows in which usage is reported.
+func (b Bounds) UsageWindow() time.Duration { return b.usageWindow }
+
+// UsageLate returns how long after its end a window's usage is due.
+func (b Bounds) UsageLate() time.Duration { return b.usageLate }
+
+// Exposure returns the part of a service's calls that a bad version may get.
+func (b Bounds) Exposure() float64 { return b.exposure }
+
+// Exposed returns how many calls beyond Exposure a bad version may get.
+func (b Bounds) Exposed() float64 { return b.exposed }
+
+// Rollback returns the time within which a version that shows itself bad must
+// get no more calls.
+func (b Bounds) Rollback() time.Duration { return b.rollback }
+
+// File returns the file that the settings came from.
+func (m *Managed) File() string { return m.file }
+
+// ID returns the identity of the node, unique in the deployment.
+func (m *Managed) ID() string { return m.id }
+
+// Domain returns the failure domain of the node.
+func (m *Managed) Domain() string { return m.domain }
+
+// Domains returns all failure domains.
+func (m *Managed) Domains() []string { return m.domains }
+
+// Has reports whether the node has the role.
+func (m *Managed) Has(role Role) bool { return slices.Contains(m.roles, role) }
+
+// Data returns the folder of the node's durable state; keepers only.
+func (m *Managed) Data() string { return m.data }
+
+// Secret returns the deployment's key.
+func (m *Managed) Secret() string { return m.secret }
+
+// IsFirst reports whether the whole deployment starts for the first time.
+func (m *Managed) IsFirst() bool { return m.first }
+
+// LogLevel returns the lowest level that is logged.
+func (m *Managed) LogLevel() string { return m.logLevel }
+
+// Callers returns the address for callers; entries only.
+func (m *Managed) Callers() netip.AddrPort { return m.callers }
+
+// Ready returns the address at which the balancer asks whether an entry is ready.
+func (m *Managed) Ready() netip.AddrPort { return m.ready }
+
+// Nodes returns the address for other nodes.
+func (m *Managed) Nodes() netip.AddrPort { return m.nodes }
+
+// Control returns the address for operators; keepers only.
+func (m *Managed) Control() netip.AddrPort { return m.control }
+
+// Metrics returns the address of the metrics, or the zero value.
+func (m *Managed) Metrics() netip.AddrPort { return m.metrics }
+
+// Seeds returns the addresses at which keepers listen for other nodes.
+func (m *Managed) Seeds() []netip.AddrPort { return m.seeds }
+
+// Provider returns where endpoints are listed and capacity is ordered.
+func (m *Managed) Provider() Provider { return m.provider }
+
+// Bounds returns the promises of the deployment.
+func (m *Managed) Bounds() Bounds { return m.bounds }
+
+// managedFile mirrors the layout of a managed node's settings file.
+type managedFile struct {
+	ID       value         `toml:"id"`
+	Domain   value         `toml:"domain"`
+	Domains  value         `toml:"domains"`
+	Roles    value         `toml:"roles"`
+	Data     value         `toml:"data"`
+	Secret   value         `toml:"secret"`
+	First    value         `toml:"first"`
+	Seeds    value         `toml:"seeds"`
+	Log      fileLog       `toml:"log"`
+	Listen   managedListen `toml:"listen"`
+	Provider fileProvider  `toml:"provider"`
+	Bounds   fileBounds    `toml:"bounds"`
+}
+
+type managedListen struct {
+	Callers value `toml:"callers"`
+	Ready   value `toml:"ready"`
+	Nodes   value `toml:"nodes"`
+	Control value `toml:"control"`
+	Metrics value `toml:"metrics"`
+}
+
+type fileProvider struct {
+	Address value `toml:"address"`
+	Rate    value `toml:"rate"`
+	Lag     value `toml:"lag"`
+	Duties  value `toml:"duties"`
+}
+
+type fileBounds struct {
+	Contact     value `toml:"contact"`
+	Drain       value `toml:"drain"`
+	Grace       value `toml:"grace"`
+	Change      value `toml:"change"`
+	Revoke      value `toml:"revoke"`
+	Lease       value `toml:"lease"`
+	RetryRatio  value `toml:"retryratio"`
+	RetryExtra  value `toml:"retryextra"`
+	RetryWindow value `toml:"retrywindow"`
+	QuotaWindow value `toml:"quotawindow"`
+	QuotaOver   value `toml:"quotaover"`
+	QuotaSlack  value `toml:"quotaslack"`
+	UsageWindow value `toml:"usagewindow"`
+	UsageLate   value `toml:"usagelate"`
+	Exposure    value `toml:"exposure"`
+	Exposed     value `toml:"exposed"`
+	Rollback    value `toml:"rollback"`
+}
+
+var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "log.level",
+	"listen.callers", "listen.ready", "listen.nodes", "listen.control", "listen.metrics",
+	"provider.address", "provider.rate", "provider.lag", "provider.duties",
+	"bounds.contact", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
+	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
+	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback"}
+
+// Bounds that a deployment's settings leave out.
+const (
+	defaultContact     = 3 * time.Second
+	defaultDrain       = 3 * time.Second
+	defaultGrace       = 8 * time.Second
+	defaultChange      = 2 * time.Second
+	defaultRevoke      = 5 * time.Second
+	defaultLease       = 3 * time.Second
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = 10 * time.Second
+	defaultQuotaWindow = 8 * time.Second
+	defaultUsageWindow = 5 * time.Second
+	defaultUsageLate   = 10 * time.Second
+	defaultExposure    = 0.1
+	defaultRollback    = 5 * time.Second
+	defaultRate        = 10.0 // reads a second
+	defaultLag         = time.Second
+
+	maxBound = time.Hour // of durations in bounds
+	maxCount = 1e12      // of numbers in bounds
+)
+
+// LoadManaged reads and checks the settings file of a managed node. The error is
+// of type Faults.
+func LoadManaged(path string) (*Managed, error) {
+	r := &reader{path: path}
+	m := r.loadManaged()
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return m, nil
+}
+
+func (r *reader) loadManaged() *Managed {
+	raw, err := os.ReadFile(r.path)
+	if err != nil {
+		r.fault("file", "cannot be read: "+err.Error())
+		return nil
+	}
+	var f managedFile
+	meta, err := toml.Decode(string(raw), &f)
+	if err != nil {
+		r.syntax(err)
+		return nil
+	}
+	for _, key := range meta.Undecoded() {
+		r.unknownAmong(key.String(), managedKeys)
+	}
+	m := r.managed(&f)
+	r.checkManaged(m)
+	return m
+}
+
+func (r *reader) managed(f *managedFile) *Managed {
+	m := &Managed{
+		file: r.path, id: r.text("id", f.ID, true), domain: r.text("domain", f.Domain, true),
+		domains: r.texts("domains", f.Domains), data: r.filePath(r.text("data", f.Data, false)),
+		secret: r.text("secret", f.Secret, true), first: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
+		callers: r.address("listen.callers", f.Listen.Callers, false),
+		ready:   r.address("listen.ready", f.Listen.Ready, false),
+		nodes:   r.address("listen.nodes", f.Listen.Nodes, true),
+		control: r.address("listen.control", f.Listen.Control, false),
+		metrics: r.address("listen.metrics", f.Listen.Metrics, false),
+		provider: Provider{
+			address: r.address("provider.address", f.Provider.Address, false),
+			rate:    r.number("provider.rate", f.Provider.Rate, defaultRate),
+			lag:     r.bound("provider.lag", f.Provider.Lag, defaultLag),
+			duties:  r.texts("provider.duties", f.Provider.Duties),
+		},
+		bounds: r.bounds(&f.Bounds),
+	}
+	for _, name := range r.texts("roles", f.Roles) {
+		m.roles = append(m.roles, r.role(name))
+	}
+	for i, seed := range r.texts("seeds", f.Seeds) {
+		address := r.address(fmt.Sprintf("seeds[%d]", i), value{raw: seed, set: true}, true)
+		// A seed is named by where it serves operators; all nodes use one port among each other.
+		m.seeds = append(m.seeds, netip.AddrPortFrom(address.Addr(), m.nodes.Port()))
+	}
+	return m
+}
+
+func (r *reader) bounds(f *fileBounds) Bounds {
+	return Bounds{
+		contact:     r.bound("bounds.contact", f.Contact, defaultContact),
+		drain:       r.bound("bounds.drain", f.Drain, defaultDrain),
+		grace:       r.bound("bounds.grace", f.Grace, defaultGrace),
+		change:      r.bound("bounds.change", f.Change, defaultChange),
+		revoke:      r.bound("bounds.revoke", f.Revoke, defaultRevoke),
+		lease:       r.bound("bounds.lease", f.Lease, defaultLease),
+		retryRatio:  r.number("bounds.retryratio", f.RetryRatio, defaultRetryRatio),
+		retryExtra:  r.number("bounds.retryextra", f.RetryExtra, 0),
+		retryWindow: r.bound("bounds.retrywindow", f.RetryWindow, defaultRetryWindow),
+		quotaWindow: r.bound("bounds.quotawindow", f.QuotaWindow, defaultQuotaWindow),
+		quotaOver:   r.number("bounds.quotaover", f.QuotaOver, 0),
+		quotaSlack:  r.number("bounds.quotaslack", f.QuotaSlack, 0),
+		usageWindow: r.bound("bounds.usagewindow", f.UsageWindow, defaultUsageWindow),
+		usageLate:   r.bound("bounds.usagelate", f.UsageLate, defaultUsageLate),
+		exposure:    r.number("bounds.exposure", f.Exposure, defaultExposure),
+		exposed:     r.number("bounds.exposed", f.Exposed, 0),
+		rollback:    r.bound("bounds.rollback", f.Rollback, defaultRollback),
+	}
+}
+
+func (r *reader) bound(key string, v value, missing time.Duration) time.Duration {
+	return r.duration(key, v, missing, 0, maxBound)
+}
+
+// number reads a number from 0 upwards, whole or not.
+func (r *reader) number(key string, v value, missing float64) float64 {
+	if !v.set {
+		return missing
+	}
+	var n float64
+	switch raw := v.raw.(type) {
+	case int64:
+		n = float64(raw)
+	case float64:
+		n = raw
+	default:
+		r.fault(key, fmt.Sprintf("must be a number, not %v", v.raw))
+		return missing
+	}
+	if n < 0 || n > maxCount {
+		r.fault(key, fmt.Sprintf("%v is out of range; choose from 0 to %g", n, maxCount))
+	}
+	return n
+}
+
+// checkManaged finds faults that concern more than one key.
+func (r *reader) checkManaged(m *Managed) {
+	if m.domain != "" && len(m.domains) > 0 && !slices.Contains(m.domains, m.domain) {
+		r.fault("domain", fmt.Sprintf("%q is not in domains; add it there", m.domain))
+	}
+	if len(m.roles) == 0 {
+		r.fault("roles", `is needed; for example ["entry"]`)
+	}
+	if m.Has(RoleEntry) && (!m.callers.IsValid() || !m.ready.IsValid()) {
+		r.fault("listen", `callers and ready are needed on a node with the role "entry"`)
+	}
+	if m.Has(RoleKeeper) && !m.control.IsValid() {
+		r.fault("listen.control", `is needed on a node with the role "keeper"`)
+	}
+	if len(m.seeds) == 0 {
+		r.fault("seeds", "is needed; name keepers by where they serve operators")
+	}
+	if m.Has(RoleKeeper) && m.data == "" {
+		r.fault("data", `is needed on a node with the role "keeper"; name a folder on its disk`)
+	}
+}
+
+func (r *reader) unknownAmong(key string, known []string) {
+	want := "is not a known name; remove it"
+	if near := parser.Nearest(key, known); near != "" {
+		want = fmt.Sprintf("is not a known name; did you mean %q?", near)
+	}
+	r.fault(key, want)
+}
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
-
-	"hyssoprudder/internal/process/parser"
 )
 
 const (
@@ -133,7 +131,7 @@
 		return nil
 	}
 	for _, key := range meta.Undecoded() {
-		r.unknown(key.String())
+		r.unknownAmong(key.String(), knownKeys)
 	}
 	s := r.settings(&f)
 	r.check(s)
@@ -154,14 +152,6 @@
 	"limits.body", "limits.header", "limits.buffer", "limits.idle", "limits.read", "limits.stop", "limits.lame",
 	"limits.freshness", "limits.poll", "limits.streams"}
 
-func (r *reader) unknown(key string) {
-	want := "is not a known name; remove it"
-	if near := parser.Nearest(key, knownKeys); near != "" {
-		want = fmt.Sprintf("is not a known name; did you mean %q?", near)
-	}
-	r.fault(key, want)
-}
-
 func (r *reader) settings(f *file) *Settings {
 	s := &Settings{
 		file:      r.path,
--- /dev/null
+++ b/internal/process/submitter/usage.go
@@ -0,0 +1,135 @@
+package submitter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hyssoprudder/internal/process/accountant"
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/coordinator"
+	"hyssoprudder/internal/process/keeper"
+)
+
+// reportDelay is how long after the end of a window all nodes have reported their
+// counts for it.
+const reportDelay = 2500 * time.Millisecond
+
+// usageReporter reports the usage of windows. The counts of a window are fixed
+// in the log before they are sent, so that every later try, also of a successor,
+// sends the same.
+type usageReporter struct {
+	*Submitter
+}
+
+func (u *usageReporter) run() {
+	defer u.group.Done()
+	for clock.Sleep(u.config.Clock, tick, u.quit) {
+		u.report()
+	}
+}
+
+// due is a window that is to be reported.
+type due struct {
+	window int64
+	counts map[string]int
+	isLate bool
+}
+
+func (u *usageReporter) report() {
+	h, ok := u.act()
+	if !ok {
+		return
+	}
+	for _, d := range u.dues() {
+		if d.isLate || u.send(h, d) {
+			u.done(d.window)
+		}
+	}
+}
+
+// dues returns the windows whose counts are complete.
+func (u *usageReporter) dues() []due {
+	var out []due
+	u.config.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) {
+		agreed := now.Add(core.Ahead(now))
+		for _, w := range core.Ledger().Due(agreed.Add(-reportDelay)) {
+			d := due{window: w, counts: core.Ledger().Sum(w)}
+			d.isLate = agreed.Sub(accountant.End(w, u.config.Window)) > u.config.Late+reportDelay
+			if len(d.counts) == 0 && !d.isLate {
+				continue
+			}
+			out = append(out, d)
+		}
+	})
+	return out
+}
+
+func (u *usageReporter) done(window int64) {
+	u.config.Do(func(core *coordinator.Core, _ keeper.Lease, _ time.Time) { core.Ledger().Done(window) })
+}
+
+// send reports one window and returns whether it needs no further try.
+func (u *usageReporter) send(h Holder, d due) bool {
+	counts, closed, err := u.fix(d)
+	if err != nil {
+		u.config.Log.Warn("usage not fixed in the log; trying again", "window", d.window, "err", err)
+		return false
+	}
+	if closed {
+		return true
+	}
+	if _, ok := u.act(); !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(u.ctx, callTime)
+	defer cancel()
+	switch o := u.config.SendUsage(ctx, h, d.window, counts); o.Kind {
+	case Done:
+		u.config.Log.Info("usage reported", "window", d.window, "customers", len(counts), "fence", h.Fence)
+		u.close(d.window)
+		return true
+	case Conflict:
+		u.config.Log.Warn("usage refused; a higher fencing number was used", "window", d.window, "fence", h.Fence, "detail", o.Detail)
+		return true
+	default:
+		u.config.Log.Warn("usage not reported; trying again", "window", d.window, "detail", o.Detail)
+		return false
+	}
+}
+
+func intentID(window int64) string { return fmt.Sprintf("usage-%d", window) }
+
+// fix records the counts of a window, or returns those that were recorded before.
+func (u *usageReporter) fix(d due) (counts map[string]int, closed bool, err error) {
+	id := intentID(d.window)
+	if _, ok := u.config.Intent(id); !ok {
+		body, err := msgpack.Marshal(d.counts)
+		if err != nil {
+			return nil, false, err
+		}
+		ctx, cancel := context.WithTimeout(u.ctx, callTime)
+		defer cancel()
+		if _, err := u.config.Propose(ctx, applier.Command{IntentPut: &applier.IntentPut{ID: id, Body: body}}); err != nil {
+			return nil, false, err
+		}
+	}
+	intent, ok := u.config.Intent(id)
+	if !ok {
+		return nil, false, fmt.Errorf("intent %s is not in the state", id)
+	}
+	err = msgpack.Unmarshal(intent.Body, &counts)
+	return counts, intent.ClosedAt != 0, err
+}
+
+func (u *usageReporter) close(window int64) {
+	ctx, cancel := context.WithTimeout(u.ctx, callTime)
+	defer cancel()
+	if _, err := u.config.Propose(ctx, applier.Command{IntentClose: &applier.IntentClose{ID: intentID(window)}}); err != nil {
+		// A successor sends the same counts once more, which changes nothing.
+		u.config.Log.Debug("usage not marked as reported", "window", window, "err", err)
+	}
+}
