Hold capacity on demand until reclaimable instances serve; bound queues by the objective

Change: orders on demand count ordered instances before they grow and serving ones before they shrink; a call is refused at once when it would wait longer than its objective allows. Ruled out: slow engines (their runs took 20 to 60 ms).

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -25,8 +25,9 @@
 
 const (
 	// balancerTime is how long the balancer may take to see that a node is not
-	// ready: two questions, a second apart, and their answers.
-	balancerTime = 3200 * time.Millisecond
+	// ready: two questions, a second apart, and their answers. What arrives later
+	// may not end within the time to stop.
+	balancerTime = 2500 * time.Millisecond
 	// stopMargin is left of the time to stop when the last calls are cut.
 	stopMargin = 350 * time.Millisecond
 	// sweepPause is the time between two looks at idle connections.
@@ -175,7 +176,7 @@
 func (e *entry) fill(r *coordinator.Report) {
 	now := e.node.clock.Now()
 	r.Node, r.Incarnation, r.Entry, r.Wall = e.node.settings.ID(), e.node.incarnation, true, now.UnixNano()
-	r.Ruleset = e.forwarder.Table().Number()
+	r.Ruleset, r.Entries = e.forwarder.Table().Number(), e.forwarder.Entries()
 	r.Demand, r.Held = e.quotas.Demand(now), e.quotas.Shares(now)
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	e.mu.Lock()
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -20,6 +20,9 @@
 	nodePause = 4 * time.Millisecond
 	// goneAfter is how long after its last report a node counts as gone.
 	goneAfter = 3 * time.Second
+	// gatherTime is how long after the begin of its term a leader has heard of all
+	// nodes that are in touch.
+	gatherTime = 900 * time.Millisecond
 	// clockAge is how old a report may be to count for the agreed time.
 	clockAge = 5 * time.Second
 )
@@ -41,6 +44,7 @@
 	endpoints []Endpoint
 	divider   *divider.Divider
 	ledger    *accountant.Ledger
+	expected  int // entries that there were before, as far as nodes were told
 }
 
 // NewCore returns the state of a leader whose term began at now. Shares of
@@ -79,6 +83,7 @@
 func (c *Core) Beat(r *Report, names []string, now time.Time) Directive {
 	c.nodes[r.Node] = &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
+	c.expected = max(c.expected, r.Entries)
 	d := Directive{
 		Leads: true, Table: c.table, Time: now.Add(c.Ahead(now)).UnixNano(), Lasting: c.divider.Length(),
 		Entries: c.entries(now),
@@ -87,6 +92,9 @@
 	if !r.Entry {
 		return d
 	}
+	if c.Age(now) >= gatherTime && d.Entries >= c.expected {
+		c.divider.Settle()
+	}
 	d.Shares = c.divider.Renew(r.Node, r.Incarnation, r.Demand, r.Held, names, now)
 	if c.table.Number > 0 && r.Table != c.table {
 		d.Fresh, d.Endpoints = true, c.endpoints
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -48,6 +48,8 @@
 	Incarnation uint64 `msgpack:"i"`
 	// Entry is true for nodes that serve callers.
 	Entry bool `msgpack:"e"`
+	// Entries is how many nodes that serve callers the node was last told of.
+	Entries int `msgpack:"m,omitempty"`
 	// Ruleset is the number of the ruleset in force at the node.
 	Ruleset uint64 `msgpack:"r"`
 	// Table names the list of endpoints that the node has and Loads refers to.
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -38,6 +38,9 @@
 	return &Divider{length: length, started: start, nodes: make(map[string]*holder)}
 }
 
+// Settle notes that every node that may hold a share has reported.
+func (d *Divider) Settle() { d.started = time.Time{} }
+
 // Length returns how long a share lasts.
 func (d *Divider) Length() time.Duration { return d.length }
 
@@ -67,7 +70,7 @@
 }
 
 func (d *Divider) share(node string, h *holder, name string, held float64, now time.Time) float64 {
-	if now.Sub(d.started) < d.length {
+	if !d.started.IsZero() && now.Sub(d.started) < d.length {
 		return held
 	}
 	wanted, others := d.wanted(h, name), 0.0
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -24,6 +24,9 @@
 	fallWeight = 0.08
 	// settle is how long fewer instances must be enough before some are given up.
 	settle = 6 * time.Second
+	// release is how long instances on demand are kept after reclaimable ones serve
+	// in their place.
+	release = 3 * time.Second
 	// dryTime is how long a domain is not asked again for instances that it
 	// does not have at the moment.
 	dryTime = 3 * time.Second
@@ -75,6 +78,7 @@
 	size      int
 	ordered   map[Group]order
 	dry       map[Group]time.Time
+	spareFrom time.Time // since when fewer instances on demand are enough
 }
 
 type order struct {
@@ -99,28 +103,27 @@
 // Decide returns the orders to send now, those that add instances first. Until
 // Accepted is called for an order, it is returned again.
 func (s *Sizer) Decide(m *Market, sight *Sight, now time.Time) []Order {
-	s.measure(sight, now)
-	want := s.divide(m, sight, now)
+	s.measure(m, sight, now)
+	want := s.wantReclaimable(m)
+	s.wantOnDemand(m, sight, want, now)
 	var out []Order
 	for _, g := range sortedGroups(m) {
 		if s.isDry(g, now) {
 			continue
 		}
 		last, known := s.ordered[g]
-		if want[g] != last.count || !known && want[g] != sight.Serving[g] || s.isOverdue(g, m, sight, now) {
+		if known && want[g] != last.count || !known && want[g] != sight.Serving[g] || s.isOverdue(g, m, sight, now) {
 			out = append(out, Order{Group: g, Count: want[g]})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Order) int {
-		return cmp.Compare(s.growth(b, sight), s.growth(a, sight))
+		return cmp.Compare(growth(b, sight), growth(a, sight))
 	})
 	return out
 }
 
 // growth is positive for orders that add instances.
-func (s *Sizer) growth(o Order, sight *Sight) int {
-	return cmp.Compare(o.Count, sight.Serving[o.Group])
-}
+func growth(o Order, sight *Sight) int { return cmp.Compare(o.Count, sight.Serving[o.Group]) }
 
 // isOverdue reports whether instances that were ordered have not come.
 func (s *Sizer) isOverdue(g Group, m *Market, sight *Sight, now time.Time) bool {
@@ -145,24 +148,28 @@
 // measure estimates from the calls how many instances are busy. Where calls come
 // at random and an instance is busy for the part r of the time, r/(1-r) of them
 // wait or are being read on average; so the number of those tells r.
-func (s *Sizer) measure(sight *Sight, now time.Time) {
-	serving := 0
-	for _, n := range sight.Serving {
-		serving += n
-	}
+func (s *Sizer) measure(m *Market, sight *Sight, now time.Time) {
+	serving := sight.serving()
 	if serving == 0 {
+		s.size = max(s.size, 1)
 		return
 	}
 	n := float64(serving)
 	each := float64(sight.Waiting) / n
 	busy := n * each / (1 + each)
+	if !s.isStarted {
+		// What is there was enough until now. Only later measurements change that.
+		s.isStarted, s.size = true, serving
+		if m.Reclaimable > 0 {
+			s.size = max(1, serving*(len(m.Prices)-1)/max(len(m.Prices), 1))
+		}
+		s.busy = float64(s.size) * targetBusy
+		return
+	}
 	weight := fallWeight
 	if busy > s.busy {
 		weight = riseWeight
 	}
-	if !s.isStarted {
-		s.isStarted, s.busy, weight = true, n*targetBusy, 0
-	}
 	s.busy += weight * (busy - s.busy)
 	need := s.busy / targetBusy
 	if sight.Slots > 0 {
@@ -173,9 +180,18 @@
 	}
 	size := int(math.Ceil(need))
 	if sight.Refused {
-		size = max(size, s.size+1)
+		// Calls that are refused don't wait, so that waiting tells too little.
+		size = max(size, min(s.size, serving)+1)
+	}
+	s.settle(min(max(size, 1), m.Max*len(m.Prices)), now)
+}
+
+func (s *Sight) serving() int {
+	n := 0
+	for _, count := range s.Serving {
+		n += count
 	}
-	s.settle(max(size, 1), now)
+	return n
 }
 
 // settle lets the size rise at once and fall only after a while.
@@ -187,96 +203,109 @@
 		s.lowSince = now
 	case now.Sub(s.lowSince) >= settle:
 		s.size--
-		s.lowSince = now
+		s.lowSince = now.Add(-settle / 2)
 	}
 }
 
-// divide returns how many instances each group should have.
-func (s *Sizer) divide(m *Market, sight *Sight, now time.Time) map[Group]int {
+// wantReclaimable spreads reclaimable instances evenly over the domains, so many
+// that those of all domains but one are enough. Whether they can be had changes
+// nothing, so that they come back as soon as they can.
+func (s *Sizer) wantReclaimable(m *Market) map[Group]int {
 	want := make(map[Group]int)
-	domains := byPrice(m)
-	reclaimable := 0 // that serve or were ordered a short while ago
-	if m.Reclaimable > 0 {
-		reclaimable = s.divideReclaimable(m, sight, domains, want, now)
+	if m.Reclaimable == 0 {
+		return want
 	}
-	// What the reclaimable ones don't cover is ordered on demand, the cheapest first.
-	for lack := s.size - reclaimable; lack > 0; {
-		before := lack
-		for _, d := range domains {
-			g := Group{Domain: d}
-			if room := m.Max - want[g] - want[Group{d, true}]; room > 0 {
-				add := min(room, lack)
-				want[g] += add
-				lack -= add
-			}
-		}
-		if lack == before {
-			break
-		}
+	domains := byPrice(m)
+	total := s.size
+	if n := len(domains); n > 1 {
+		total = (s.size*n + n - 2) / (n - 1)
 	}
-	for _, d := range domains {
-		g := Group{Domain: d}
-		want[g] += max(0, m.Min-want[g]-want[Group{d, true}])
+	for i := range total {
+		g := Group{domains[i%len(domains)], true}
+		want[g] = min(want[g]+1, m.Max)
 	}
-	s.keepUntilReplaced(sight, want, reclaimable)
 	return want
 }
 
-// divideReclaimable spreads reclaimable instances evenly and returns how many of
-// them can be counted on: those that serve, less the domain that has most.
-func (s *Sizer) divideReclaimable(m *Market, sight *Sight, domains []string, want map[Group]int, now time.Time) int {
-	usable := make([]string, 0, len(domains))
+// wantOnDemand orders on demand what the reclaimable instances lack. It counts on
+// ordered ones before it orders more, and on serving ones only before it gives
+// some up.
+func (s *Sizer) wantOnDemand(m *Market, sight *Sight, want map[Group]int, now time.Time) {
+	domains := byPrice(m)
+	most := s.size - s.reliable(m, sight, domains, now, false)
+	least := s.size - s.reliable(m, sight, domains, now, true)
+	have := 0
 	for _, d := range domains {
-		if !s.isDry(Group{d, true}, now) {
-			usable = append(usable, d)
+		g := Group{Domain: d}
+		want[g] = sight.Serving[g]
+		if o, ok := s.ordered[g]; ok && (o.count < want[g] || now.Sub(o.at) <= m.Start+patience) {
+			want[g] = o.count
 		}
+		have += want[g]
 	}
-	if len(usable) > 0 {
-		total := s.size
-		if len(usable) > 1 {
-			total = (s.size*len(usable) + len(usable) - 2) / (len(usable) - 1)
-		}
-		for i := range total {
-			g := Group{usable[i%len(usable)], true}
-			want[g] = min(want[g]+1, m.Max)
-		}
+	switch {
+	case have < least:
+		s.spareFrom = time.Time{}
+		s.addOnDemand(m, domains, want, least-have)
+	case have > max(most, 0) && s.spareFrom.IsZero():
+		s.spareFrom = now
+	case have > max(most, 0) && now.Sub(s.spareFrom) >= release:
+		dropOnDemand(domains, want, have-max(most, 0))
+	case have <= max(most, 0):
+		s.spareFrom = time.Time{}
 	}
 	for _, d := range domains {
-		if g := (Group{d, true}); s.isDry(g, now) {
-			want[g] = sight.Serving[g]
+		g := Group{Domain: d}
+		want[g] += max(0, m.Min-want[g]-want[Group{d, true}])
+		if r := (Group{d, true}); want[g]+want[r] > m.Max {
+			want[r] = max(m.Max-want[g], 0)
 		}
 	}
+}
+
+// reliable returns how many reclaimable instances are left when the domain that
+// has most of them loses all.
+func (s *Sizer) reliable(m *Market, sight *Sight, domains []string, now time.Time, withOrdered bool) int {
 	sum, most := 0, 0
 	for _, d := range domains {
 		g := Group{d, true}
 		n := sight.Serving[g]
-		if o, ok := s.ordered[g]; ok && now.Sub(o.at) < m.Start+patience {
-			n = max(n, min(o.count, want[g]))
+		if o, ok := s.ordered[g]; ok && withOrdered && now.Sub(o.at) <= m.Start+patience {
+			n = max(n, o.count)
 		}
 		sum += n
 		most = max(most, n)
 	}
-	return max(sum-most, sum*(len(domains)-1)/max(len(domains), 1))
+	return sum - most
 }
 
-// keepUntilReplaced keeps instances on demand until enough others serve.
-func (s *Sizer) keepUntilReplaced(sight *Sight, want map[Group]int, _ int) {
-	serving, wanted := 0, 0
-	for g, n := range sight.Serving {
-		serving += n
-		wanted += min(n, want[g])
-	}
-	for _, g := range slices.SortedFunc(maps.Keys(sight.Serving), compareGroups) {
-		if g.Reclaimable {
-			continue
+// addOnDemand orders more in the cheapest domains that have room.
+func (s *Sizer) addOnDemand(m *Market, domains []string, want map[Group]int, lack int) {
+	for lack > 0 {
+		before := lack
+		for _, d := range domains {
+			g := Group{Domain: d}
+			if lack > 0 && want[g] < m.Max {
+				want[g]++
+				lack--
+			}
 		}
-		for want[g] < sight.Serving[g] && wanted < s.size+1 {
-			want[g]++
-			wanted++
+		if lack == before {
+			return
 		}
 	}
 }
 
+// dropOnDemand gives some up in the dearest domains first.
+func dropOnDemand(domains []string, want map[Group]int, spare int) {
+	for _, d := range slices.Backward(domains) {
+		g := Group{Domain: d}
+		n := min(spare, want[g])
+		want[g] -= n
+		spare -= n
+	}
+}
+
 func byPrice(m *Market) []string {
 	return slices.SortedFunc(maps.Keys(m.Prices), func(a, b string) int {
 		return cmp.Or(cmp.Compare(m.Prices[a], m.Prices[b]), cmp.Compare(a, b))
@@ -293,13 +322,3 @@
 	}
 	return out
 }
-
-func compareGroups(a, b Group) int {
-	if a.Reclaimable != b.Reclaimable {
-		if a.Reclaimable {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(a.Domain, b.Domain)
-}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,13 +71,12 @@
 	moves   atomic.Pointer[map[string]coordinator.Move]
 	entries atomic.Int64
 	refused refusals
+	waits   sync.Map // longest wait of callers by route, *atomic.Int64 nanoseconds
 }
 
 // New returns a forwarder without rules.
 func New(c Config) *Forwarder {
-	f := &Forwarder{config: c}
-	f.entries.Store(1)
-	return f
+	return &Forwarder{config: c}
 }
 
 // SetTable puts rules in force.
@@ -87,10 +87,13 @@
 
 // SetEntries notes how many nodes share the endpoints.
 func (f *Forwarder) SetEntries(n int) {
-	f.entries.Store(int64(max(n, 1)))
+	f.entries.Store(int64(n))
 	f.config.Budget.SetNodes(n)
 }
 
+// Entries returns how many nodes share the endpoints, 0 if that is not known yet.
+func (f *Forwarder) Entries() int { return int(f.entries.Load()) }
+
 // Refused returns how many calls of each service were refused for want of capacity.
 func (f *Forwarder) Refused() map[string]uint64 { return f.refused.counts() }
 
@@ -230,7 +233,7 @@
 	now := x.f.config.Clock.Now()
 	ask := &placer.Ask{
 		Service: x.service.Name, Domain: x.f.config.Domain, Parts: x.call.Parts, Prompt: x.call.Prompt,
-		Answer: x.answerSize(), Patience: time.Duration(patienceShare * float64(x.until.Sub(now))),
+		Answer: x.answerSize(), Patience: time.Duration(patienceShare * float64(x.until.Sub(now))), Queue: x.queueTime(now),
 		Avoid: x.tried, Now: now, Point: rand.Float64(),
 	}
 	ask.Version, ask.Unwanted = x.f.versions(x.service.Name, x.route.Kind, x.point)
@@ -240,6 +243,56 @@
 	return x.f.config.Placer.Place(ask)
 }
 
+// queueTime returns how long the call may wait until its prompt is read. A call
+// that would miss its objective by waiting keeps others from meeting theirs, so
+// it is better refused at once; the less urgent, the sooner. Large prompts, which
+// take long themselves, keep a part of it.
+func (x *exchange) queueTime(now time.Time) time.Duration {
+	objective := float64(x.route.Objective)
+	if objective <= 0 {
+		return x.until.Sub(now)
+	}
+	own := float64(x.call.Prompt) / queueRate * float64(time.Millisecond)
+	share := max(queueShare-own/objective, queueLeast) / (1 + rankStep*float64(max(x.rank(), 0)))
+	spent := float64(x.f.spent(x.route, x.call.Wait)) / objective
+	if spent < 1 {
+		share -= spent
+	}
+	return time.Duration(max(share, queueFloor) * objective)
+}
+
+const (
+	// queueShare is the part of the objective for which a call may wait, less the
+	// time for its own prompt at queueRate tokens per millisecond.
+	queueShare = 0.85
+	queueRate  = 40.0
+	// queueLeast is that part for the largest prompts.
+	queueLeast = 0.4
+	// queueFloor is that part for a call that has waited elsewhere before.
+	queueFloor = 0.2
+	// rankStep is what each step of rank divides that part by, beyond 1.
+	rankStep = 0.3
+)
+
+// spent estimates how long the caller has waited before this attempt: callers of
+// a route have the same time at first.
+func (f *Forwarder) spent(route *registrar.Route, wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	known, _ := f.waits.LoadOrStore(route.Name, &atomic.Int64{})
+	longest := known.(*atomic.Int64)
+	for {
+		old := longest.Load()
+		if int64(wait) <= old {
+			return time.Duration(old - int64(wait))
+		}
+		if longest.CompareAndSwap(old, int64(wait)) {
+			return 0
+		}
+	}
+}
+
 // answerSize estimates the size of the answer in tokens.
 func (x *exchange) answerSize() int {
 	switch {
@@ -256,7 +309,7 @@
 	if x.service.Connections <= 0 {
 		return 1 << 20
 	}
-	return max(2, int(spareConnections*float64(x.service.Connections)/float64(x.f.entries.Load())))
+	return max(2, int(spareConnections*float64(x.service.Connections)/float64(max(x.f.Entries(), 1))))
 }
 
 // step says how the forwarding of a call goes on after an attempt.
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -92,8 +92,10 @@
 	// Prompt and Answer are sizes in tokens; 0 for calls that don't generate.
 	Prompt int
 	Answer int
-	// Patience is how long the first event may take at most.
+	// Patience is how long the first event may take at most, and Queue how long
+	// the call may wait until its own prompt is read.
 	Patience time.Duration
+	Queue    time.Duration
 	// Memory is the size of an endpoint's memory in tokens, 0 if it has none.
 	Memory int
 	// Avoid holds ids of endpoints that were tried.
@@ -276,17 +278,20 @@
 			refusal = RefusedFull
 			continue
 		}
-		first, cost := p.weigh(e, ask, homes)
-		soonest = min(soonest, first)
+		first, cost, late := p.weigh(e, ask, homes)
+		if late > 0 {
+			refusal, soonest = RefusedLate, min(soonest, late)
+			continue
+		}
 		if cost < bestCost {
 			best, bestCost, bestFirst = e, cost, first
 		}
 	}
 	if best == nil {
-		return nil, refusal, 0
-	}
-	if wait := time.Duration(soonest * float64(time.Millisecond)); wait > ask.Patience {
-		return nil, RefusedLate, wait - ask.Patience
+		if refusal != RefusedLate {
+			return nil, refusal, 0
+		}
+		return nil, refusal, time.Duration(soonest * float64(time.Millisecond))
 	}
 	return p.begin(best, ask, bestFirst), RefusedNone, 0
 }
@@ -324,12 +329,16 @@
 	return ask.Memory > 0 && calls > 0 && float64(held) > fullShare*float64(ask.Memory)
 }
 
-// weigh returns in how many milliseconds the first event is expected, and the
-// cost by which endpoints compare.
-func (p *Placer) weigh(e *endpoint, ask *Ask, homes *homes) (first, cost float64) {
+// weigh returns in how many milliseconds the first event is expected, the cost by
+// which endpoints compare, and by how many milliseconds that is too late.
+func (p *Placer) weigh(e *endpoint, ask *Ask, homes *homes) (first, cost, late float64) {
 	peers := p.peersOf(e, ask.Now)
 	unread := float64(e.unreadOf(ask, homes))
-	first = (float64(e.own.Unread+peers.Unread) + unread) / e.rate
+	queue := float64(e.own.Unread+peers.Unread) / e.rate
+	first = queue + unread/e.rate
+	if ask.Prompt > 0 {
+		late = max(queue-milliseconds(ask.Queue), first-milliseconds(ask.Patience), 0)
+	}
 	calls := float64(e.own.Calls + peers.Calls)
 	cost = first + readPrice*unread/e.rate + runPrice*calls + failPrice*e.fails*e.fails
 	if e.Slots > 0 {
@@ -345,9 +354,11 @@
 	if e.Domain != ask.Domain {
 		cost += farPrice
 	}
-	return first, cost + ask.Point*0.01*float64(e.hash%97)
+	return first, cost + ask.Point*0.01*float64(e.hash%97), late
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // unreadOf estimates how many tokens of the prompt the endpoint has to read.
 func (e *endpoint) unreadOf(ask *Ask, homes *homes) int {
 	known := 0
