Run cheap instances less busy, and keep dear ones while cheap ones are short

Change: two sizes, at 0.35 and 0.55 of the time busy; while reclaimable instances are short, those of one more domain count as lost. Elections take 0.5 s, and a new leader acts at once unless it acted a lease ago.

--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -30,6 +30,10 @@
 	// retireAfter is the silence after which a keeper is taken out of the log. It is
 	// longer than a machine stands still or is replaced.
 	retireAfter = 15 * time.Second
+	// election and heartbeat are shorter than the defaults, since keepers are about
+	// a millisecond apart and calls are held up while none leads.
+	election  = 500 * time.Millisecond
+	heartbeat = 120 * time.Millisecond
 	// handOver bounds the handing over of the leadership at a planned stop.
 	handOver = 1200 * time.Millisecond
 	// lastAnswers bounds the time for answers to operators at a planned stop.
@@ -100,7 +104,7 @@
 	var err error
 	k.keeper, err = k.open(keeper.Config{
 		Journal: journalName, Name: name, Folder: n.settings.Data(), Peers: peers, JoinOnly: !isSeed || !n.settings.IsFirst(),
-		Retire: retireAfter, Clock: n.steady, Log: n.log.With("part", "keeper"), Call: n.call, Register: n.messenger.Register,
+		Retire: retireAfter, Election: election, Heartbeat: heartbeat, Clock: n.steady, Log: n.log.With("part", "keeper"), Call: n.call, Register: n.messenger.Register,
 		Applier: k.state,
 	})
 	if err != nil {
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -22,7 +22,11 @@
 	goneAfter = 3 * time.Second
 	// gatherTime is how long after the begin of its term a leader has heard of all
 	// nodes that are in touch.
-	gatherTime = 900 * time.Millisecond
+	gatherTime = 300 * time.Millisecond
+	// youngTime is for how long a leader asks for reports more often, and youngPause
+	// is the time between them then.
+	youngTime  = time.Second
+	youngPause = 100 * time.Millisecond
 	// clockAge is how old a report may be to count for the agreed time.
 	clockAge = 5 * time.Second
 )
@@ -89,6 +93,9 @@
 		Entries: c.entries(now),
 	}
 	d.Pause = max(minPause, time.Duration(d.Entries)*nodePause)
+	if c.Age(now) < youngTime {
+		d.Pause = max(youngPause, time.Duration(d.Entries)*nodePause)
+	}
 	if !r.Entry {
 		return d
 	}
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -1,7 +1,7 @@
 // Package sizer decides how many instances a service needs in each failure
 // domain, and of which price: the fewest that begin calls in time, reclaimable
-// ones first, so many that the loss of all those of one domain leaves enough. It
-// does no input or output.
+// ones first, so many that the loss of all those of one domain leaves enough; and
+// on demand what those lack. It does no input or output.
 package sizer
 
 import (
@@ -13,11 +13,16 @@
 )
 
 const (
-	// targetBusy is the part of the time during which an instance should be
-	// reading prompts: beyond it, calls wait for each other ever longer.
-	targetBusy = 0.55
+	// easyBusy is the part of the time during which an instance should be reading
+	// prompts where instances are cheap, and tightBusy the one beyond which calls
+	// wait for each other so long that dear instances pay.
+	easyBusy  = 0.35
+	tightBusy = 0.55
 	// targetFull is the part of slots and memory that should be taken.
 	targetFull = 0.7
+	// keptShare is the part of the instances on demand that a new leader thinks are
+	// needed, before it has measured.
+	keptShare = 0.8
 	// riseWeight and fallWeight are the weights of a newer measurement that is
 	// above or below the mean.
 	riseWeight = 0.4
@@ -30,6 +35,9 @@
 	// dryTime is how long a domain is not asked again for instances that it
 	// does not have at the moment.
 	dryTime = 3 * time.Second
+	// shortTime is how long after reclaimable instances were not to be had, or after
+	// a domain lost its own, the next domain is expected to lose them too.
+	shortTime = 12 * time.Second
 	// patience is how long beyond the start-up time an order may take.
 	patience = 2 * time.Second
 )
@@ -74,11 +82,15 @@
 type Sizer struct {
 	busy      float64 // instances that are busy, smoothed
 	isStarted bool
+	isUsed    bool // calls were seen
 	lowSince  time.Time
-	size      int
+	size      int // instances at easyBusy
+	need      int // instances at tightBusy
 	ordered   map[Group]order
 	dry       map[Group]time.Time
 	spareFrom time.Time // since when fewer instances on demand are enough
+	shortFrom time.Time // when reclaimable instances were lost or refused last
+	seen      map[Group]int
 }
 
 type order struct {
@@ -104,6 +116,7 @@
 // Accepted is called for an order, it is returned again.
 func (s *Sizer) Decide(m *Market, sight *Sight, now time.Time) []Order {
 	s.measure(m, sight, now)
+	s.notice(sight, now)
 	want := s.wantReclaimable(m)
 	s.wantOnDemand(m, sight, want, now)
 	var out []Order
@@ -122,6 +135,20 @@
 	return out
 }
 
+// notice finds domains that lost all their reclaimable instances unasked.
+func (s *Sizer) notice(sight *Sight, now time.Time) {
+	for g, n := range s.seen {
+		if g.Reclaimable && n > 0 && sight.Serving[g] == 0 && s.ordered[g].count > 0 {
+			s.shortFrom = now
+		}
+	}
+	s.seen = maps.Clone(sight.Serving)
+}
+
+func (s *Sizer) isShort(now time.Time) bool {
+	return !s.shortFrom.IsZero() && now.Sub(s.shortFrom) < shortTime
+}
+
 // growth is positive for orders that add instances.
 func growth(o Order, sight *Sight) int { return cmp.Compare(o.Count, sight.Serving[o.Group]) }
 
@@ -143,6 +170,9 @@
 func (s *Sizer) Unavailable(o Order, now time.Time) {
 	s.dry[o.Group] = now.Add(dryTime)
 	delete(s.ordered, o.Group)
+	if o.Group.Reclaimable {
+		s.shortFrom = now
+	}
 }
 
 // measure estimates from the calls how many instances are busy. Where calls come
@@ -150,42 +180,57 @@
 // wait or are being read on average; so the number of those tells r.
 func (s *Sizer) measure(m *Market, sight *Sight, now time.Time) {
 	serving := sight.serving()
-	if serving == 0 {
-		s.size = max(s.size, 1)
+	if !s.isStarted && serving > 0 {
+		s.begin(m, sight)
+	}
+	s.isUsed = s.isUsed || sight.Calls > 0
+	if serving == 0 || !s.isUsed {
+		s.size, s.need = max(s.size, 1), max(s.need, 1)
 		return
 	}
 	n := float64(serving)
 	each := float64(sight.Waiting) / n
 	busy := n * each / (1 + each)
-	if !s.isStarted {
-		// What is there was enough until now. Only later measurements change that.
-		s.isStarted, s.size = true, serving
-		if m.Reclaimable > 0 {
-			s.size = max(1, serving*(len(m.Prices)-1)/max(len(m.Prices), 1))
-		}
-		s.busy = float64(s.size) * targetBusy
-		return
-	}
 	weight := fallWeight
 	if busy > s.busy {
 		weight = riseWeight
 	}
 	s.busy += weight * (busy - s.busy)
-	need := s.busy / targetBusy
+	filled := 0.0
 	if sight.Slots > 0 {
-		need = max(need, float64(sight.Calls)/(targetFull*float64(sight.Slots)))
+		filled = float64(sight.Calls) / (targetFull * float64(sight.Slots))
 	}
 	if sight.Memory > 0 {
-		need = max(need, float64(sight.Held)/(targetFull*float64(sight.Memory)))
+		filled = max(filled, float64(sight.Held)/(targetFull*float64(sight.Memory)))
 	}
-	size := int(math.Ceil(need))
+	size := int(math.Ceil(max(s.busy/easyBusy, filled)))
+	s.need = max(1, int(math.Ceil(max(s.busy/tightBusy, filled))))
 	if sight.Refused {
 		// Calls that are refused don't wait, so that waiting tells too little.
-		size = max(size, min(s.size, serving)+1)
+		s.need = max(s.need, serving+1)
+		size = max(size, s.need)
 	}
 	s.settle(min(max(size, 1), m.Max*len(m.Prices)), now)
 }
 
+// begin takes what is there as enough until it has been measured.
+func (s *Sizer) begin(m *Market, sight *Sight) {
+	s.isStarted = true
+	reclaimable, demanded := 0, 0
+	for g, n := range sight.Serving {
+		if g.Reclaimable {
+			reclaimable += n
+		} else {
+			demanded += n
+		}
+	}
+	domains := len(m.Prices)
+	left := reclaimable * (domains - 1) / max(domains, 1)
+	s.size = max(1, left, int(math.Ceil(keptShare*float64(demanded))))
+	s.busy = float64(s.size) * easyBusy
+	s.need = max(1, int(math.Ceil(s.busy/tightBusy)))
+}
+
 func (s *Sight) serving() int {
 	n := 0
 	for _, count := range s.Serving {
@@ -232,8 +277,8 @@
 // some up.
 func (s *Sizer) wantOnDemand(m *Market, sight *Sight, want map[Group]int, now time.Time) {
 	domains := byPrice(m)
-	most := s.size - s.reliable(m, sight, domains, now, false)
-	least := s.size - s.reliable(m, sight, domains, now, true)
+	most := s.need - s.reclaimable(m, sight, domains, now, false)
+	least := s.need - s.reclaimable(m, sight, domains, now, true)
 	have := 0
 	for _, d := range domains {
 		g := Group{Domain: d}
@@ -263,20 +308,23 @@
 	}
 }
 
-// reliable returns how many reclaimable instances are left when the domain that
-// has most of them loses all.
-func (s *Sizer) reliable(m *Market, sight *Sight, domains []string, now time.Time, withOrdered bool) int {
+// reclaimable returns how many reclaimable instances serve, or are about to. While
+// they are short, those of one domain don't count, since it may be the next.
+func (s *Sizer) reclaimable(m *Market, sight *Sight, domains []string, now time.Time, withOrdered bool) int {
 	sum, most := 0, 0
 	for _, d := range domains {
 		g := Group{d, true}
 		n := sight.Serving[g]
-		if o, ok := s.ordered[g]; ok && withOrdered && now.Sub(o.at) <= m.Start+patience {
+		if o, ok := s.ordered[g]; ok && withOrdered && now.Sub(o.at) <= m.Start+patience && !s.isShort(now) {
 			n = max(n, o.count)
 		}
 		sum += n
 		most = max(most, n)
 	}
-	return sum - most
+	if s.isShort(now) {
+		return sum - most
+	}
+	return sum
 }
 
 // addOnDemand orders more in the cheapest domains that have room.
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -20,9 +20,13 @@
 const (
 	// leaseMargin is how much of the lease must be left for a call to be sent.
 	leaseMargin = 150 * time.Millisecond
-	// listMargin is how much sooner than the bound on leaving endpoints the list is
-	// read again; see surveyPause.
+	// surveyPause is the time between two readings of the list. With the time until
+	// nodes hear of it, it stays far below the bound on endpoints that leave.
 	surveyPause = 500 * time.Millisecond
+	// firstPause is that time until the list was read once.
+	firstPause = 80 * time.Millisecond
+	// holdMargin is added to the time within which holders must not alternate.
+	holdMargin = 300 * time.Millisecond
 	// tick is the time between two looks at what is due.
 	tick = 500 * time.Millisecond
 	// callTime bounds a call to the provider.
@@ -97,11 +101,15 @@
 	group  sync.WaitGroup
 	ctx    context.Context //nolint:containedctx // ends the calls under way at Stop
 	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	term  uint64    // in which this process acted last
+	acted time.Time // when it did so, or when it was started
 }
 
 // New returns a submitter that is not yet started.
 func New(c Config) *Submitter {
-	s := &Submitter{config: c, quit: make(chan struct{})}
+	s := &Submitter{config: c, quit: make(chan struct{}), acted: c.Clock.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -127,14 +135,23 @@
 	s.group.Wait()
 }
 
-// act returns the holder if this node may act for a duty now: it leads, for so
-// long that no call of another holder is under way.
+// act returns the holder if this node may act for a duty now: it leads, and it
+// did not act in an earlier term so short a while ago that another holder may have
+// acted in between. A process that was started a short while ago may have done so
+// in its last life.
 func (s *Submitter) act() (Holder, bool) {
 	var h Holder
-	s.config.Do(func(core *coordinator.Core, lease keeper.Lease, now time.Time) {
-		if core.Age(now) >= s.config.Lease && lease.Until().Sub(now) > leaseMargin {
-			h = Holder{Name: s.config.Name, Fence: lease.Term()}
+	s.config.Do(func(_ *coordinator.Core, lease keeper.Lease, now time.Time) {
+		if lease.Until().Sub(now) <= leaseMargin {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.term != lease.Term() && now.Sub(s.acted) < s.config.Lease+holdMargin {
+			return
 		}
+		s.term, s.acted = lease.Term(), now
+		h = Holder{Name: s.config.Name, Fence: lease.Term()}
 	})
 	return h, h.Fence > 0
 }
@@ -147,9 +164,17 @@
 
 func (s *surveyor) run() {
 	defer s.group.Done()
-	for clock.Sleep(s.config.Clock, surveyPause, s.quit) {
-		if s.config.Do(func(*coordinator.Core, keeper.Lease, time.Time) {}) {
-			s.survey()
+	for pause := firstPause; clock.Sleep(s.config.Clock, pause, s.quit); {
+		isKnown := false
+		leads := s.config.Do(func(core *coordinator.Core, _ keeper.Lease, _ time.Time) { _, isKnown = core.Endpoints() })
+		if !leads {
+			pause = firstPause
+			continue
+		}
+		s.survey()
+		pause = surveyPause
+		if !isKnown {
+			pause = firstPause
 		}
 	}
 }
