Ask the leader that the keeper itself knows when an order comes in

Change: the proposer takes the leader that its keeper follows, and an attempt takes 0.45 s. Orders on demand never displace reclaimable instances that serve. Ruled out: the election (the leader of the majority had been elected in 0.6 s).

--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -34,6 +34,8 @@
 	// a millisecond apart and calls are held up while none leads.
 	election  = 500 * time.Millisecond
 	heartbeat = 120 * time.Millisecond
+	// attempt bounds one try to reach the leader; an order waits for several.
+	attempt = 450 * time.Millisecond
 	// handOver bounds the handing over of the leadership at a planned stop.
 	handOver = 1200 * time.Millisecond
 	// lastAnswers bounds the time for answers to operators at a planned stop.
@@ -111,7 +113,7 @@
 		return err
 	}
 	k.proposer, err = proposer.New(proposer.Config{
-		Journal: journalName, Keepers: addresses, Clock: n.clock, Log: n.log.With("part", "proposer"), Call: n.call,
+		Journal: journalName, Keepers: addresses, Hint: k.leader, Attempt: attempt, Clock: n.clock, Log: n.log.With("part", "proposer"), Call: n.call,
 		IsNotRun: func(err error) bool { return errors.Is(err, messenger.ErrUnsent) || errors.Is(err, messenger.ErrBusy) },
 	})
 	return err
--- a/internal/process/proposer/proposer.go
+++ b/internal/process/proposer/proposer.go
@@ -51,6 +51,10 @@
 	// IsNotRun reports whether an error of Call proves that the request was not
 	// handled; nil means that no error does.
 	IsNotRun func(error) bool
+	// Hint returns the leader as far as this node knows it otherwise; it may be nil.
+	Hint func() (netip.AddrPort, bool)
+	// Attempt bounds one request to a keeper; 0 stands for a second.
+	Attempt time.Duration
 	// Group bounds the commands of one request, and Inflight the requests that
 	// are under way at a time. Zero values stand for defaults.
 	Group    int
@@ -68,9 +72,10 @@
 	end    context.CancelFunc
 	tasks  sync.WaitGroup
 
-	mu     sync.Mutex
-	leader netip.AddrPort
-	next   int
+	mu      sync.Mutex
+	leader  netip.AddrPort
+	refused netip.AddrPort // the keeper that did not answer as leader last
+	next    int
 }
 
 // The states of a pending command.
@@ -104,6 +109,9 @@
 	if c.Inflight <= 0 {
 		c.Inflight = defaultInflight
 	}
+	if c.Attempt <= 0 {
+		c.Attempt = attemptTimeout
+	}
 	p := &Proposer{
 		config: c, queue: make(chan *pending, queueSize), slots: make(chan struct{}, c.Inflight), quit: make(chan struct{}),
 	}
@@ -192,6 +200,11 @@
 func (p *Proposer) target() netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.config.Hint != nil {
+		if leader, ok := p.config.Hint(); ok && leader != p.refused {
+			return leader
+		}
+	}
 	if !p.leader.IsValid() {
 		p.leader = p.config.Keepers[p.next%len(p.config.Keepers)]
 		p.next++
@@ -203,6 +216,8 @@
 func (p *Proposer) redirect(asked, hint netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The hint may be behind; the next attempt asks another keeper.
+	p.refused = asked
 	if p.leader != asked {
 		return
 	}
@@ -215,14 +230,14 @@
 // ask makes one attempt. The reply's answer says whether it succeeded.
 func (p *Proposer) ask(ctx context.Context, method string, args, reply any) (to netip.AddrPort, err error) {
 	to = p.target()
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.config.Attempt)
 	defer cancel()
 	return to, p.config.Call(ctx, to, method, args, reply)
 }
 
 // attemptWait is how long the keeper may take: the rest of the attempt's time.
 func (p *Proposer) attemptWait(ctx context.Context) time.Duration {
-	wait := attemptTimeout
+	wait := p.config.Attempt
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, deadline.Sub(p.config.Clock.Now()))
 	}
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -81,8 +81,7 @@
 // Sizer decides the size of one service. It is not safe for concurrent use.
 type Sizer struct {
 	busy      float64 // instances that are busy, smoothed
-	isStarted bool
-	isUsed    bool // calls were seen
+	isUsed    bool    // calls were seen
 	lowSince  time.Time
 	size      int // instances at easyBusy
 	need      int // instances at tightBusy
@@ -180,7 +179,7 @@
 // wait or are being read on average; so the number of those tells r.
 func (s *Sizer) measure(m *Market, sight *Sight, now time.Time) {
 	serving := sight.serving()
-	if !s.isStarted && serving > 0 {
+	if !s.isUsed {
 		s.begin(m, sight)
 	}
 	s.isUsed = s.isUsed || sight.Calls > 0
@@ -215,7 +214,6 @@
 
 // begin takes what is there as enough until it has been measured.
 func (s *Sizer) begin(m *Market, sight *Sight) {
-	s.isStarted = true
 	reclaimable, demanded := 0, 0
 	for g, n := range sight.Serving {
 		if g.Reclaimable {
@@ -226,7 +224,7 @@
 	}
 	domains := len(m.Prices)
 	left := reclaimable * (domains - 1) / max(domains, 1)
-	s.size = max(1, left, int(math.Ceil(keptShare*float64(demanded))))
+	s.size = max(s.size, 1, left, int(math.Ceil(keptShare*float64(demanded))))
 	s.busy = float64(s.size) * easyBusy
 	s.need = max(1, int(math.Ceil(s.busy/tightBusy)))
 }
@@ -291,7 +289,7 @@
 	switch {
 	case have < least:
 		s.spareFrom = time.Time{}
-		s.addOnDemand(m, domains, want, least-have)
+		s.addOnDemand(m, sight, domains, want, least-have)
 	case have > max(most, 0) && s.spareFrom.IsZero():
 		s.spareFrom = now
 	case have > max(most, 0) && now.Sub(s.spareFrom) >= release:
@@ -327,13 +325,14 @@
 	return sum
 }
 
-// addOnDemand orders more in the cheapest domains that have room.
-func (s *Sizer) addOnDemand(m *Market, domains []string, want map[Group]int, lack int) {
+// addOnDemand orders more in the cheapest domains that have room beside the
+// reclaimable instances that serve there.
+func (s *Sizer) addOnDemand(m *Market, sight *Sight, domains []string, want map[Group]int, lack int) {
 	for lack > 0 {
 		before := lack
 		for _, d := range domains {
 			g := Group{Domain: d}
-			if lack > 0 && want[g] < m.Max {
+			if lack > 0 && want[g]+sight.Serving[Group{d, true}] < m.Max {
 				want[g]++
 				lack--
 			}
