--- /dev/null
+++ b/internal/connection/pooler/pooler_test.go
@@ -0,0 +1,211 @@
+package pooler_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"hyssoprudder/internal/connection/pooler"
+	"hyssoprudder/internal/process/clock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// endpoint answers each request on its connections by a function.
+type endpoint struct {
+	listener net.Listener
+	answer   func(c net.Conn, r *http.Request)
+	accepted atomic.Int32
+	requests atomic.Int32
+	done     chan struct{}
+}
+
+func newEndpoint(t *testing.T, answer func(c net.Conn, r *http.Request)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &endpoint{listener: l, answer: answer, done: make(chan struct{})}
+	go e.run()
+	t.Cleanup(func() {
+		l.Close()
+		<-e.done
+	})
+	return e
+}
+
+func (e *endpoint) run() {
+	defer close(e.done)
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.accepted.Add(1)
+		s := &served{endpoint: e, conn: c}
+		go s.run()
+	}
+}
+
+type served struct {
+	endpoint *endpoint
+	conn     net.Conn
+}
+
+func (s *served) run() {
+	defer s.conn.Close()
+	reader := bufio.NewReader(s.conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.endpoint.requests.Add(1)
+		s.endpoint.answer(s.conn, r)
+	}
+}
+
+func (e *endpoint) address() netip.AddrPort { return e.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")) }
+
+func ok(c net.Conn, _ *http.Request) { write(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nok") }
+
+func get(target string) *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "x", Opaque: target}, Host: "x", Header: make(http.Header)}
+}
+
+// call makes a call and releases the connection.
+func call(t *testing.T, p *pooler.Pool, e *endpoint) error {
+	t.Helper()
+	c, err := p.Get(context.Background(), e.address(), 10)
+	require.NoError(t, err)
+	response, err := c.Do(get("/a"))
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(response.Body)
+	response.Body.Close()
+	if err != nil {
+		c.Close()
+		return err
+	}
+	c.Release()
+	return nil
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	e := newEndpoint(t, ok)
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	for range 5 {
+		require.NoError(t, call(t, p, e))
+	}
+	require.EqualValues(t, 1, e.accepted.Load())
+	require.EqualValues(t, 1, p.Opened())
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	e := newEndpoint(t, ok)
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	first, err := p.Get(context.Background(), e.address(), 1)
+	require.NoError(t, err)
+	_, err = p.Get(context.Background(), e.address(), 1)
+	require.ErrorIs(t, err, pooler.ErrFull)
+	first.Close()
+	second, err := p.Get(context.Background(), e.address(), 1)
+	require.NoError(t, err)
+	second.Close()
+}
+
+// A call without a body that fails on a connection that was used before must not
+// be sent again by the pool: it may have run.
+func TestFailedCallIsNotRepeated(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.answer = func(c net.Conn, r *http.Request) {
+		if e.requests.Load() > 1 {
+			c.Close()
+			return
+		}
+		ok(c, r)
+	}
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	require.NoError(t, call(t, p, e))
+	err := call(t, p, e)
+	var failure *pooler.Failure
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.IsSent())
+	require.EqualValues(t, 2, e.requests.Load())
+}
+
+func TestUnreachedEndpoint(t *testing.T) {
+	e := newEndpoint(t, ok)
+	e.listener.Close()
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	_, err := p.Get(context.Background(), e.address(), 1)
+	require.Error(t, err)
+	var failure *pooler.Failure
+	require.False(t, errors.As(err, &failure))
+}
+
+// Bytes behind an answer belong to no call: the connection is not used again.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	e := newEndpoint(t, func(c net.Conn, _ *http.Request) {
+		write(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nokHTTP/1.1 200 OK\nContent-Length: 5\n\nother")
+	})
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	require.NoError(t, call(t, p, e))
+	require.Eventually(t, func() bool {
+		_ = call(t, p, e)
+		return e.accepted.Load() >= 2
+	}, 10*time.Second, time.Millisecond)
+}
+
+func TestSilentEndpoint(t *testing.T) {
+	e := newEndpoint(t, func(net.Conn, *http.Request) {})
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	c, err := p.Get(context.Background(), e.address(), 1)
+	require.NoError(t, err)
+	c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	_, err = c.Do(get("/a"))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	var failure *pooler.Failure
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.IsSent())
+}
+
+// An endpoint that says how long it keeps connections is not used up to then.
+func TestIdleConnectionIsGivenUpInTime(t *testing.T) {
+	e := newEndpoint(t, func(c net.Conn, _ *http.Request) {
+		write(c, "HTTP/1.1 200 OK\nKeep-Alive: timeout=3\nContent-Length: 0\n\n")
+	})
+	now := clock.NewManual(time.Unix(1000, 0))
+	p := pooler.New(now)
+	defer p.Close()
+	for _, passed := range []time.Duration{0, 2 * time.Second, 2400 * time.Millisecond} {
+		now.Advance(passed)
+		require.NoError(t, call(t, p, e))
+	}
+	require.EqualValues(t, 2, e.accepted.Load())
+	p.Sweep(func(netip.AddrPort) bool { return false })
+	require.NoError(t, call(t, p, e))
+	require.EqualValues(t, 3, e.accepted.Load())
+}
