Grant customers' limits out of one bucket, and larger allowances on demand

Change: the leader keeps a bucket for each limit and hands out allowances that return with each report; a call that needs more asks at once. Ruled out: larger shares (their sum must stay within the limit).

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -32,9 +32,6 @@
 	stopMargin = 350 * time.Millisecond
 	// sweepPause is the time between two looks at idle connections.
 	sweepPause = time.Second
-	// slackUsed is the part of the tolerance on customers' limits that is used:
-	// what a burst needs is there, and the bound keeps a margin.
-	slackUsed = 0.7
 	// maxHeader bounds a request's header, in bytes, before the rules are known.
 	maxHeader = 64 << 10
 )
@@ -75,7 +72,7 @@
 	}
 	n.reporter = reporter.New(config)
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed,
+		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, Renew: n.reporter.Hurry,
 		Encode: n.outside.Encode, Decode: n.outside.Decode, Refuse: n.outside.Refuse, Began: e.began, Ended: e.recorder.ended,
 		Quotas: e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
@@ -176,8 +173,9 @@
 func (e *entry) fill(r *coordinator.Report) {
 	now := e.node.clock.Now()
 	r.Node, r.Incarnation, r.Entry, r.Wall = e.node.settings.ID(), e.node.incarnation, true, now.UnixNano()
-	r.Ruleset, r.Entries = e.forwarder.Table().Number(), e.forwarder.Entries()
-	r.Demand, r.Held = e.quotas.Demand(now), e.quotas.Shares(now)
+	r.Ruleset = e.forwarder.Table().Number()
+	quotas := e.quotas.Report(now)
+	r.Demand, r.Left, r.Sequence, r.Wants = quotas.Demand, quotas.Left, quotas.Sequence, quotas.Wants
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	e.mu.Lock()
 	r.Table = e.table
@@ -209,7 +207,7 @@
 	e.forwarder.SetEntries(d.Entries)
 	e.forwarder.SetMoves(d.Moves)
 	age := e.node.steady.Now().Sub(sent)
-	e.quotas.SetShares(d.Shares, now, now.Add(d.Lasting-age))
+	e.quotas.SetAllowances(d.Sequence, d.Allowances, now, now.Add(d.Lasting-age))
 	return d.Number > 0 && e.forwarder.Table().Number() >= d.Number
 }
 
@@ -221,25 +219,18 @@
 		return
 	}
 	t := registrar.NewTable(&r)
-	e.quotas.SetLimits(e.quotaLimits(t), e.node.clock.Now())
+	e.quotas.SetRates(ratesOf(t))
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers))
 }
 
-// quotaLimits returns the customers' limits, widened by what the bounds tolerate
-// in a burst.
-func (e *entry) quotaLimits(t *registrar.Table) map[string]apportioner.Limit {
-	b := e.node.settings.Bounds()
-	out := make(map[string]apportioner.Limit)
+// ratesOf returns the rates of customers' limits.
+func ratesOf(t *registrar.Table) map[string]float64 {
+	out := make(map[string]float64)
 	for name, c := range t.Customers() {
-		if c.Rate <= 0 {
-			continue
+		if c.Rate > 0 {
+			out[name] = c.Rate
 		}
-		tolerated := b.QuotaOver() * (c.Rate*b.QuotaWindow().Seconds() + c.Burst)
-		if c.Tokens {
-			tolerated += b.QuotaSlack()
-		}
-		out[name] = apportioner.Limit{Rate: c.Rate, Burst: c.Burst + slackUsed*tolerated}
 	}
 	return out
 }
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -17,6 +17,7 @@
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/coordinator"
+	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/process/registrar"
@@ -36,6 +37,10 @@
 	heartbeat = 120 * time.Millisecond
 	// attempt bounds one try to reach the leader; an order waits for several.
 	attempt = 450 * time.Millisecond
+	// burstShare and spareShare are the parts of the tolerance on limits that are
+	// used in a burst and when a leader begins.
+	burstShare = 0.4
+	spareShare = 0.3
 	// handOver bounds the handing over of the leadership at a planned stop.
 	handOver = 1200 * time.Millisecond
 	// lastAnswers bounds the time for answers to operators at a planned stop.
@@ -69,7 +74,7 @@
 	b, p := n.settings.Bounds(), n.outside
 	k.coordinator = coordinator.New(coordinator.Config{
 		Clock: n.steady, Log: n.log.With("part", "coordinator"), Lease: k.keeper.Settled, Leader: k.leader,
-		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.moves, Share: b.Revoke(), Window: b.UsageWindow(),
+		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.moves, Limits: k.limits, Share: b.Revoke(), Window: b.UsageWindow(),
 	})
 	if err := n.messenger.Register(coordinator.ServiceName, &coordinator.Service{Coordinator: k.coordinator}); err != nil {
 		return err
@@ -199,6 +204,25 @@
 	return k.table
 }
 
+// limits returns customers' limits, widened in a burst by a part of what the bounds
+// tolerate. Another part is left for calls larger than an allowance, and one for a
+// leader that begins.
+func (k *keeperPart) limits(r *registrar.Ruleset) map[string]divider.Limit {
+	b := k.node.settings.Bounds()
+	out := make(map[string]divider.Limit)
+	for _, c := range r.Customers {
+		if c.Rate <= 0 {
+			continue
+		}
+		tolerated := b.QuotaOver() * (c.Rate*b.QuotaWindow().Seconds() + c.Burst)
+		if c.Tokens {
+			tolerated += b.QuotaSlack()
+		}
+		out[c.Name] = divider.Limit{Rate: c.Rate, Burst: c.Burst + burstShare*tolerated, Spare: spareShare * tolerated}
+	}
+	return out
+}
+
 // put has a ruleset accepted. One that is not newer changes nothing.
 func (k *keeperPart) put(ctx context.Context, r *registrar.Ruleset, document []byte) error {
 	body, err := msgpack.Marshal(r)
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -1,6 +1,6 @@
 // Package coordinator directs all nodes from the one that leads the log: which
 // ruleset is in force, which endpoints there are and what runs there, each node's
-// share of customers' limits, and the agreed time. What it knows is made anew
+// part of customers' limits, and the agreed time. What it knows is made anew
 // from the nodes' reports by each leader; only the log must survive.
 package coordinator
 
@@ -20,9 +20,6 @@
 	nodePause = 4 * time.Millisecond
 	// goneAfter is how long after its last report a node counts as gone.
 	goneAfter = 3 * time.Second
-	// gatherTime is how long after the begin of its term a leader has heard of all
-	// nodes that are in touch.
-	gatherTime = 150 * time.Millisecond
 	// youngTime is for how long a leader asks for reports more often, and youngPause
 	// is the time between them then.
 	youngTime  = time.Second
@@ -48,14 +45,13 @@
 	endpoints []Endpoint
 	divider   *divider.Divider
 	ledger    *accountant.Ledger
-	expected  int // entries that there were before, as far as nodes were told
 }
 
-// NewCore returns the state of a leader whose term began at now. Shares of
-// limits last for share, and usage is counted in windows of the given length.
+// NewCore returns the state of a leader whose term began at now. Allowances
+// last for share, and usage is counted in windows of the given length.
 func NewCore(term uint64, now time.Time, share, window time.Duration) *Core {
 	return &Core{
-		term: term, started: now, nodes: make(map[string]*node), divider: divider.New(now, share),
+		term: term, started: now, nodes: make(map[string]*node), divider: divider.New(term, share),
 		ledger: accountant.NewLedger(window, now),
 	}
 }
@@ -82,12 +78,15 @@
 	return true
 }
 
-// Beat takes a report that arrived at now and answers it. names are the
-// customers with limits.
-func (c *Core) Beat(r *Report, names []string, now time.Time) Directive {
+// SetLimits replaces the limits of customers.
+func (c *Core) SetLimits(limits map[string]divider.Limit, now time.Time) {
+	c.divider.SetLimits(limits, now)
+}
+
+// Beat takes a report that arrived at now and answers it.
+func (c *Core) Beat(r *Report, now time.Time) Directive {
 	c.nodes[r.Node] = &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
-	c.expected = max(c.expected, r.Entries)
 	d := Directive{
 		Leads: true, Table: c.table, Time: now.Add(c.Ahead(now)).UnixNano(), Lasting: c.divider.Length(),
 		Entries: c.entries(now),
@@ -99,10 +98,10 @@
 	if !r.Entry {
 		return d
 	}
-	if c.Age(now) >= gatherTime && d.Entries >= c.expected {
-		c.divider.Settle()
-	}
-	d.Shares = c.divider.Renew(r.Node, r.Incarnation, r.Demand, r.Held, names, now)
+	grant := c.divider.Renew(&divider.Report{
+		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Left: r.Left, Demand: r.Demand, Wants: r.Wants,
+	}, now)
+	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.table.Number > 0 && r.Table != c.table {
 		d.Fresh, d.Endpoints = true, c.endpoints
 	}
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -10,6 +10,7 @@
 
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
 	"hyssoprudder/internal/process/registrar"
 )
@@ -28,7 +29,9 @@
 	Ruleset func() applier.Ruleset
 	// Moves returns the shares of the versions of services that move at a time.
 	Moves func(now time.Time) []Move
-	// Share is how long a share of a limit lasts.
+	// Limits returns the limits of a ruleset's customers.
+	Limits func(r *registrar.Ruleset) map[string]divider.Limit
+	// Share is how long an allowance lasts.
 	Share time.Duration
 	// Window is the length of the windows of usage.
 	Window time.Duration
@@ -41,8 +44,7 @@
 
 	mu     sync.Mutex
 	core   *Core
-	number uint64   // of the ruleset that names belongs to
-	names  []string // customers with limits
+	number uint64 // of the ruleset whose limits the core has
 }
 
 // New returns a coordinator.
@@ -72,7 +74,8 @@
 	defer c.mu.Unlock()
 	now := c.config.Clock.Now()
 	c.enter(lease, now)
-	d := c.core.Beat(r, c.limited(ruleset), now)
+	c.limit(ruleset, now)
+	d := c.core.Beat(r, now)
 	d.Leader, _ = c.config.Leader()
 	d.Keepers = c.config.Keepers()
 	d.Number = ruleset.Number
@@ -87,27 +90,23 @@
 func (c *Coordinator) enter(lease keeper.Lease, now time.Time) {
 	if c.core == nil || c.core.Term() != lease.Term() {
 		c.core = NewCore(lease.Term(), now, c.config.Share, c.config.Window)
+		c.number = 0
 		c.config.Log.Info("coordination taken over; waiting for the nodes' reports", "term", lease.Term())
 	}
 }
 
-// limited returns the customers of a ruleset that have limits.
-func (c *Coordinator) limited(r applier.Ruleset) []string {
+// limit gives the core the limits of a ruleset.
+func (c *Coordinator) limit(r applier.Ruleset, now time.Time) {
 	if r.Number == c.number {
-		return c.names
+		return
 	}
+	c.number = r.Number
 	var decoded registrar.Ruleset
 	if err := msgpack.Unmarshal(r.Body, &decoded); err != nil {
 		c.config.Log.Error("committed ruleset can't be decoded; limits stay as they were", "number", r.Number, "err", err)
-		return c.names
+		return
 	}
-	c.number, c.names = r.Number, nil
-	for _, customer := range decoded.Customers {
-		if customer.Rate > 0 {
-			c.names = append(c.names, customer.Name)
-		}
-	}
-	return c.names
+	c.core.SetLimits(c.config.Limits(&decoded), now)
 }
 
 // Do runs f with the state of the term, if this node leads. f must not block.
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -48,8 +48,6 @@
 	Incarnation uint64 `msgpack:"i"`
 	// Entry is true for nodes that serve callers.
 	Entry bool `msgpack:"e"`
-	// Entries is how many nodes that serve callers the node was last told of.
-	Entries int `msgpack:"m,omitempty"`
 	// Ruleset is the number of the ruleset in force at the node.
 	Ruleset uint64 `msgpack:"r"`
 	// Table names the list of endpoints that the node has and Loads refers to.
@@ -57,11 +55,14 @@
 	// Wall is the node's time of day, in nanoseconds since 1970.
 	Wall  int64  `msgpack:"w"`
 	Loads []Load `msgpack:"l,omitempty"`
-	// Demand is what customers with limits ask for a second, and Held the shares
-	// of limits that the node holds.
-	Demand map[string]float64  `msgpack:"d,omitempty"`
-	Held   map[string]float64  `msgpack:"h,omitempty"`
-	Usage  []accountant.Counts `msgpack:"u,omitempty"`
+	// Demand is what customers with limits ask for a second. Left is what the node
+	// has left of the allowances that came with the grant Sequence.
+	Demand   map[string]float64 `msgpack:"d,omitempty"`
+	Left     map[string]float64 `msgpack:"h,omitempty"`
+	Sequence uint64             `msgpack:"q,omitempty"`
+	// Wants is what calls need that wait for a larger allowance.
+	Wants map[string]float64  `msgpack:"x,omitempty"`
+	Usage []accountant.Counts `msgpack:"u,omitempty"`
 	// Refused counts calls by service, since the start, that were refused for
 	// want of capacity.
 	Refused map[string]uint64 `msgpack:"f,omitempty"`
@@ -82,10 +83,11 @@
 	Endpoints []Endpoint `msgpack:"e,omitempty"`
 	// Loads are what all other nodes have under way, if they use the same list.
 	Loads []Load `msgpack:"o,omitempty"`
-	// Shares are the node's shares of customers' limits, which last for Lasting
-	// from when the report was sent.
-	Shares  map[string]float64 `msgpack:"s,omitempty"`
-	Lasting time.Duration      `msgpack:"a"`
+	// Allowances are the node's parts of customers' limits, granted under Sequence.
+	// They last for Lasting from when the report was sent.
+	Allowances map[string]float64 `msgpack:"s,omitempty"`
+	Sequence   uint64             `msgpack:"q,omitempty"`
+	Lasting    time.Duration      `msgpack:"a"`
 	// Time is the agreed time of day, in nanoseconds since 1970.
 	Time int64 `msgpack:"c"`
 	// Moves are the services that are moving or were moved to a version.
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -1,5 +1,7 @@
-// Package divider decides how much of each customer's limit each node may let
-// through, at the one node that leads.
+// Package divider divides the limits of customers over the nodes, at the one node
+// that leads. It keeps a bucket for each limit and hands parts of it to the nodes
+// as allowances, which they spend without a word and return with each report. What
+// is spent in all comes out of one bucket, whatever messages are lost.
 package divider
 
 import (
@@ -7,94 +9,161 @@
 )
 
 const (
-	// evenShare is the part of a limit that is divided evenly, so that a node to
-	// which a customer turns finds something there; the rest follows the demand.
-	evenShare = 0.3
-	// minChange is the smallest growth of a share that is worth a message.
-	minChange = 0.002
+	// evenShare is the part of what is left that is divided evenly, so that a node
+	// to which a customer turns finds something there; the rest follows the demand.
+	evenShare = 0.5
+	// handShare is the part of what is left in a bucket that all nodes together get
+	// when each of them reports once; the rest serves those that spend quickly.
+	handShare = 1.5
+	// maxShare is the part of what is left that a single node may get.
+	maxShare = 0.5
 )
 
+// fullShare is the part of a bucket from which it counts as full.
+const fullShare = 0.95
+
+// Limit is what all nodes together may let through for a customer: Rate a second,
+// and Burst at once. Spare is what may be let through beyond that when a leader
+// begins, which does not know what was let through before it.
+type Limit struct {
+	Rate  float64
+	Burst float64
+	Spare float64
+}
+
+// pool is the bucket of one limit. Its level is below 0 after a call that is larger
+// than the bucket.
+type pool struct {
+	limit  Limit
+	level  float64
+	filled time.Time
+}
+
+func (p *pool) fill(now time.Time) {
+	p.level = min(p.level+p.limit.Rate*now.Sub(p.filled).Seconds(), p.limit.Burst)
+	p.filled = now
+}
+
+// most returns what may be granted of what is wanted. A call that is larger than
+// the whole bucket passes when the bucket is full.
+func (p *pool) most(wanted float64) float64 {
+	if wanted > p.limit.Burst && p.level >= fullShare*p.limit.Burst {
+		return wanted
+	}
+	return min(wanted, max(p.level, 0))
+}
+
 // holder is what the divider knows of one node.
 type holder struct {
 	incarnation uint64
+	sequence    uint64
 	demand      map[string]float64
-	granted     map[string]float64 // the most that the node may hold until it confirms
-	until       time.Time          // end of what was granted
+	granted     map[string]float64
+	before      map[string]float64 // what the node had left when it was granted
+	until       time.Time
 }
 
-// Divider decides the shares of all nodes. The shares of a limit add up to no
-// more than 1 at any moment: what a node may still hold is never given to another.
-// It is not safe for concurrent use.
+// Divider decides the allowances of all nodes. It is not safe for concurrent use.
 type Divider struct {
-	length  time.Duration
-	started time.Time
-	nodes   map[string]*holder
+	length   time.Duration
+	sequence uint64
+	pools    map[string]*pool
+	nodes    map[string]*holder
 }
 
-// New returns a divider that begins at start. Shares last for length from
-// when they were asked for. Until length has passed, nodes keep what they hold
-// from before, and none gets more.
-func New(start time.Time, length time.Duration) *Divider {
-	return &Divider{length: length, started: start, nodes: make(map[string]*holder)}
+// New returns a divider for a term of the log, whose allowances last for length
+// from when they were asked for.
+func New(term uint64, length time.Duration) *Divider {
+	return &Divider{length: length, sequence: term << 32, pools: make(map[string]*pool), nodes: make(map[string]*holder)}
 }
 
-// Settle notes that every node that may hold a share has reported.
-func (d *Divider) Settle() { d.started = time.Time{} }
-
-// Length returns how long a share lasts.
+// Length returns how long an allowance lasts.
 func (d *Divider) Length() time.Duration { return d.length }
 
-// Renew takes a node's report and returns its shares. held are the shares that
-// the node holds; names are the customers with limits.
-func (d *Divider) Renew(node string, incarnation uint64, demand, held map[string]float64, names []string, now time.Time) map[string]float64 {
-	h := d.nodes[node]
-	if h == nil || h.incarnation != incarnation {
-		// A node that started anew holds nothing of what it was granted before.
-		h = &holder{incarnation: incarnation, granted: make(map[string]float64)}
-		d.nodes[node] = h
-	}
-	h.demand = demand
-	for other, o := range d.nodes {
-		if other != node && !now.Before(o.until) {
-			delete(d.nodes, other)
+// SetLimits replaces the limits. Buckets of customers that stay keep their levels.
+func (d *Divider) SetLimits(limits map[string]Limit, now time.Time) {
+	old := d.pools
+	d.pools = make(map[string]*pool, len(limits))
+	for name, limit := range limits {
+		p := old[name]
+		if p == nil {
+			p = &pool{level: limit.Spare, filled: now}
 		}
+		p.fill(now)
+		p.limit = limit
+		p.level = min(p.level, limit.Burst)
+		d.pools[name] = p
 	}
-	shares := make(map[string]float64, len(names))
-	for _, name := range names {
-		shares[name] = d.share(node, h, name, held[name], now)
-		// Until the node confirms a smaller share it may still use the larger one.
-		h.granted[name] = max(shares[name], held[name])
-	}
-	h.until = now.Add(d.length)
-	return shares
 }
 
-func (d *Divider) share(node string, h *holder, name string, held float64, now time.Time) float64 {
-	if !d.started.IsZero() && now.Sub(d.started) < d.length {
-		return held
+// Report is what a node says of its allowances.
+type Report struct {
+	Node        string
+	Incarnation uint64
+	// Sequence is that of the last grant that the node took.
+	Sequence uint64
+	// Left is what the node has left of it, and Demand what customers ask of the
+	// node a second.
+	Left   map[string]float64
+	Demand map[string]float64
+	// Wants is what calls need that wait at the node for a larger allowance.
+	Wants map[string]float64
+}
+
+// Grant replaces what a node has left.
+type Grant struct {
+	Sequence   uint64
+	Allowances map[string]float64
+}
+
+// Renew takes what a node has left back and grants it a new allowance.
+func (d *Divider) Renew(r *Report, now time.Time) Grant {
+	for _, p := range d.pools {
+		p.fill(now)
 	}
-	wanted, others := d.wanted(h, name), 0.0
-	for other, o := range d.nodes {
-		if other != node {
-			others += o.granted[name]
+	for name, h := range d.nodes {
+		if name != r.Node && !now.Before(h.until) {
+			delete(d.nodes, name)
 		}
 	}
-	free := max(1-others, 0)
-	if wanted > held && min(wanted, free)-held < minChange {
-		return min(held, free)
+	d.takeBack(r)
+	d.sequence++
+	h := &holder{
+		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(d.pools)),
+		before: r.Left, until: now.Add(d.length),
+	}
+	d.nodes[r.Node] = h
+	for name, p := range d.pools {
+		grant := max(max(p.level, 0)*min(d.weight(h, name), maxShare), p.most(r.Wants[name]))
+		h.granted[name] = grant
+		p.level -= grant
+	}
+	return Grant{Sequence: h.sequence, Allowances: h.granted}
+}
+
+// takeBack returns to the buckets what a node has left. If the node did not take
+// its last grant, that is returned whole; what was returned before it then was
+// still with the node and may have been spent since.
+func (d *Divider) takeBack(r *Report) {
+	h := d.nodes[r.Node]
+	isLost := h != nil && h.incarnation == r.Incarnation && h.sequence != r.Sequence
+	for name, p := range d.pools {
+		if isLost {
+			p.level += h.granted[name] - h.before[name]
+		}
+		p.level = min(p.level+r.Left[name], p.limit.Burst)
 	}
-	return min(wanted, free)
 }
 
-// wanted returns the share that a node should have.
-func (d *Divider) wanted(h *holder, name string) float64 {
+// weight returns the part of what is left that a node gets.
+func (d *Divider) weight(h *holder, name string) float64 {
 	sum := 0.0
 	for _, o := range d.nodes {
 		sum += o.demand[name]
 	}
-	even := 1 / float64(len(d.nodes))
-	if sum <= 0 {
-		return even
+	part := 1 / float64(len(d.nodes))
+	if sum > 0 {
+		part = evenShare*part + (1-evenShare)*h.demand[name]/sum
 	}
-	return evenShare*even + (1-evenShare)*h.demand[name]/sum
+	return handShare * part
 }
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -21,6 +21,8 @@
 	callTimeout = 450 * time.Millisecond
 	// failPause is the time until the next try after a report that no leader answered.
 	failPause = 60 * time.Millisecond
+	// hurryPause is the shortest time between two reports.
+	hurryPause = 15 * time.Millisecond
 	// firstPause is the time between reports until the leader names another.
 	firstPause = 250 * time.Millisecond
 )
@@ -47,6 +49,7 @@
 	config Config
 	quit   chan struct{}
 	done   chan struct{}
+	hurry  chan struct{}
 	ctx    context.Context //nolint:containedctx // ends the call under way at Stop
 	cancel context.CancelFunc
 
@@ -57,11 +60,13 @@
 	leader    netip.AddrPort
 	next      int
 	failing   bool
+	answered  chan struct{} // closed when the next report to be sent was answered
+	pending   chan struct{} // closed when the one under way was answered
 }
 
 // New returns a reporter that is not yet started.
 func New(c Config) *Reporter {
-	r := &Reporter{config: c, quit: make(chan struct{}), done: make(chan struct{}), seeds: c.Seeds}
+	r := &Reporter{config: c, quit: make(chan struct{}), done: make(chan struct{}), hurry: make(chan struct{}, 1), answered: make(chan struct{}), seeds: c.Seeds}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -91,13 +96,52 @@
 	r.seeds = seeds
 }
 
+// Hurry has a report sent as soon as may be. It returns a channel that is closed
+// when a report that is sent from now on was answered, or was not.
+func (r *Reporter) Hurry() <-chan struct{} {
+	select {
+	case r.hurry <- struct{}{}:
+	default: // a report is about to be sent
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
 func (r *Reporter) run() {
 	defer close(r.done)
-	for pause := time.Duration(0); clock.Sleep(r.config.Clock, pause, r.quit); {
+	pause := time.Duration(0)
+	for r.sleep(pause) {
 		pause = r.report()
 	}
 }
 
+// sleep waits for the next report. Hurry shortens the wait.
+func (r *Reporter) sleep(pause time.Duration) bool {
+	short := min(pause, hurryPause)
+	if !clock.Sleep(r.config.Clock, short, r.quit) {
+		return false
+	}
+	timer := r.config.Clock.NewTimer(pause - short)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-r.hurry:
+	case <-r.quit:
+		return false
+	}
+	// What asked for a report until now is covered by the next.
+	select {
+	case <-r.hurry:
+	default:
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = r.answered
+	r.answered = make(chan struct{})
+	return true
+}
+
 // report sends one report and returns the time until the next.
 func (r *Reporter) report() time.Duration {
 	var report coordinator.Report
@@ -132,6 +176,7 @@
 	if isNewest && sent.After(r.confirmed) {
 		r.confirmed = sent
 	}
+	close(r.pending)
 	if d.Pause <= 0 {
 		return firstPause
 	}
@@ -154,6 +199,8 @@
 func (r *Reporter) fail(asked netip.AddrPort, d *coordinator.Directive, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Those that wait look again and ask for another report.
+	close(r.pending)
 	if !r.failing && r.leader == asked {
 		r.failing = true
 		r.config.Log.Warn("leader does not answer; asking the other keepers", "leader", asked, "err", err)
--- a/internal/request/apportioner/apportioner.go
+++ b/internal/request/apportioner/apportioner.go
@@ -1,7 +1,7 @@
-// Package apportioner divides the limits of customers over the nodes. Each node
-// holds a share of each limit; the shares of all nodes add up to no more than 1
-// at any moment, also while nodes are cut off, frozen or new, since a share ends
-// by itself unless it is renewed.
+// Package apportioner holds this node's allowances: its parts of the limits of
+// customers, which all nodes share. An allowance ends by itself unless it is
+// renewed, so that a node that is cut off or frozen lets nothing through that
+// another one may.
 package apportioner
 
 import (
@@ -10,147 +10,164 @@
 	"time"
 )
 
-// Limit is what all nodes together may let through for a customer.
-type Limit struct {
-	// Rate and Burst count calls or tokens; a Rate of 0 means no limit.
-	Rate  float64
-	Burst float64
-}
-
-// demandWeight is the weight of the newest second in the measured demand.
-const demandWeight = 0.5
+const (
+	// demandWeight is the weight of the newest second in the measured demand.
+	demandWeight = 0.5
+	// measuredOver is the longest time between two measurements that counts.
+	measuredOver = time.Minute
+	// renewal is about how long it takes until an allowance is renewed.
+	renewal = 300 * time.Millisecond
+	// dryTime is for how long no larger allowance is asked for after the whole limit
+	// was found to be spent.
+	dryTime = 200 * time.Millisecond
+)
 
-// bucket is one customer's part of this node.
+// bucket is one customer's allowance.
 type bucket struct {
-	limit  Limit
-	share  float64
-	tokens float64
-	filled time.Time
-	asked  float64 // since the last measurement
-	demand float64 // a second
+	rate    float64 // of the whole limit, a second; 0 without a limit
+	granted float64
+	left    float64
+	wanted  float64   // by calls that wait
+	dry     time.Time // until then nothing more is to be had
+	since   float64   // spent since the last report
+	asked   float64   // since the last measurement
+	demand  float64   // a second
 }
 
-// Quotas are the limits of all customers at one node. It is safe for concurrent use.
+// Quotas are the allowances of all customers. It is safe for concurrent use.
 type Quotas struct {
 	mu       sync.Mutex
 	buckets  map[string]*bucket
-	until    time.Time // end of the shares
+	sequence uint64
+	until    time.Time // end of the allowances
 	measured time.Time
 }
 
 // New returns quotas without limits.
 func New() *Quotas { return &Quotas{buckets: make(map[string]*bucket)} }
 
-// SetLimits replaces the limits. Customers that stay keep their shares.
-func (q *Quotas) SetLimits(limits map[string]Limit, now time.Time) {
+// SetRates replaces the limits, by their rates a second. Customers that stay keep
+// their allowances.
+func (q *Quotas) SetRates(rates map[string]float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	old := q.buckets
-	q.buckets = make(map[string]*bucket, len(limits))
-	for name, limit := range limits {
+	q.buckets = make(map[string]*bucket, len(rates))
+	for name, rate := range rates {
 		b := old[name]
 		if b == nil {
-			b = &bucket{filled: now}
+			b = &bucket{}
 		}
-		b.fill(now, q.until)
-		b.limit = limit
-		b.clip()
+		b.rate = rate
 		q.buckets[name] = b
 	}
 }
 
-// SetShares replaces the shares of the limits, which end at until.
-func (q *Quotas) SetShares(shares map[string]float64, now, until time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for name, b := range q.buckets {
-		b.fill(now, q.until)
-		b.share = shares[name]
-		b.clip()
-	}
-	q.until = until
+// Status is what a node reports of its allowances.
+type Status struct {
+	Sequence uint64
+	Left     map[string]float64
+	Demand   map[string]float64
+	Wants    map[string]float64
 }
 
-// Shares returns the shares that the node holds.
-func (q *Quotas) Shares(now time.Time) map[string]float64 {
+// Report returns what is left. What is spent from now on is taken off the next
+// allowance.
+func (q *Quotas) Report(now time.Time) Status {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	out := make(map[string]float64, len(q.buckets))
-	if !now.Before(q.until) {
-		return out
-	}
+	s := Status{Sequence: q.sequence, Left: make(map[string]float64, len(q.buckets)), Demand: make(map[string]float64, len(q.buckets)), Wants: make(map[string]float64)}
+	passed := now.Sub(q.measured)
 	for name, b := range q.buckets {
-		if b.share > 0 {
-			out[name] = b.share
+		b.since = 0
+		if passed > 0 && passed < measuredOver {
+			weight := 1 - math.Pow(1-demandWeight, passed.Seconds())
+			b.demand += weight * (b.asked/passed.Seconds() - b.demand)
+			b.asked = 0
+		}
+		if now.Before(q.until) && b.left != 0 {
+			s.Left[name] = b.left
+		}
+		if b.demand > 0 {
+			s.Demand[name] = b.demand
+		}
+		if b.wanted > 0 {
+			s.Wants[name] = b.wanted
 		}
 	}
-	return out
+	q.measured = now
+	return s
 }
 
-// Demand returns what each customer asks of this node a second.
-func (q *Quotas) Demand(now time.Time) map[string]float64 {
+// SetAllowances replaces the allowances, which end at until. They answer the last
+// report.
+func (q *Quotas) SetAllowances(sequence uint64, allowances map[string]float64, now, until time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	passed := now.Sub(q.measured).Seconds()
-	out := make(map[string]float64, len(q.buckets))
+	q.sequence, q.until = sequence, until
 	for name, b := range q.buckets {
-		if passed > 0 && passed < 60 {
-			weight := 1 - math.Pow(1-demandWeight, passed)
-			b.demand += weight * (b.asked/passed - b.demand)
-			b.asked = 0
-		}
-		if b.limit.Rate > 0 && b.demand > 0 {
-			out[name] = b.demand
+		b.granted = allowances[name]
+		b.left = b.granted - b.since
+		if b.wanted > 0 && b.left < b.wanted {
+			b.dry = now.Add(dryTime)
 		}
 	}
-	q.measured = now
-	return out
 }
 
-// Take lets a call of a customer through, or says how long it takes until one
-// of that size may be.
-func (q *Quotas) Take(customer string, cost float64, now time.Time) (time.Duration, bool) {
+// Verdict says whether a call passes its customer's limit.
+type Verdict int
+
+// The verdicts.
+const (
+	// Passed calls are within the limit.
+	Passed Verdict = iota
+	// Short calls need a larger allowance, which may be had at once.
+	Short
+	// Over calls are over the limit.
+	Over
+)
+
+// Take lets a call of a customer through, or says when it may come back.
+func (q *Quotas) Take(customer string, cost float64, now time.Time) (Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	b := q.buckets[customer]
-	if b == nil || b.limit.Rate <= 0 {
-		return 0, true
+	if b == nil || b.rate <= 0 {
+		return Passed, 0
 	}
-	b.asked += cost
-	b.fill(now, q.until)
-	// A call larger than the bucket passes when the bucket is full.
-	need := min(cost, b.limit.Burst*b.share)
-	if b.share > 0 && now.Before(q.until) && b.tokens >= need {
-		b.tokens -= cost
-		return 0, true
+	if now.Before(q.until) && b.left >= cost {
+		b.asked += cost
+		b.left -= cost
+		b.since += cost
+		return Passed, 0
 	}
-	if b.share <= 0 {
-		return time.Second, false
+	if now.Before(b.dry) {
+		b.asked += cost
+		return Over, max(renewal, time.Duration((cost-b.left)/b.rate*float64(time.Second)))
 	}
-	return time.Duration((need - b.tokens) / (b.limit.Rate * b.share) * float64(time.Second)), false
+	return Short, renewal
 }
 
-// Return gives back what a call took that did not run.
-func (q *Quotas) Return(customer string, cost float64) {
+// Want asks for an allowance that lets a call through, until Unwant.
+func (q *Quotas) Want(customer string, cost float64) { q.want(customer, cost) }
+
+// Unwant takes back what Want asked for.
+func (q *Quotas) Unwant(customer string, cost float64) { q.want(customer, -cost) }
+
+func (q *Quotas) want(customer string, cost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if b := q.buckets[customer]; b != nil {
-		b.tokens += cost
-		b.clip()
+		b.wanted = max(b.wanted+cost, 0)
 	}
 }
 
-// fill adds what came in until now or the end of the share.
-func (b *bucket) fill(now, until time.Time) {
-	end := now
-	if until.Before(end) {
-		end = until
-	}
-	if passed := end.Sub(b.filled).Seconds(); passed > 0 {
-		b.tokens += b.limit.Rate * b.share * passed
-		b.clip()
+// Return gives back what a call took that did not run.
+func (q *Quotas) Return(customer string, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if b := q.buckets[customer]; b != nil {
+		b.left += cost
+		b.since -= cost
 	}
-	b.filled = now
 }
-
-func (b *bucket) clip() { b.tokens = min(b.tokens, b.limit.Burst*b.share) }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -47,6 +47,9 @@
 	Domain string
 	// IsConfirmed reports whether the rules here were confirmed a short while ago.
 	IsConfirmed func() bool
+	// Renew has this node's allowances renewed at once and returns a channel that is
+	// closed when that is done.
+	Renew func() <-chan struct{}
 	// Encode returns the header of a call for an endpoint.
 	Encode func(call *Call, order *Order) http.Header
 	// Decode reads the head of an endpoint's answer.
@@ -195,14 +198,46 @@
 			x.cost = float64(x.call.Prompt + x.call.Answer)
 		}
 	}
-	wait, ok := x.f.config.Quotas.Take(x.customer.Name, x.cost, x.f.config.Clock.Now())
-	if !ok {
+	verdict, wait := x.take()
+	if verdict == apportioner.Short {
+		verdict, wait = x.borrow()
+	}
+	if verdict != apportioner.Passed {
 		x.cost = 0
-		return OverQuota, x.f.spread(max(wait, retryCap/4))
+		return OverQuota, x.f.spread(wait)
 	}
 	return None, 0
 }
 
+func (x *exchange) take() (apportioner.Verdict, time.Duration) {
+	return x.f.config.Quotas.Take(x.customer.Name, x.cost, x.f.config.Clock.Now())
+}
+
+// borrowTime is how long a call waits for a larger allowance. Asking takes a few
+// milliseconds when the leader is there.
+const borrowTime = 120 * time.Millisecond
+
+// borrow waits for an allowance that lets the call through.
+func (x *exchange) borrow() (apportioner.Verdict, time.Duration) {
+	c := &x.f.config
+	c.Quotas.Want(x.customer.Name, x.cost)
+	defer c.Quotas.Unwant(x.customer.Name, x.cost)
+	timer := c.Clock.NewTimer(borrowTime)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.Renew():
+		case <-timer.C():
+			return x.take()
+		case <-x.ctx.Done():
+			return x.take()
+		}
+		if verdict, wait := x.take(); verdict != apportioner.Short {
+			return verdict, wait
+		}
+	}
+}
+
 // spread returns a time about d, between the bounds for callers, so that callers
 // who were refused together don't return together.
 func (f *Forwarder) spread(d time.Duration) time.Duration {
