Keep reclaimable instances that serve until as many as wanted do

Change: reclaimable instances that serve are given up only when the others do. Ruled out: the lease on duties (the orders came 0.14 s after the election). Test: TestNewLeaderAfterALostDomain, failing before.

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -234,7 +234,8 @@
 
 func (c *Conn) shut() {
 	c.closed = true
-	c.client.Close()
+	// Nothing more is expected of the connection, so an error changes nothing.
+	_ = c.client.Close()
 }
 
 // keepAlive returns how long the endpoint's connections may be kept idle here.
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -117,6 +117,7 @@
 	s.measure(m, sight, now)
 	s.notice(sight, now)
 	want := s.wantReclaimable(m)
+	keepServing(sight, want)
 	s.wantOnDemand(m, sight, want, now)
 	var out []Order
 	for _, g := range sortedGroups(m) {
@@ -270,6 +271,31 @@
 	return want
 }
 
+// keepServing keeps reclaimable instances that serve, wherever they are, until as
+// many as are wanted serve in all.
+func keepServing(sight *Sight, want map[Group]int) {
+	spare := 0
+	for g, n := range sight.Serving {
+		if g.Reclaimable {
+			spare += n
+		}
+	}
+	for _, n := range want {
+		spare -= n
+	}
+	for _, g := range slices.SortedFunc(maps.Keys(sight.Serving), compareGroups) {
+		over := sight.Serving[g] - want[g]
+		if !g.Reclaimable || over <= 0 {
+			continue
+		}
+		given := min(over, max(spare, 0))
+		want[g] += over - given
+		spare -= given
+	}
+}
+
+func compareGroups(a, b Group) int { return cmp.Compare(a.Domain, b.Domain) }
+
 // wantOnDemand orders on demand what the reclaimable instances lack. It counts on
 // ordered ones before it orders more, and on serving ones only before it gives
 // some up.
--- a/internal/process/sizer/sizer_test.go
+++ b/internal/process/sizer/sizer_test.go
@@ -200,6 +200,21 @@
 	require.GreaterOrEqual(t, m.total(), before-2)
 }
 
+// Pattern: a lost domain, then a new leader. What serves in the other domains is
+// not given up to spread it evenly while the lost ones can't be had.
+func TestNewLeaderAfterALostDomain(t *testing.T) {
+	m := newMarket(t, 3, 3)
+	m.run(30 * time.Second)
+	m.reclaim("a")
+	m.dry = true
+	before := m.total()
+	m.sizer = sizer.New()
+	for range 16 {
+		m.run(tick)
+		require.GreaterOrEqual(t, m.total(), before)
+	}
+}
+
 // Without calls, as before the first, the size stays.
 func TestSizeStaysUntilCallsCome(t *testing.T) {
 	s, m := sizer.New(), newMarket(t, 3, 0)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -80,7 +80,7 @@
 		return stepUnsent
 	}
 	conn.SetReadDeadline(a.deadline())
-	a.response, err = conn.Do(a.request(left))
+	a.response, err = conn.Do(a.request(left)) //nolint:bodyclose // release closes it, or the connection is closed
 	if err != nil {
 		return a.failed(err)
 	}
