End the delivery of an ambiguous request without exchanging its connection

Cause: the race detector found the exchange, made by the server's read beside a handler, against writes of the answer. Change: a flag of the reading side ends the delivery. Test: TestFraming under race, 40 times.

--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -106,6 +106,7 @@
 	passing  int    // bytes of pending that may be delivered: the rest of a head
 	body     int64  // bytes of the present body that are still to be delivered
 	isOpen   bool   // what follows has no known end and is passed on
+	isOver   bool   // nothing behind the present head is delivered
 
 	mu       sync.Mutex
 	verdicts []Verdict
@@ -143,7 +144,7 @@
 
 // Read delivers bytes of the present request only.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.passing == 0 && c.body == 0 && !c.isOpen {
+	if c.passing == 0 && c.body == 0 && !c.isOpen && !c.isOver {
 		if err := c.readHead(); err != nil {
 			return 0, err
 		}
@@ -154,6 +155,9 @@
 		c.passing -= n
 		return n, nil
 	}
+	if c.isOver {
+		return 0, net.ErrClosed
+	}
 	return c.readBody(p)
 }
 
@@ -250,9 +254,7 @@
 		// The server refuses the same head and closes the connection.
 		c.isOpen = true
 	case len(request.TransferEncoding) > 0 && hasLength(c.pending[:end]):
-		verdict, c.isOpen = Ambiguous, true
-		c.pending = c.pending[:end:end]
-		c.Conn = &ended{Conn: c.Conn}
+		verdict, c.isOver = Ambiguous, true
 	case len(request.TransferEncoding) > 0:
 		verdict, c.isOpen = Chunked, true
 	case request.ContentLength > 0:
@@ -263,14 +265,6 @@
 	c.verdicts = append(c.verdicts, verdict)
 }
 
-// ended is a connection from which nothing more is read.
-type ended struct {
-	net.Conn
-}
-
-// Read reports that the connection is closed.
-func (*ended) Read([]byte) (int, error) { return 0, net.ErrClosed }
-
 // hasLength reports whether a head that was parsed before states a length.
 func hasLength(head []byte) bool {
 	for line := range bytes.Lines(head) {
