--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,11 +14,13 @@
 	"github.com/charmbracelet/log"
 
 	"hyssoprudder/internal/connection/certifier"
+	"hyssoprudder/internal/connection/screener"
 )
 
 // Listener runs one HTTP server.
 type Listener struct {
 	name     string
+	screener *screener.Screener // nil without Screen
 	server   *http.Server
 	log      *log.Logger
 	listener net.Listener
@@ -34,12 +37,28 @@
 	return &Listener{name: name, server: server, log: l, done: make(chan struct{})}
 }
 
+// Screen has the requests of each connection delivered one at a time, so that none
+// can be hidden in another; see package screener. It is called before Start. With
+// TLS only HTTP/1.1 is offered then.
+func (l *Listener) Screen(s *screener.Screener) {
+	l.screener = s
+	l.server.ConnContext, l.server.ConnState = screener.Context, screener.State
+}
+
 // Start listens and serves until Stop.
 func (l *Listener) Start(address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", l.name, err)
 	}
+	if l.screener != nil {
+		if l.server.TLSConfig != nil {
+			config := l.server.TLSConfig.Clone()
+			config.NextProtos = []string{"http/1.1"}
+			listener = tls.NewListener(listener, config)
+		}
+		listener = l.screener.Wrap(listener)
+	}
 	l.listener = listener
 	go l.run()
 	return nil
@@ -48,7 +67,7 @@
 func (l *Listener) run() {
 	defer close(l.done)
 	var err error
-	if l.server.TLSConfig != nil {
+	if l.server.TLSConfig != nil && l.screener == nil {
 		err = l.server.ServeTLS(l.listener, "", "")
 	} else {
 		err = l.server.Serve(l.listener)
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -76,7 +76,7 @@
 
 type contextKey struct{}
 
-// Context is the server's ConnContext: it lets Next find the connection.
+// Context is the server's ConnContext: it lets Guard find the connection.
 func Context(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, c)
 }
@@ -88,9 +88,25 @@
 	}
 }
 
-// Next returns the verdict on the request whose handler runs with ctx. Call it
-// once at the start of each handler.
-func Next(ctx context.Context) Verdict {
+// Guard returns a handler that refuses ambiguous requests, and has the connections
+// of chunked ones closed after their answers. It must see every request of a
+// screened connection, so it stands before all other handlers.
+func Guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		verdict := verdictOf(r.Context())
+		if verdict != Plain {
+			w.Header().Set("Connection", "close")
+		}
+		if verdict == Ambiguous {
+			http.Error(w, "a request states its length or comes in chunks, not both", http.StatusBadRequest)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// verdictOf returns the verdict on the request whose handler runs with ctx.
+func verdictOf(ctx context.Context) Verdict {
 	c, ok := ctx.Value(contextKey{}).(*conn)
 	if !ok {
 		return Plain
--- a/internal/connection/screener/screener_test.go
+++ b/internal/connection/screener/screener_test.go
@@ -36,7 +36,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	f := &front{t: t, address: l.Addr().String(), done: make(chan struct{})}
-	f.server = &http.Server{Handler: f, ConnContext: screener.Context, ConnState: screener.State}
+	f.server = &http.Server{Handler: screener.Guard(f), ConnContext: screener.Context, ConnState: screener.State}
 	f.listen = screener.New(func() screener.Limits { return limits }, time.Now).Wrap(l)
 	go f.run()
 	t.Cleanup(f.close)
@@ -54,14 +54,6 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	verdict := screener.Next(r.Context())
-	if verdict != screener.Plain {
-		w.Header().Set("Connection", "close")
-	}
-	if verdict == screener.Ambiguous {
-		http.Error(w, "ambiguous", http.StatusBadRequest)
-		return
-	}
 	body, err := io.ReadAll(r.Body)
 	f.mu.Lock()
 	f.served = append(f.served, fmt.Sprintf("%s %s %q", r.Method, r.URL.Path, body))
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -16,6 +16,7 @@
 
 	"hyssoprudder/internal/connection/certifier"
 	"hyssoprudder/internal/connection/listener"
+	"hyssoprudder/internal/connection/screener"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/meter"
 	"hyssoprudder/internal/process/parser"
@@ -56,11 +57,12 @@
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("/", s.serveCall)
 	s.listener = listener.New("callers", &http.Server{
-		Handler:           mux,
+		Handler:           screener.Guard(mux),
 		ReadHeaderTimeout: cfg.Limits.Read(),
 		IdleTimeout:       cfg.Limits.Idle(),
 		MaxHeaderBytes:    cfg.Limits.Header(),
 	}, cfg.Certifier, cfg.Log)
+	s.listener.Screen(screener.New(func() screener.Limits { return screener.Limits{} }, cfg.Clock.Now))
 	return s
 }
 
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -77,7 +77,7 @@
 		Quotas: e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	e.callers = &http.Server{
-		Handler:     n.outside.Front(e.forwarder.Serve, e.isClosing.Load, n.clock.Now),
+		Handler:     screener.Guard(n.outside.Front(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.Context, ConnState: screener.State, MaxHeaderBytes: maxHeader, ErrorLog: n.log.StandardLog(),
 	}
 	e.ready = listener.New("the balancer", &http.Server{Handler: n.outside.Ready(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
