Let a leader that begins hand out what is kept for it

Cause found by a test: a new bucket was clipped by a limit that was not set yet, so a leader began with nothing to hand out instead of the part kept for that. Change: the bucket gets its limit first.

--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -92,7 +92,7 @@
 	for name, limit := range limits {
 		p := old[name]
 		if p == nil {
-			p = &pool{level: limit.Spare, filled: now}
+			p = &pool{limit: limit, level: limit.Spare, filled: now}
 		}
 		p.fill(now)
 		p.limit = limit
--- /dev/null
+++ b/internal/process/settings/managed_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/process/settings"
+)
+
+const managed = `
+id = "front-1"
+domain = "adjud"
+domains = ["focsani", "adjud"]
+seeds = ["10.0.0.1:8229", "10.0.0.2:8229"]
+secret = "s"
+roles = ["entry"]
+[listen]
+callers = "10.0.0.9:8221"
+ready = "10.0.0.9:8224"
+nodes = "10.0.0.9:7600"
+[provider]
+address = "10.9.0.1:80"
+duties = ["usage"]
+[bounds]
+revoke = "5000ms"
+quotaslack = 110000
+retryratio = 0.2
+`
+
+func TestLoadManaged(t *testing.T) {
+	m, err := settings.LoadManaged(write(t, "node.toml", managed))
+	require.NoError(t, err)
+	require.Equal(t, "front-1", m.ID())
+	require.Equal(t, "10.0.0.2:7600", m.Seeds()[1].String(), "nodes use one port among each other")
+	require.Equal(t, 5*time.Second, m.Bounds().Revoke())
+	require.InDelta(t, 110000, m.Bounds().QuotaSlack(), 0)
+	require.True(t, m.Provider().Has("usage"))
+	require.False(t, m.Provider().Has("scaling"))
+	require.Equal(t, 3*time.Second, m.Bounds().Drain(), "bounds that are left out have defaults")
+}
+
+func TestLoadManagedFaults(t *testing.T) {
+	cases := map[string]struct{ old, fresh, key, want string }{
+		"unknown name":    {"revoke", "revoek", "bounds.revoek", `did you mean "bounds.revoke"?`},
+		"wrong type":      {`secret = "s"`, "secret = 1", "secret", "must be text in quotes"},
+		"no number":       {"110000", `"many"`, "bounds.quotaslack", "must be a number"},
+		"below 0":         {"= 0.2", "= -0.2", "bounds.retryratio", "out of range"},
+		"unlisted domain": {`domain = "adjud"`, `domain = "iasi"`, "domain", "not in domains"},
+		"no callers":      {`callers = "10.0.0.9:8221"`, "", "listen", "needed on a node"},
+		"no seeds":        {`seeds = ["10.0.0.1:8229", "10.0.0.2:8229"]`, "", "seeds", "is needed"},
+		"keeper's disk":   {`"entry"`, `"entry", "keeper"`, "data", "is needed"},
+		"not TOML":        {`secret = "s"`, "secret = s", "line 6", "expected"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, managed, tc.old)
+			_, err := settings.LoadManaged(write(t, "node.toml", strings.Replace(managed, tc.old, tc.fresh, 1)))
+			var faults settings.Faults
+			require.ErrorAs(t, err, &faults)
+			found := false
+			for _, fault := range faults {
+				found = found || fault.Key == tc.key && strings.Contains(fault.Want, tc.want)
+			}
+			require.True(t, found, "%v", err)
+		})
+	}
+}
