--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -127,12 +129,32 @@
 // openPause is the time between two tries to open the log on a disk that refuses.
 const openPause = 300 * time.Millisecond
 
-// open opens the log. A disk that is full or broken for a while holds the start up.
+// probeName is a file that is written and removed to see whether the disk takes
+// writes.
+const probeName = "probe"
+
+// probe reports why the disk takes no writes, or nil.
+func probe(folder string) error {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	path := filepath.Join(folder, probeName)
+	if err := os.WriteFile(path, make([]byte, 4096), 0o600); err != nil {
+		return err
+	}
+	return os.Remove(path)
+}
+
+// open opens the log. A disk that is full or broken for a while holds the start
+// up, so that the process does not end again at its first write.
 func (k *keeperPart) open(c keeper.Config) (*keeper.Keeper, error) {
 	for {
-		opened, err := keeper.New(c)
+		err := probe(c.Folder)
 		if err == nil {
-			return opened, nil
+			var opened *keeper.Keeper
+			if opened, err = keeper.New(c); err == nil {
+				return opened, nil
+			}
 		}
 		if !isDiskError(err) {
 			return nil, fmt.Errorf("open the log: %w", err)
