--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -436,6 +436,10 @@
 
 // giveUp ends a call that no further endpoint is tried for.
 func (x *exchange) giveUp(reason string, wait time.Duration) {
+	if x.result.Detail != "" {
+		// What failed at the last endpoint comes first, then why it ends there.
+		reason = x.result.Detail + "; " + reason
+	}
 	x.result.Detail = reason
 	switch {
 	case x.ctx.Err() != nil:
