Place orders on demand beside reclaimable instances that are on their way

Change: instances on their way take up room first. Ruled out: prices (the dear domain had the room).

--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -315,7 +315,8 @@
 	switch {
 	case have < least:
 		s.spareFrom = time.Time{}
-		s.addOnDemand(m, sight, domains, want, least-have)
+		lack := s.addOnDemand(m, s.comingOf(sight, want, now), domains, want, least-have)
+		s.addOnDemand(m, sight.Serving, domains, want, lack)
 	case have > max(most, 0) && s.spareFrom.IsZero():
 		s.spareFrom = now
 	case have > max(most, 0) && now.Sub(s.spareFrom) >= release:
@@ -351,22 +352,34 @@
 	return sum
 }
 
-// addOnDemand orders more in the cheapest domains that have room beside the
-// reclaimable instances that serve there.
-func (s *Sizer) addOnDemand(m *Market, sight *Sight, domains []string, want map[Group]int, lack int) {
+// comingOf returns the reclaimable instances that serve or are on their way.
+func (s *Sizer) comingOf(sight *Sight, want map[Group]int, now time.Time) map[Group]int {
+	out := maps.Clone(sight.Serving)
+	for g, n := range want {
+		if g.Reclaimable && !s.isDry(g, now) {
+			out[g] = max(out[g], n)
+		}
+	}
+	return out
+}
+
+// addOnDemand orders more in the cheapest domains that have room beside the given
+// instances, and returns how many are still lacking.
+func (s *Sizer) addOnDemand(m *Market, beside map[Group]int, domains []string, want map[Group]int, lack int) int {
 	for lack > 0 {
 		before := lack
 		for _, d := range domains {
 			g := Group{Domain: d}
-			if lack > 0 && want[g]+sight.Serving[Group{d, true}] < m.Max {
+			if lack > 0 && want[g]+beside[Group{d, true}] < m.Max {
 				want[g]++
 				lack--
 			}
 		}
 		if lack == before {
-			return
+			break
 		}
 	}
+	return lack
 }
 
 // dropOnDemand gives some up in the dearest domains first.
