--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -38,9 +38,9 @@
 	// shortTime is how long after reclaimable instances were not to be had, or after
 	// a domain lost its own, the next domain is expected to lose them too.
 	shortTime = 9 * time.Second
-	// shortShare is the part of the others that counts then. With all of them
-	// counted, domains that were lost 1.4 s apart left nothing for 3 s; with half,
-	// calm days paid 0.02 of their worth for instances on demand.
+	// shortShare is the part of the other domains that counts then. It weighs a gap
+	// when domains are lost in quick succession against the price of instances on
+	// demand.
 	shortShare = 0.75
 	// patience is how long beyond the start-up time an order may take.
 	patience = 2 * time.Second
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"maps"
@@ -325,6 +324,3 @@
 	defer r.mu.Unlock()
 	return maps.Clone(r.n)
 }
-
-// isGone reports whether the caller has left.
-func isGone(ctx context.Context) bool { return ctx.Err() != nil }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -144,7 +144,7 @@
 	a.conn.Close()
 	x.mayRun = true
 	x.result.Detail = "the stream broke off: " + err.Error()
-	if !isGone(x.ctx) && (!errors.Is(err, os.ErrDeadlineExceeded) || x.left() > minLeft) {
+	if x.ctx.Err() == nil && (!errors.Is(err, os.ErrDeadlineExceeded) || x.left() > minLeft) {
 		a.outcome = placer.Failed
 	}
 	return stepLost
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -126,15 +126,13 @@
 
 // Choice is where a call is placed.
 type Choice struct {
-	endpoint *endpoint
-	// Predicted is when the first event is expected.
-	predicted time.Duration
-	unread    int
-	held      int
+	endpoint  *endpoint
+	predicted time.Duration // until the first event
+	unread    int           // tokens that the endpoint has to read for it
+	held      int           // tokens in memory for it
 	began     time.Time
-	first     bool
-	clear     bool // nothing else was to be read before it
-	parts     []Part
+	hasBegun  bool // its first event came
+	isAlone   bool // nothing else was to be read before it
 }
 
 // Endpoint returns the endpoint as listed.
@@ -380,9 +378,9 @@
 
 func (p *Placer) begin(e *endpoint, ask *Ask, first float64) *Choice {
 	c := &Choice{
-		endpoint: e, predicted: time.Duration(first * float64(time.Millisecond)), began: ask.Now, parts: ask.Parts,
+		endpoint: e, predicted: time.Duration(first * float64(time.Millisecond)), began: ask.Now,
 		unread: e.unreadOf(ask, &homes{}), held: ask.Prompt + ask.Answer,
-		clear: e.own.Waiting+p.peersOf(e, ask.Now).Waiting == 0,
+		isAlone: e.own.Waiting+p.peersOf(e, ask.Now).Waiting == 0,
 	}
 	e.own.Calls++
 	e.own.Waiting++
@@ -433,14 +431,14 @@
 }
 
 func (p *Placer) first(c *Choice, now time.Time) {
-	if c.first {
+	if c.hasBegun {
 		return
 	}
-	c.first = true
+	c.hasBegun = true
 	e := c.endpoint
 	e.own.Waiting--
 	e.own.Unread -= c.unread
-	if took := float64(now.Sub(c.began)) / float64(time.Millisecond); c.clear && c.unread >= minMeasured && took > 0 {
+	if took := float64(now.Sub(c.began)) / float64(time.Millisecond); c.isAlone && c.unread >= minMeasured && took > 0 {
 		e.rate += rateWeight * (float64(c.unread)/took - e.rate)
 	}
 }
@@ -469,10 +467,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
-	if outcome == Answered || !c.first {
-		c.clear = c.clear && outcome == Answered
-		p.first(c, now)
-	}
+	c.isAlone = c.isAlone && outcome == Answered
+	p.first(c, now)
 	e.own.Calls--
 	e.own.Held -= c.held
 	switch outcome {
