Take one window for both reports in the test of repeated usage

Change: the window is taken once, from the leader's clock, and is compared too. Ruled out: the product (the counts of one window did not change).

--- a/internal/process/submitter/submitter_test.go
+++ b/internal/process/submitter/submitter_test.go
@@ -35,11 +35,12 @@
 	duties  *submitter.Submitter
 	started time.Time
 
-	mu     sync.Mutex
-	fails  int // calls to the provider that get no answer
-	usage  []map[string]int
-	orders []submitter.Size
-	acted  time.Time // first call to the provider
+	mu      sync.Mutex
+	fails   int // calls to the provider that get no answer
+	usage   []map[string]int
+	windows []int64
+	orders  []submitter.Size
+	acted   time.Time // first call to the provider
 }
 
 var errUnreached = errors.New("unreached")
@@ -88,11 +89,12 @@
 	return submitter.Outcome{}
 }
 
-func (l *leader) takeUsage(_ context.Context, h submitter.Holder, _ int64, counts map[string]int) submitter.Outcome {
+func (l *leader) takeUsage(_ context.Context, h submitter.Holder, w int64, counts map[string]int) submitter.Outcome {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	require.Positive(l.t, h.Fence)
 	l.usage = append(l.usage, counts)
+	l.windows = append(l.windows, w)
 	return l.answer()
 }
 
@@ -104,11 +106,19 @@
 	return l.answer()
 }
 
-// report gives the leader counts of a window that has ended.
-func (l *leader) report(n int) {
+// ended returns a window that ended a while ago and that the leader looks after.
+func (l *leader) ended() int64 {
+	var w int64
 	require.Eventually(l.t, func() bool {
-		return l.core.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) {
-			w := accountant.Window(now, window) - 4
+		return l.core.Do(func(_ *coordinator.Core, _ keeper.Lease, now time.Time) { w = accountant.Window(now, window) - 4 })
+	}, patience, time.Millisecond)
+	return w
+}
+
+// report gives the leader counts of a window.
+func (l *leader) report(w int64, n int) {
+	require.Eventually(l.t, func() bool {
+		return l.core.Do(func(core *coordinator.Core, _ keeper.Lease, _ time.Time) {
 			core.Ledger().Add("n", 1, []accountant.Counts{{Window: w, Calls: map[string]int{"masons": n}}})
 		})
 	}, patience, time.Millisecond)
@@ -118,13 +128,14 @@
 // counted meanwhile.
 func TestUsageIsRepeatedUnchanged(t *testing.T) {
 	l := newLeader(t, 2, nil)
-	l.report(7)
+	ended := l.ended()
+	l.report(ended, 7)
 	require.Eventually(t, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return len(l.usage) >= 1
 	}, patience, time.Millisecond)
-	l.report(9)
+	l.report(ended, 9)
 	require.Eventually(t, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -135,6 +146,7 @@
 	for _, counts := range l.usage[:3] {
 		require.Equal(t, map[string]int{"masons": 7}, counts)
 	}
+	require.Equal(t, []int64{ended, ended, ended}, l.windows[:3])
 }
 
 // A process that was just started may have acted in its last life, so it waits for
