Break a stream off when the endpoint that should go on with it fails

Change: once a caller has events, an answer that is no stream counts as a broken attempt, and giving up cuts the connection. Ruled out: the detection of whole events (the first engine's were right). Test: TestStreamThatGoesOnAtAFailure, failing before for a failure and a refusal.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -217,6 +217,10 @@
 // readPlain reads an answer that is not a stream and passes it on whole.
 func (a *attempt) readPlain() step {
 	x := a.x
+	if x.hasStreamBegun() {
+		// The caller has events of this answer; nothing but further ones may follow.
+		return a.broken("the stream can't go on there, status " + strconv.Itoa(a.response.StatusCode))
+	}
 	a.conn.SetReadDeadline(x.until)
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxHeldAnswer+1))
 	if err != nil {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -446,11 +446,11 @@
 		// Nobody reads an answer any more.
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
-	case x.held != nil:
-		x.held.deliver(x)
-	case x.stream != nil && x.stream.begun:
+	case x.hasStreamBegun():
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
+	case x.held != nil:
+		x.held.deliver(x)
 	case x.mayRun && x.left() < minLeft:
 		x.refuse(TimedOut, 0)
 	case x.mayRun:
@@ -461,6 +461,9 @@
 	}
 }
 
+// hasStreamBegun reports whether the caller has events of a streamed answer.
+func (x *exchange) hasStreamBegun() bool { return x.stream != nil && x.stream.begun }
+
 // refuse ends the call with an answer of the system's own.
 func (x *exchange) refuse(refusal Refusal, after time.Duration) {
 	x.result.Refusal = refusal
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -453,6 +453,25 @@
 	}
 }
 
+// A stream that has begun and whose next endpoint answers with a failure breaks
+// off: neither the failure nor an end may follow its events.
+func TestStreamThatGoesOnAtAFailure(t *testing.T) {
+	for name, second := range map[string]answerer{"failure": answer(500, "bad"), "refusal": answer(404, "none"), "no run": notRun} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			either := func(c net.Conn, r *http.Request, body string) bool {
+				chosen := second
+				once.Do(func() { chosen = events(3, 5) })
+				return chosen(c, r, body)
+			}
+			got := newFront(t, newEndpoint(t, either), newEndpoint(t, either)).call(t, "/resumable/1", "k1", "prompt")
+			require.Error(t, got.err, "a stream that broke off must not look complete")
+			require.Equal(t, piece(1, 3), got.body)
+		})
+	}
+}
+
 // A caller that leaves stops the endpoint's work.
 func TestCallerLeaves(t *testing.T) {
 	stopped := make(chan struct{})
