Let campaigns last longer where voters are slow to answer

Cause: a campaign without a result began again after a fifth to two fifths of the election timeout. A vote that takes longer than that, because disks are slow, arrived for a term that was given up by then, so no leader was ever elected. Found while a test of processes was being traced that failed once under load (TestAcceptedRulesNeverRevert); that this was its cause is not shown.

Ruled out: a longer fixed time, which makes recovery after split votes as slow as it was before.

Change: the time doubles, up to eightfold, with each campaign that most voters did not answer, and is the shortest again once they answer or a leader is heard.

Tests of processes that fail now print each node's state, process and goroutines too.

--- a/internal/node/runner/deployment_test.go
+++ b/internal/node/runner/deployment_test.go
@@ -211,7 +211,35 @@
 	return address
 }
 
+// explain logs what each node of a failed test says about itself, and ends the
+// nodes so that they print what their goroutines wait for.
+func (d *deployment) explain() {
+	for _, name := range d.names {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		var state bytes.Buffer
+		err := d.client(name).State(ctx, &state)
+		cancel()
+		d.t.Logf("state of %s: %s %v", name, state.Bytes(), err)
+		raw, _ := os.ReadFile(d.path(name + ".log"))
+		d.t.Logf("log of %s:\n%s", name, tail(raw, 4000))
+		p := d.nodes[name]
+		if p == nil || p.command == nil {
+			continue
+		}
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+		d.t.Logf("process of %s: %s", name, status[:min(len(status), 200)])
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Signal(syscall.SIGQUIT)
+		p.wait()
+		all, _ := os.ReadFile(d.path(name + ".log"))
+		d.t.Logf("goroutines of %s:\n%s", name, all[len(raw):min(len(all), len(raw)+30000)])
+	}
+}
+
 func (d *deployment) stopAll() {
+	if d.t.Failed() {
+		d.explain()
+	}
 	all := d.others
 	for _, p := range d.nodes {
 		all = append(all, p)
@@ -224,12 +252,6 @@
 		}
 		p.log.Close()
 	}
-	if d.t.Failed() {
-		for _, name := range d.names {
-			raw, _ := os.ReadFile(d.path(name + ".log"))
-			d.t.Logf("log of %s:\n%s", name, tail(raw, 4000))
-		}
-	}
 }
 
 func tail(raw []byte, n int) []byte { return raw[max(0, len(raw)-n):] }
--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -138,6 +138,7 @@
 	promise  time.Time // no vote for another before this
 	votes    map[string]bool
 	byOrder  bool // this campaign was ordered by the leader
+	patience uint // by how many doublings campaigns last longer
 
 	peers      map[string]*progress
 	termStart  uint64 // index of the first entry of the own term
@@ -242,6 +243,7 @@
 	if now.Before(c.deadline) || now.Before(c.promise) {
 		return
 	}
+	c.noteCampaign()
 	c.resetDeadline(now)
 	if c.isVoter(c.id) {
 		c.campaign(now, KindPreVote)
--- a/internal/process/keeper/replicate.go
+++ b/internal/process/keeper/replicate.go
@@ -90,7 +90,7 @@
 	if c.role != RoleFollower {
 		c.becomeFollower(now, c.state.Term, leader)
 	}
-	c.leader = leader
+	c.leader, c.patience = leader, 0
 	c.resetDeadline(now)
 	if until := now.Add(c.election); until.After(c.promise) {
 		c.promise = until
--- a/internal/process/keeper/vote.go
+++ b/internal/process/keeper/vote.go
@@ -14,9 +14,43 @@
 // campaignParts divides the election timeout into the time after which a campaign
 // without a result begins again. Voters answer within a few writes to their disks,
 // so nothing is won by waiting for longer: the votes were split, or most voters
-// have promised to wait, as after a restart of all keepers.
+// have promised to wait, as after a restart of all keepers. Where disks are slower,
+// the time grows with each campaign that most voters did not answer.
 const campaignParts = 5
 
+// maxPatience bounds that growth: 8 times the shortest time is more than an election
+// timeout.
+const maxPatience = 3
+
+// campaignTime returns how long a campaign may last.
+func (c *Core) campaignTime() time.Duration {
+	shortest := c.election / campaignParts << c.patience
+	return shortest + time.Duration(c.rand.Int64N(int64(shortest)))
+}
+
+// noteCampaign judges by the answers to a campaign without a result how long the
+// next one has to last.
+func (c *Core) noteCampaign() {
+	if c.role != RolePreCandidate && c.role != RoleCandidate {
+		return
+	}
+	if voters := c.voters(); len(c.votes) > voters/2 {
+		c.patience = 0
+	} else {
+		c.patience = min(c.patience+1, maxPatience)
+	}
+}
+
+func (c *Core) voters() int {
+	n := 0
+	for _, m := range c.members() {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // campaign asks the voters, with KindPreVote without a new term.
 func (c *Core) campaign(now time.Time, kind MessageKind) {
 	term := c.state.Term + 1
@@ -30,7 +64,7 @@
 	} else {
 		c.byOrder = false
 	}
-	c.deadline = now.Add(c.election/campaignParts + time.Duration(c.rand.Int64N(int64(c.election/campaignParts))))
+	c.deadline = now.Add(c.campaignTime())
 	if c.countVotes(now) {
 		return
 	}
@@ -73,26 +107,20 @@
 	default:
 		return
 	}
-	if !m.Reject {
-		c.votes[m.From] = true
-	}
+	c.votes[m.From] = c.votes[m.From] || !m.Reject
 	c.countVotes(now)
 }
 
 // countVotes goes on with the election if a quorum agrees. It reports whether it
 // did.
 func (c *Core) countVotes(now time.Time) bool {
-	yes, voters := 0, 0
+	yes := 0
 	for _, m := range c.members() {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if c.votes[m.ID] {
+		if m.Voter && c.votes[m.ID] {
 			yes++
 		}
 	}
-	if yes <= voters/2 {
+	if yes <= c.voters()/2 {
 		return false
 	}
 	if c.role == RolePreCandidate {
@@ -111,7 +139,7 @@
 		// An ordered campaign does not wait for the promises of the voters to end.
 		c.leaseFrom = now.Add(c.election)
 	}
-	c.byOrder, c.transferTo, c.reads = false, "", nil
+	c.byOrder, c.transferTo, c.reads, c.patience = false, "", nil, 0
 	c.peers = make(map[string]*progress)
 	for _, m := range c.members() {
 		c.addPeer(now, m.ID)
