Carry out moves of managed services to other versions

Cause: an order to move a service was recorded and answered, but no call ever went to the new version, so every move counted as taken back.

Ruled out: the steps of the product's other composition (up to half of the calls), which give a version that turns bad late far more than a tenth of the calls; a done verdict from a small share, since the old instances end at once then and cut what runs there.

Change: the conductor at the leader advances the recorded moves with the mover and the judge; entries divide calls by the state that came with a directive, count how attempts end and report the counts; a guard at each entry stops calls to a version that fails clearly there. The first share follows from the rate of calls and the bound on calls to a bad version; before the end nearly all calls go to the new version for a drain. A call whose version has no place may go to another, but never to one that was taken back. Endpoints of a version that is only tried don't count for the size of the service. The same order again changes nothing.

Before: none was carried out.

The test that a fresh process waits before it acts passed with its guard removed; its lease is longer than an election now, and it fails without the guard.

--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -43,6 +43,7 @@
 	usage  map[int64]map[string]int
 	fences []uint64
 	sizes  map[string]int
+	listed []coordinator.Endpoint // nil: the desk alone
 }
 
 // member is one node and its log.
@@ -154,11 +155,7 @@
 		Refuse: func(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
 			http.Error(w, string(refusal), http.StatusTeapot)
 		},
-		List: func(context.Context) ([]coordinator.Endpoint, error) {
-			return []coordinator.Endpoint{{
-				ID: "e1", Service: "desk", Domain: "one", Slots: 64, Address: s.desk.Listener.Addr().(*net.TCPAddr).AddrPort(),
-			}}, nil
-		},
+		List:      s.list,
 		SendUsage: s.takeUsage, HasUsage: true,
 		SendSize: func(_ context.Context, _ submitter.Holder, o submitter.Size) submitter.Outcome {
 			s.mu.Lock()
@@ -176,6 +173,27 @@
 	})
 }
 
+func endpointOf(id, version string, server *httptest.Server) coordinator.Endpoint {
+	return coordinator.Endpoint{
+		ID: id, Service: "desk", Domain: "one", Version: version, Slots: 64, Address: server.Listener.Addr().(*net.TCPAddr).AddrPort(),
+	}
+}
+
+func (s *site) list(context.Context) ([]coordinator.Endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listed != nil {
+		return s.listed, nil
+	}
+	return []coordinator.Endpoint{endpointOf("e1", "", s.desk)}, nil
+}
+
+func (s *site) setListed(list ...coordinator.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = list
+}
+
 // takeUsage refuses lower fencing numbers, as the provider does, and fails the
 // test when a window is reported with two different counts.
 func (s *site) takeUsage(_ context.Context, h submitter.Holder, window int64, counts map[string]int) submitter.Outcome {
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -45,6 +45,7 @@
 	quotas    *apportioner.Quotas
 	counter   *accountant.Counter
 	recorder  *recorder
+	versions  *versions
 	callers   *http.Server
 	listening net.Listener
 	ready     *listener.Listener
@@ -64,6 +65,7 @@
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
 	}
 	n.entry = e
+	e.versions = newVersions(n.settings.ID(), n.incarnation, e.agreedTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.steady, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Take: e.take,
 	}
@@ -74,6 +76,7 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, Renew: n.reporter.Hurry,
 		Encode: n.outside.Encode, Decode: n.outside.Decode, Refuse: n.outside.Refuse, Began: e.began, Ended: e.recorder.ended,
+		Version: e.versions.choose, Sent: e.versions.sent, Tried: func(t *forwarder.Trial) { e.versions.tried(t, e.placer.IsLeaving) },
 		Quotas: e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	e.callers = &http.Server{
@@ -136,6 +139,7 @@
 	for clock.Sleep(s.node.clock, sweepPause, s.done) {
 		s.pool.Sweep(s.placer.IsKnown)
 		s.recorder.flush()
+		s.versions.check()
 	}
 }
 
@@ -163,10 +167,14 @@
 
 // began counts a call for the usage, by the agreed time.
 func (e *entry) began(customer string) {
+	e.counter.Add(customer, e.agreedTime())
+}
+
+// agreedTime returns the time of day that all nodes agree on.
+func (e *entry) agreedTime() time.Time {
 	e.mu.Lock()
-	ahead := e.ahead
-	e.mu.Unlock()
-	e.counter.Add(customer, e.node.steady.Now().Add(ahead))
+	defer e.mu.Unlock()
+	return e.node.steady.Now().Add(e.ahead)
 }
 
 // fill completes a report.
@@ -177,6 +185,7 @@
 	quotas := e.quotas.Report(now)
 	r.Demand, r.Left, r.Sequence, r.Wants = quotas.Demand, quotas.Left, quotas.Sequence, quotas.Wants
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
+	e.versions.report(r)
 	e.mu.Lock()
 	r.Table = e.table
 	e.mu.Unlock()
@@ -205,7 +214,7 @@
 		e.placer.SetPeers(loadsOf(d.Loads), now)
 	}
 	e.forwarder.SetEntries(d.Entries)
-	e.forwarder.SetMoves(d.Moves)
+	e.versions.take(d, e.forwarder.Table())
 	age := e.node.steady.Now().Sub(sent)
 	e.quotas.SetAllowances(d.Sequence, d.Allowances, now, now.Add(d.Lasting-age))
 	return d.Number > 0 && e.forwarder.Table().Number() >= d.Number
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -24,6 +24,7 @@
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/process/registrar"
 	"hyssoprudder/internal/process/submitter"
+	"hyssoprudder/internal/version/conductor"
 	"hyssoprudder/internal/version/mover"
 )
 
@@ -59,6 +60,7 @@
 	proposer    *proposer.Proposer
 	coordinator *coordinator.Coordinator
 	submitter   *submitter.Submitter
+	conductor   *conductor.Conductor
 	control     *listener.Listener
 	done        chan struct{}
 	group       sync.WaitGroup
@@ -76,7 +78,7 @@
 	b, p := n.settings.Bounds(), n.outside
 	k.coordinator = coordinator.New(coordinator.Config{
 		Clock: n.steady, Log: n.log.With("part", "coordinator"), Lease: k.keeper.Settled, Leader: k.leader,
-		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.moves, Limits: k.limits, Share: b.Revoke(), Window: b.UsageWindow(),
+		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.state.Moves, Limits: k.limits, Share: b.Revoke(), Window: b.UsageWindow(),
 	})
 	if err := n.messenger.Register(coordinator.ServiceName, &coordinator.Service{Coordinator: k.coordinator}); err != nil {
 		return err
@@ -85,6 +87,11 @@
 		Name: n.settings.ID(), Clock: n.steady, Log: n.log.With("part", "submitter"), Do: k.coordinator.Do,
 		Propose: k.keeper.Propose, Intent: k.state.Intent, Table: k.rules, List: p.List, SendUsage: p.SendUsage, SendSize: p.SendSize,
 		Lease: b.Lease(), Window: b.UsageWindow(), Late: b.UsageLate(), HasUsage: p.HasUsage, HasSize: p.HasSize,
+		IsCounted: k.isCounted,
+	})
+	k.conductor = conductor.New(conductor.Config{
+		Clock: n.steady, Log: n.log.With("part", "conductor"), Do: k.coordinator.Do, Moves: k.state.Moves, Propose: k.keeper.Propose,
+		Pace: k.pace, Routes: func(service string) []mover.Route { return moveRoutes(k.rules(), service) },
 	})
 	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, Log: n.log.With("part", "operator")}
 	k.control = listener.New("operators", &http.Server{
@@ -170,6 +177,7 @@
 	}
 	k.proposer.Start()
 	k.submitter.Start()
+	k.conductor.Start()
 	k.group.Add(1)
 	go k.run()
 	return k.control.Start(k.node.settings.Control())
@@ -190,6 +198,7 @@
 func (k *keeperPart) stop(ctx context.Context) {
 	close(k.done)
 	k.submitter.Stop()
+	k.conductor.Stop()
 	answers, cancel := context.WithTimeout(ctx, lastAnswers)
 	defer cancel()
 	if err := k.control.Stop(answers); err != nil {
@@ -270,17 +279,3 @@
 	}
 	return r.Document, err
 }
-
-// moves returns the shares of all moves at a time.
-func (k *keeperPart) moves(now time.Time) []coordinator.Move {
-	var out []coordinator.Move
-	for _, m := range k.state.Moves() {
-		s, err := mover.Decode(m.Body)
-		if err != nil {
-			k.node.log.Error("move passed over", "service", m.Service, "err", err)
-			continue
-		}
-		out = append(out, coordinator.Move{Service: s.Service, Version: s.To, Share: s.Share(now, false), Once: s.Share(now, true)})
-	}
-	return out
-}
--- a/internal/node/assembler/moves.go
+++ b/internal/node/assembler/moves.go
@@ -7,41 +7,36 @@
 	"time"
 
 	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/journaler"
 	"hyssoprudder/internal/version/mover"
 )
 
-// moveReserve is the part of the time for a move that is kept for its end: without
-// a verdict by then it counts as taken back at every node.
-const moveReserve = 0.15
-
 // isDiskError reports whether an error comes from a disk that may work again.
 func isDiskError(err error) bool {
 	var damage *journaler.DamageError
 	return !errors.As(err, &damage) && (errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EDQUOT))
 }
 
-// startMove records a move. Until it is carried out, no call goes to the version,
-// and the move counts as taken back in time.
+// startMove records a move; the conductor of the leader carries it out.
 func (k *keeperPart) startMove(ctx context.Context, service, version string, within time.Duration) error {
 	moves, err := k.proposer.Moves(ctx)
 	if err != nil {
 		return err
 	}
 	base := uint64(0)
-	now := k.node.clock.Now()
+	now := k.node.steady.Now()
 	for _, m := range moves {
 		if m.Service != service {
 			continue
 		}
 		base = m.Number
-		if s, err := mover.Decode(m.Body); err == nil && s.To == version && !s.Effective(now).Final() {
-			return nil // the same order came again
+		// An operator who got no answer sends the same order again.
+		if s, err := mover.Decode(m.Body); err == nil && s.To == version && (s.Phase == mover.Done || now.Before(s.By)) {
+			return nil
 		}
 	}
-	config := mover.DefaultConfig()
-	config.Reserve = time.Duration(moveReserve * float64(within))
-	state := mover.Begin(config, mover.Request{Service: service, To: version, By: now.Add(within)}, now, 0)
+	state := mover.Begin(k.pace(within), mover.Request{Service: service, To: version, By: now.Add(within)}, now, 0)
 	body, err := state.Encode()
 	if err != nil {
 		return err
@@ -64,8 +59,27 @@
 	for _, m := range moves {
 		if m.Service == service {
 			s, err := mover.Decode(m.Body)
-			return s.Effective(k.node.clock.Now()), true, err
+			return s.Effective(k.node.steady.Now()), true, err
 		}
 	}
 	return mover.State{}, false, nil
 }
+
+// pace returns the pace of a move within a window.
+func (k *keeperPart) pace(window time.Duration) mover.Config {
+	b := k.node.settings.Bounds()
+	return mover.ShortPace(window, b.Exposure(), b.Exposed())
+}
+
+// isCounted reports whether an endpoint counts for the size of its service: those
+// of a version that is only tried, or that was taken back, don't.
+func (k *keeperPart) isCounted(e coordinator.Endpoint) bool {
+	for _, m := range k.state.Moves() {
+		if m.Service != e.Service {
+			continue
+		}
+		s, err := mover.Decode(m.Body)
+		return err != nil || s.Phase == mover.Done || e.Version != s.To
+	}
+	return true
+}
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -166,6 +166,17 @@
 	return sum
 }
 
+// Counts returns what the nodes counted of the calls of services that move.
+func (c *Core) Counts() [][]byte {
+	var out [][]byte
+	for _, o := range c.nodes {
+		if len(o.report.Counts) > 0 {
+			out = append(out, o.report.Counts)
+		}
+	}
+	return out
+}
+
 // Ahead returns how far the agreed time of day is ahead of the leader's clock:
 // the median over all nodes, so that the clocks of a few don't count.
 func (c *Core) Ahead(now time.Time) time.Duration {
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -27,8 +28,8 @@
 	Keepers func() []netip.AddrPort
 	// Ruleset returns the newest committed ruleset.
 	Ruleset func() applier.Ruleset
-	// Moves returns the shares of the versions of services that move at a time.
-	Moves func(now time.Time) []Move
+	// Moves returns the recorded moves of services.
+	Moves func() []applier.Move
 	// Limits returns the limits of a ruleset's customers.
 	Limits func(r *registrar.Ruleset) map[string]divider.Limit
 	// Share is how long an allowance lasts.
@@ -79,13 +80,30 @@
 	d.Leader, _ = c.config.Leader()
 	d.Keepers = c.config.Keepers()
 	d.Number = ruleset.Number
-	d.Moves = c.config.Moves(now.Add(c.core.Ahead(now)))
+	moves := c.config.Moves()
+	if d.MovesID = identify(moves); d.MovesID != r.Moves {
+		for _, m := range moves {
+			d.Moves = append(d.Moves, m.Body)
+		}
+	}
 	if ruleset.Number > r.Ruleset {
 		d.Ruleset = ruleset.Body
 	}
 	return d
 }
 
+// identify returns a number that differs for other states of the moves, 0 for none.
+func identify(moves []applier.Move) uint64 {
+	if len(moves) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, m := range moves {
+		_, _ = h.Write(m.Body)
+	}
+	return h.Sum64()
+}
+
 // enter begins a new core with each term.
 func (c *Coordinator) enter(lease keeper.Lease, now time.Time) {
 	if c.core == nil || c.core.Term() != lease.Term() {
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -66,6 +66,10 @@
 	// Refused counts calls by service, since the start, that were refused for
 	// want of capacity.
 	Refused map[string]uint64 `msgpack:"f,omitempty"`
+	// Moves identifies the moves of services that the node knows, and Counts is
+	// what it counted of the calls of those services, in the form of the judge.
+	Moves  uint64 `msgpack:"m,omitempty"`
+	Counts []byte `msgpack:"o,omitempty"`
 }
 
 // Directive answers a Report. Without Leads, only Leader and Keepers are set.
@@ -90,20 +94,12 @@
 	Lasting    time.Duration      `msgpack:"a"`
 	// Time is the agreed time of day, in nanoseconds since 1970.
 	Time int64 `msgpack:"c"`
-	// Moves are the services that are moving or were moved to a version.
-	Moves []Move `msgpack:"v,omitempty"`
+	// Moves are the states of all moves, in the form of the mover, if the node knows
+	// others; MovesID identifies them.
+	Moves   [][]byte `msgpack:"v,omitempty"`
+	MovesID uint64   `msgpack:"b,omitempty"`
 	// Entries is the number of nodes that serve callers.
 	Entries int `msgpack:"m"`
 	// Pause is how long the node waits until its next report.
 	Pause time.Duration `msgpack:"p"`
 }
-
-// Move says which part of a service's calls goes to a version. Other versions
-// get the rest.
-type Move struct {
-	Service string `msgpack:"s"`
-	Version string `msgpack:"v"`
-	// Share is the part of the calls that may be repeated, Once that of the others.
-	Share float64 `msgpack:"r"`
-	Once  float64 `msgpack:"o"`
-}
--- a/internal/process/registrar/table.go
+++ b/internal/process/registrar/table.go
@@ -81,6 +81,20 @@
 	return nil, false
 }
 
+// RoutesTo returns the routes that send calls to a service, by name.
+func (t *Table) RoutesTo(service string) []*Route {
+	var out []*Route
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 }) {
+				out = append(out, r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Service returns the service of that name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
@@ -96,6 +110,10 @@
 // Customers returns all customers by name.
 func (t *Table) Customers() map[string]*Customer { return t.byName }
 
+// IsRepeatable reports whether calls of the route may run again, or go on, at
+// another endpoint.
+func (r *Route) IsRepeatable() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
+
 // Pick returns the service of a share of the route; point lies between 0 and 1.
 func (r *Route) Pick(point float64) string {
 	sum := 0
--- a/internal/process/submitter/size.go
+++ b/internal/process/submitter/size.go
@@ -107,7 +107,7 @@
 			return
 		}
 		for _, e := range list {
-			if e.Service == name && !e.Leaving {
+			if e.Service == name && !e.Leaving && s.config.IsCounted(e) {
 				sight.Serving[sizer.Group{Domain: e.Domain, Reclaimable: e.Reclaimable}]++
 			}
 		}
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -89,6 +89,8 @@
 	// Window is the length of a usage window; its usage is due Late after its end.
 	Window time.Duration
 	Late   time.Duration
+	// IsCounted reports whether an endpoint counts for the size of its service.
+	IsCounted func(e coordinator.Endpoint) bool
 	// HasUsage and HasSize say which duties there are.
 	HasUsage bool
 	HasSize  bool
--- a/internal/process/submitter/submitter_test.go
+++ b/internal/process/submitter/submitter_test.go
@@ -45,7 +45,7 @@
 
 var errUnreached = errors.New("unreached")
 
-func newLeader(t *testing.T, fails int, table *registrar.Table) *leader {
+func newLeader(t *testing.T, fails int, table *registrar.Table, lease time.Duration) *leader {
 	t.Helper()
 	l := &leader{t: t, state: applier.New(), fails: fails}
 	self := keeper.Peer{Name: "a"}
@@ -62,7 +62,7 @@
 	l.duties = submitter.New(submitter.Config{
 		Name: "a", Clock: clock.System{}, Log: log.New(io.Discard), Do: l.core.Do, Propose: l.keeper.Propose, Intent: l.state.Intent,
 		Table: func() *registrar.Table { return table }, List: l.list, SendUsage: l.takeUsage, SendSize: l.takeSize,
-		Lease: 300 * time.Millisecond, Window: window, Late: time.Hour, HasUsage: true, HasSize: true,
+		Lease: lease, Window: window, Late: time.Hour, HasUsage: true, HasSize: true, IsCounted: func(coordinator.Endpoint) bool { return true },
 	})
 	l.started = time.Now()
 	require.NoError(t, l.keeper.Start())
@@ -127,7 +127,7 @@
 // A report without an answer is sent again with the same counts, whatever is
 // counted meanwhile.
 func TestUsageIsRepeatedUnchanged(t *testing.T) {
-	l := newLeader(t, 2, nil)
+	l := newLeader(t, 2, nil, 300*time.Millisecond)
 	ended := l.ended()
 	l.report(ended, 7)
 	require.Eventually(t, func() bool {
@@ -155,7 +155,9 @@
 	table := registrar.NewTable(&registrar.Ruleset{Number: 1, Services: []registrar.Service{{Name: "desk", Capacity: &registrar.Capacity{
 		Min: 1, Max: 4, Start: time.Second, Reclaimable: 0.2, Prices: map[string]float64{"one": 1, "two": 1},
 	}}}})
-	l := newLeader(t, 0, table)
+	// Longer than an election, which would hide that the process does not wait.
+	const lease = 3 * time.Second
+	l := newLeader(t, 0, table, lease)
 	require.Eventually(t, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -163,5 +165,5 @@
 	}, patience, time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	require.GreaterOrEqual(t, l.acted.Sub(l.started), 300*time.Millisecond)
+	require.GreaterOrEqual(t, l.acted.Sub(l.started), lease)
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -44,7 +44,15 @@
 }
 
 func (a *attempt) end() {
-	a.x.f.config.Placer.End(a.choice, a.outcome, a.x.f.config.Clock.Now())
+	now := a.x.f.config.Clock.Now()
+	a.x.f.config.Placer.End(a.choice, a.outcome, now)
+	a.report(now)
+}
+
+// firstByte notes that an answer begins.
+func (a *attempt) firstByte() {
+	a.first = a.x.f.config.Clock.Now()
+	a.x.f.config.Placer.First(a.choice, a.first)
 }
 
 // attempt is one try at one endpoint.
@@ -55,6 +63,12 @@
 	response *http.Response
 	reply    Reply
 	outcome  placer.Outcome
+	isSent   bool // was about to be sent
+	isUnsent bool // and was not
+	began    time.Time
+	first    time.Time // first byte of the answer that is of use to the caller
+	last     time.Time // last event of a stream
+	events   int       // deliveries of events of a stream
 }
 
 // run sends the call and passes the answer on.
@@ -79,6 +93,8 @@
 		return stepUnsent
 	}
 	conn.SetReadDeadline(a.deadline())
+	a.began, a.isSent = x.f.config.Clock.Now(), true
+	x.f.config.Sent(x.route.Name, a.choice.Endpoint())
 	a.response, err = conn.Do(a.request(left)) //nolint:bodyclose // release closes it, or the connection is closed
 	if err != nil {
 		return a.failed(err)
@@ -101,7 +117,7 @@
 // deadline returns until when the endpoint may be silent.
 func (a *attempt) deadline() time.Time {
 	x := a.x
-	if !x.isRepeatable() || x.sent+1 >= x.route.Attempts {
+	if !x.route.IsRepeatable() || x.sent+1 >= x.route.Attempts {
 		return x.until
 	}
 	patience := max(time.Duration(lateFactor*float64(x.route.Objective)), 2*a.choice.Predicted(), minSilence)
@@ -139,6 +155,7 @@
 	x.result.Detail = err.Error()
 	var failure *pooler.Failure
 	if errors.As(err, &failure) && !failure.IsSent() {
+		a.isUnsent = true
 		if a.conn.IsFresh() && x.ctx.Err() == nil {
 			a.outcome = placer.Unreached
 		}
@@ -226,7 +243,7 @@
 	if err != nil {
 		return a.broken("the answer broke off: " + err.Error())
 	}
-	x.f.config.Placer.First(a.choice, x.f.config.Clock.Now())
+	a.firstByte()
 	x.begin()
 	if len(body) > maxHeldAnswer {
 		return a.passOn(body)
@@ -235,7 +252,7 @@
 	answer := &held{status: a.response.StatusCode, header: a.response.Header, body: body}
 	if answer.status/100 == 5 {
 		a.outcome = placer.Failed
-		if x.isRepeatable() {
+		if x.route.IsRepeatable() {
 			// Another endpoint may do better; else this answer is delivered.
 			x.held = answer
 			return stepLost
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -17,7 +17,6 @@
 
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/process/clock"
-	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/registrar"
 	"hyssoprudder/internal/request/apportioner"
 	"hyssoprudder/internal/request/placer"
@@ -60,6 +59,13 @@
 	Began func(customer string)
 	// Ended receives what became of each call.
 	Ended func(call *Call, result *Result)
+	// Version chooses the version of a service that moves for a call. isOnce tells
+	// whether the call may neither be repeated nor go on elsewhere; point lies
+	// between 0 and 1 and is the same for all attempts of the call.
+	Version func(service string, isOnce bool, point float64) Version
+	// Sent is told of each attempt before it is sent, and Tried what became of it.
+	Sent  func(route string, endpoint placer.Endpoint)
+	Tried func(trial *Trial)
 	// Quotas, Placer, Pool and Budget are shared with other parts of the node.
 	Quotas *apportioner.Quotas
 	Placer *placer.Placer
@@ -72,7 +78,6 @@
 	config  Config
 	started time.Time
 	table   atomic.Pointer[registrar.Table]
-	moves   atomic.Pointer[map[string]coordinator.Move]
 	entries atomic.Int64
 	refused refusals
 	waits   sync.Map // longest wait of callers by route, *atomic.Int64 nanoseconds
@@ -287,11 +292,10 @@
 		Answer: x.answerSize(), Patience: time.Duration(patienceShare * float64(x.until.Sub(now))), Queue: x.queueTime(now),
 		Avoid: x.tried, Now: now, Point: rand.Float64(),
 	}
-	ask.Version, ask.Unwanted = x.f.versions(x.service.Name, x.route.Kind, x.point)
 	if x.service.Model != nil {
 		ask.Memory = x.service.Model.Memory
 	}
-	return x.f.config.Placer.Place(ask)
+	return x.placeByVersion(ask)
 }
 
 // queueTime returns how long the call may wait until its prompt is read. A call
@@ -410,7 +414,7 @@
 		return "the caller left"
 	case x.left() < minLeft:
 		return "no time is left"
-	case last == stepLost && !x.isRepeatable():
+	case last == stepLost && !x.route.IsRepeatable():
 		return "the call may have run and must not run twice"
 	case last == stepUnsent:
 		if len(x.tried) > maxUnsent {
@@ -429,11 +433,6 @@
 // given up.
 const maxUnsent = 3
 
-// isRepeatable reports whether the call may run again, or go on, elsewhere.
-func (x *exchange) isRepeatable() bool {
-	return x.route.Kind == registrar.Repeatable || x.route.Kind == registrar.Stream && x.route.Resumable
-}
-
 // giveUp ends a call that no further endpoint is tried for.
 func (x *exchange) giveUp(reason string, wait time.Duration) {
 	if x.result.Detail != "" {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -179,6 +179,11 @@
 	confirmed bool
 	began     int
 	results   []forwarder.Result
+	version   forwarder.Version
+	sent      []string
+	trials    []forwarder.Trial
+	placer    *placer.Placer
+	endpoints []placer.Endpoint
 }
 
 const calls = 10 // the customer's allowance
@@ -194,12 +199,16 @@
 		})
 	}
 	place.SetEndpoints(list)
+	f.placer, f.endpoints = place, list
 	pool := pooler.New(clock.System{})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
 		Renew: func() <-chan struct{} { return nil }, Began: func(string) { f.note(func() { f.began++ }) },
-		Ended:  func(_ *forwarder.Call, r *forwarder.Result) { f.note(func() { f.results = append(f.results, *r) }) },
-		Quotas: f.quotas, Placer: place, Pool: pool, Budget: forwarder.NewBudget(0.2, 1000, 10*time.Second),
+		Ended:   func(_ *forwarder.Call, r *forwarder.Result) { f.note(func() { f.results = append(f.results, *r) }) },
+		Version: func(string, bool, float64) forwarder.Version { return f.version },
+		Sent:    func(route string, _ placer.Endpoint) { f.note(func() { f.sent = append(f.sent, route) }) },
+		Tried:   func(trial *forwarder.Trial) { f.note(func() { f.trials = append(f.trials, *trial) }) },
+		Quotas:  f.quotas, Placer: place, Pool: pool, Budget: forwarder.NewBudget(0.2, 1000, 10*time.Second),
 	})
 	f.forwarder.SetTable(registrar.NewTable(rules()))
 	f.quotas.SetRates(map[string]float64{"masons": 100})
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -1,40 +1,74 @@
 package forwarder
 
 import (
-	"hyssoprudder/internal/process/coordinator"
-	"hyssoprudder/internal/process/registrar"
+	"time"
+
+	"hyssoprudder/internal/request/placer"
 )
 
-// SetMoves notes which part of the calls of services goes to which version.
-func (f *Forwarder) SetMoves(moves []coordinator.Move) {
-	if len(moves) == 0 && f.moves.Load() == nil {
-		return
-	}
-	byService := make(map[string]coordinator.Move, len(moves))
-	for _, m := range moves {
-		byService[m.Service] = m
+// Version says which versions of a service a call may go to.
+type Version struct {
+	// Wanted is the version that is asked first, if it is not empty.
+	Wanted string
+	// Unwanted is the version that no call may go to, if it is not empty.
+	Unwanted string
+}
+
+// Trial is what became of one attempt that was to be sent to an endpoint.
+type Trial struct {
+	// Route is the name of the call's route.
+	Route string
+	// Endpoint is the one that was asked.
+	Endpoint placer.Endpoint
+	// IsFailed says that the endpoint answered with a failure, broke its answer off
+	// or did not answer in time.
+	IsFailed bool
+	// IsExcused says that the end tells nothing of the endpoint's version.
+	IsExcused bool
+	// First is the time until the first byte of the answer, Next the mean time
+	// between events, and Total the time until the whole answer; 0 if not seen.
+	First time.Duration
+	Next  time.Duration
+	Total time.Duration
+}
+
+// placeByVersion has the call placed at the version that is chosen for it. If that
+// one has no place, another may serve, unless it is unwanted.
+func (x *exchange) placeByVersion(ask *placer.Ask) (*placer.Choice, placer.Refusal, time.Duration) {
+	v := x.f.config.Version(x.service.Name, !x.route.IsRepeatable(), x.point)
+	ask.Version, ask.Unwanted = v.Wanted, v.Unwanted
+	choice, refused, wait := x.f.config.Placer.Place(ask)
+	if choice == nil && v.Wanted != "" {
+		ask.Version = ""
+		return x.f.config.Placer.Place(ask)
 	}
-	f.moves.Store(&byService)
+	return choice, refused, wait
 }
 
-// versions returns the only version that a call may go to, or the one that it
-// may not; both are empty while a service does not move. point lies between 0
-// and 1 and is the same for all attempts of the call.
-func (f *Forwarder) versions(service string, kind registrar.Kind, point float64) (wanted, unwanted string) {
-	moves := f.moves.Load()
-	if moves == nil {
-		return "", ""
+// report tells what became of the attempt.
+func (a *attempt) report(now time.Time) {
+	if !a.isSent {
+		return
 	}
-	m, ok := (*moves)[service]
-	if !ok {
-		return "", ""
+	t := Trial{Route: a.x.route.Name, Endpoint: a.choice.Endpoint()}
+	switch a.outcome {
+	case placer.Answered:
+		t.Total = now.Sub(a.began)
+	case placer.Failed:
+		t.IsFailed = true
+	case placer.Abandoned:
+		// The caller left, or nothing came within its time.
+		t.IsFailed = !a.isUnsent && a.x.ctx.Err() == nil && a.first.IsZero()
+		t.IsExcused = !t.IsFailed
+	default:
+		t.IsExcused = true
 	}
-	share := m.Share
-	if kind == registrar.Once {
-		share = m.Once
+	if !a.first.IsZero() {
+		t.First = a.first.Sub(a.began)
 	}
-	if point < share {
-		return m.Version, ""
+	if a.events > 1 {
+		t.Next = a.last.Sub(a.first) / time.Duration(a.events-1)
+		t.Total = 0 // streams differ in length
 	}
-	return "", m.Version
+	a.x.f.config.Tried(&t)
 }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -54,7 +54,7 @@
 // pauseEnd returns until when the next event must have come.
 func (a *attempt) pauseEnd() time.Time {
 	x := a.x
-	if !x.isRepeatable() || x.sent >= x.route.Attempts || x.route.Pause <= 0 || !x.stream.begun {
+	if !x.route.IsRepeatable() || x.sent >= x.route.Attempts || x.route.Pause <= 0 || !x.stream.begun {
 		return x.until
 	}
 	if by := x.f.config.Clock.Now().Add(pauseFactor * x.route.Pause); by.Before(x.until) {
@@ -74,8 +74,12 @@
 		}
 		return nil
 	}
-	x.f.config.Placer.First(a.choice, x.f.config.Clock.Now())
-	x.begin()
+	if a.first.IsZero() {
+		a.firstByte()
+		x.begin()
+	}
+	a.events++
+	a.last = x.f.config.Clock.Now()
 	events := s.partial[:end]
 	if !s.begun {
 		s.begun = true
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -245,6 +245,14 @@
 	return false
 }
 
+// IsLeaving reports whether the endpoint with the id leaves, or is not listed.
+func (p *Placer) IsLeaving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.byID[id]
+	return e == nil || e.Leaving
+}
+
 // IsKnown reports whether an endpoint of the list has the address.
 func (p *Placer) IsKnown(address netip.AddrPort) bool {
 	p.mu.Lock()
--- a/internal/version/mover/mover.go
+++ b/internal/version/mover/mover.go
@@ -39,6 +39,13 @@
 	// with the whole traffic needs; smaller steps need fewer, by the root of
 	// their share, and at least LeastCalls.
 	Calls, LeastCalls float64
+	// Drain is how long nearly all calls go to the new version before a move is
+	// done, where the old instances end at once then. 0 leaves the step out.
+	Drain time.Duration
+	// Exposure is the part of all calls between the order and the deadline that may
+	// go to a version that turns out bad, Slack a number of calls beyond it. With
+	// either, the shares of the first steps follow from the rate of calls.
+	Exposure, Slack float64
 	// Overload is the factor by which live instances may fall short of a
 	// step's number before the step is given up.
 	Overload float64
@@ -103,6 +110,9 @@
 		repeatable = repeatable || !route.once
 		once = once || route.once
 	}
+	if !once {
+		repeatable = true // a move without a step would try nothing
+	}
 	plan := []Step{{}}
 	if repeatable {
 		if r.Share > 0 && r.Share < config.Ladder[0] {
@@ -121,6 +131,9 @@
 			plan = append(plan, Step{Repeatable: top, Once: share})
 		}
 	}
+	if config.Drain > 0 {
+		plan = append(plan, drainStep)
+	}
 	return plan
 }
 
@@ -236,6 +249,9 @@
 // needed returns the number of finished calls on the new version that a step
 // needs before the next one.
 func (m *Mover) needed(s State, step int) float64 {
+	if s.isDrain(step) {
+		return 0
+	}
 	return math.Ceil(max(m.config.LeastCalls, m.config.Calls*math.Sqrt(s.Steps[step].growing())))
 }
 
@@ -247,7 +263,7 @@
 	known := s.At > 0 && m.watched(s, now) >= max(m.config.Dwell, s.By.Sub(s.Begun)/rateWindow)
 	var left time.Duration
 	for step := max(s.At, 1); step < len(s.Steps); step++ {
-		need, dwell := m.needed(s, step), m.config.Dwell
+		need, dwell := m.needed(s, step), m.dwell(s, step)
 		if step == s.At {
 			need -= shown
 			dwell -= spent
@@ -261,6 +277,14 @@
 	return left
 }
 
+// dwell returns the shortest time in a step.
+func (m *Mover) dwell(s State, step int) time.Duration {
+	if s.isDrain(step) {
+		return m.config.Drain
+	}
+	return m.config.Dwell
+}
+
 // watched returns for how long this leader has seen the present step.
 func (m *Mover) watched(s State, now time.Time) time.Duration {
 	if m.first.IsZero() || m.first.Before(s.Since) {
@@ -301,15 +325,21 @@
 		return false
 	}
 	if s.At == 0 {
-		return true
+		return !m.config.bounded() || m.watched(s, o.Now) >= rateTime
 	}
-	if verdict.Outcome() != judge.Good || o.Now.Sub(s.Since) < m.config.Dwell {
+	if o.Now.Sub(s.Since) < m.dwell(s, s.At) {
 		return false
 	}
-	return !o.Now.Before(m.pace(s))
+	if s.isDrain(s.At) {
+		return true
+	}
+	return verdict.Outcome() == judge.Good && !o.Now.Before(m.pace(s))
 }
 
 func (m *Mover) advance(s State, o Observation) State {
+	if s.At == 0 && m.config.bounded() {
+		s.Steps = m.trialSteps(s, o.Now)
+	}
 	if s.At+1 < len(s.Steps) {
 		return s.enter(s.At+1, o.Now)
 	}
@@ -322,6 +352,10 @@
 // pace returns when the present step should end if the steps are spread evenly.
 func (m *Mover) pace(s State) time.Time {
 	window := s.Until.Add(-m.config.Proposal).Sub(s.Begun)
-	part := m.config.Spread * float64(s.At) / float64(len(s.Steps)-1)
+	last := len(s.Steps) - 1
+	if s.isDrain(last) {
+		last--
+	}
+	part := m.config.Spread * float64(s.At) / float64(max(last, 1))
 	return s.Begun.Add(time.Duration(part * float64(window)))
 }
--- a/internal/version/mover/mover_test.go
+++ b/internal/version/mover/mover_test.go
@@ -105,6 +105,48 @@
 	}
 }
 
+// Within short windows, too, good versions are done and bad ones taken back in
+// time, and a bad one gets no more calls than the bound allows.
+func TestShortMoves(t *testing.T) {
+	const exposure, slack, window = 0.1, 50, 2 * time.Minute
+	for _, kind := range trial.Kinds() {
+		t.Run(string(kind), func(t *testing.T) {
+			for seed := range 4 + *seeds {
+				r := trial.Run(trial.Scenario{
+					Seed: seed, Policy: trial.Product, Kind: kind, Window: window, Rate: 80, Entries: 6, Size: 9,
+					Config: mover.ShortPace(window, exposure, slack),
+				})
+				require.True(t, r.Correct(kind), "seed %d: %s %s", seed, r.State.Phase, r.State.Reason)
+				require.True(t, r.State.Declared.Before(r.State.By), "the verdict comes before the deadline")
+				if kind != trial.Good {
+					require.LessOrEqual(t, float64(r.ToNew), exposure*float64(r.Requests)+slack)
+				}
+			}
+		})
+	}
+}
+
+// In the drain all calls that can't go on elsewhere go to the new version, since
+// the old instances end at once when the move is done.
+func TestShortMoveDrains(t *testing.T) {
+	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
+	config := mover.ShortPace(20*time.Second, 0.1, 50)
+	s := mover.Begin(config, mover.Request{
+		Service: "pumice", To: "13", By: now.Add(20 * time.Second), Size: 2,
+		Routes: []mover.Route{mover.NewRoute("answers", false), mover.NewRoute("orders", true)},
+	}, now, 1)
+	s.At, s.Since = len(s.Steps)-1, now.Add(12*time.Second)
+	require.Equal(t, 1.0, s.Share(now, true))
+	require.Less(t, s.Share(now, false), 1.0)
+	m := mover.New(config, s, nil, 1)
+	early := m.Next(s, mover.Observation{Now: s.Since.Add(config.Drain / 2), Ready: 2})
+	require.Equal(t, mover.Moving, early.Phase)
+	done := m.Next(s, mover.Observation{Now: s.Since.Add(config.Drain), Ready: 2})
+	require.Equal(t, mover.Done, done.Phase)
+	fewer := m.Next(s, mover.Observation{Now: s.Since.Add(config.Drain), Ready: 1})
+	require.Less(t, fewer.At, s.At, "instances that can't carry all calls get fewer of them")
+}
+
 func TestVerdicts(t *testing.T) {
 	now := time.Date(2027, 1, 10, 5, 0, 0, 0, time.UTC)
 	config := mover.DefaultConfig()
--- a/internal/version/mover/state.go
+++ b/internal/version/mover/state.go
@@ -193,6 +193,15 @@
 	return int(math.Ceil(s.Steps[step].share()*float64(s.Size) - 1e-9))
 }
 
+// Sized returns the state of a move whose routes and size the leader has found out;
+// until then the size is 0.
+func (s State) Sized(config Config, routes []Route, size int) State {
+	s.Steps = steps(config, Request{Routes: routes})
+	s.Size = size
+	s.Epoch++
+	return s
+}
+
 func (s State) takeBack(now time.Time, reason Reason) State {
 	s.Phase = TakenBack
 	s.Reason = reason
