Let a restarted leader release its voters from their promises

Cause: after a loss of power of all machines nobody led for 0.7 s after the first keeper was back: a keeper that restarts does not know what it has promised, so it waits a whole election timeout before it votes.

Ruled out: a shorter election timeout, which elects anew whenever a slow machine answers late; voting at once after a restart, which breaks the leases.

Change: the state on disk names the leader of the term, before anything is promised to it. A leader that restarts campaigns at once and says that the lease of that term is over, since its process held it; voters whose promise was to it are free then.

Campaigns last longer only after votes that did not come; pre-votes that are not answered mean that voters are down.

--- a/internal/process/journaler/journaler.go
+++ b/internal/process/journaler/journaler.go
@@ -59,6 +59,9 @@
 	Term    uint64 `msgpack:"term"`
 	// Vote is the identity that got the vote in Term.
 	Vote string `msgpack:"vote"`
+	// Leader is the identity to which promises of Term were made, if any were; while
+	// no leader was heard, the one that got the vote.
+	Leader string `msgpack:"leader,omitempty"`
 }
 
 // Snapshot is the replicated state after the entry Index.
--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -137,8 +137,9 @@
 	deadline time.Time // of the election timeout
 	promise  time.Time // no vote for another before this
 	votes    map[string]bool
-	byOrder  bool // this campaign was ordered by the leader
-	patience uint // by how many doublings campaigns last longer
+	byOrder  bool   // this campaign was ordered by the leader
+	patience uint   // by how many doublings campaigns last longer
+	over     uint64 // term whose lease ended with an earlier process of this keeper
 
 	peers      map[string]*progress
 	termStart  uint64 // index of the first entry of the own term
@@ -182,6 +183,10 @@
 	// kept for their longest duration.
 	core.promise = c.Now.Add(c.Election)
 	core.resetDeadline(c.Now)
+	if c.State.Leader == c.State.Identity && c.State.Term > 0 {
+		// What this keeper promised in the term, it promised to itself.
+		core.over, core.promise, core.deadline = c.State.Term, c.Now, c.Now
+	}
 	return core
 }
 
@@ -194,7 +199,7 @@
 	if !c.IsEmpty() {
 		panic("keeper: create on a log that exists")
 	}
-	c.state.Cluster, c.state.Term, c.state.Vote = cluster, 1, c.id
+	c.state.Cluster, c.state.Term, c.state.Vote, c.state.Leader = cluster, 1, c.id, c.id
 	c.saveState = true
 	c.appendLocal(journaler.KindMembers, encodeMembers(members))
 	c.deadline = now.Add(c.election)
@@ -278,7 +283,11 @@
 
 // Step takes a message from another keeper.
 func (c *Core) Step(now time.Time, m Message) {
-	if m.To != c.id || m.From == c.id || !c.checkCluster(m) || !c.checkTerm(now, m) {
+	if m.To != c.id || m.From == c.id || !c.checkCluster(m) {
+		return
+	}
+	c.release(now, m)
+	if !c.checkTerm(now, m) {
 		return
 	}
 	switch m.Kind {
@@ -354,7 +363,7 @@
 		}
 	}
 	if term > c.state.Term {
-		c.state.Term, c.state.Vote = term, ""
+		c.state.Term, c.state.Vote, c.state.Leader = term, "", ""
 		c.saveState = true
 	}
 	c.role, c.leader, c.byOrder, c.transferTo = RoleFollower, leader, false, ""
--- a/internal/process/keeper/message.go
+++ b/internal/process/keeper/message.go
@@ -48,7 +48,10 @@
 	// Wall is the wall clock of a replica that answers, in nanoseconds since 1970.
 	Wall int64 `msgpack:"w,omitempty"`
 	// Transfer marks a campaign that the leader itself has ordered.
-	Transfer bool                `msgpack:"x,omitempty"`
+	Transfer bool `msgpack:"x,omitempty"`
+	// Over is a term in which the sender led, or may have led, before its process
+	// ended: nobody acts under a lease of that term any more.
+	Over     uint64              `msgpack:"o,omitempty"`
 	Snapshot *journaler.Snapshot `msgpack:"s,omitempty"`
 }
 
--- a/internal/process/keeper/model_test.go
+++ b/internal/process/keeper/model_test.go
@@ -177,6 +177,7 @@
 		case msg.Kind == KindAppendReply && !msg.Reject:
 			require.Equal(m.t, msg.Term, r.state.Term, "entries are confirmed in a term that is not saved")
 			require.LessOrEqual(m.t, msg.Index, r.last(), "entries are confirmed before they are saved")
+			require.Equal(m.t, msg.To, r.state.Leader, "a promise is made before the leader is saved")
 		}
 	}
 	before := r.core.points
--- a/internal/process/keeper/replicate.go
+++ b/internal/process/keeper/replicate.go
@@ -90,7 +90,11 @@
 	if c.role != RoleFollower {
 		c.becomeFollower(now, c.state.Term, leader)
 	}
-	c.leader, c.patience = leader, 0
+	c.leader, c.patience, c.over = leader, 0, 0
+	if c.state.Leader != leader {
+		c.state.Leader = leader
+		c.saveState = true // before the promise is told
+	}
 	c.resetDeadline(now)
 	if until := now.Add(c.election); until.After(c.promise) {
 		c.promise = until
--- a/internal/process/keeper/vote.go
+++ b/internal/process/keeper/vote.go
@@ -29,18 +29,32 @@
 }
 
 // noteCampaign judges by the answers to a campaign without a result how long the
-// next one has to last.
+// next one has to last. Answers to pre-votes wait for no disk: where they don't
+// come, most voters are down.
 func (c *Core) noteCampaign() {
-	if c.role != RolePreCandidate && c.role != RoleCandidate {
-		return
-	}
-	if voters := c.voters(); len(c.votes) > voters/2 {
+	switch {
+	case c.role != RoleCandidate:
+	case len(c.votes) > c.voters()/2:
 		c.patience = 0
-	} else {
+	default:
 		c.patience = min(c.patience+1, maxPatience)
 	}
 }
 
+// release ends the promise to a leader whose process has ended since: it holds no
+// lease any more. The promise can be to no other one, since the leader of a term is
+// on disk before anything is promised to it. A leader that was made by order says
+// no such thing: the lease of the one before it may not be over.
+func (c *Core) release(now time.Time, m Message) {
+	if m.Over == 0 || m.Over != c.state.Term || c.state.Leader != m.From || c.role == RoleLeader {
+		return
+	}
+	c.promise = now
+	if soon := now.Add(c.campaignTime()); soon.Before(c.deadline) {
+		c.deadline = soon
+	}
+}
+
 func (c *Core) voters() int {
 	n := 0
 	for _, m := range c.members() {
@@ -59,7 +73,10 @@
 	c.role = RolePreCandidate
 	if kind == KindVote {
 		c.role = RoleCandidate
-		c.state.Term, c.state.Vote = term, c.id
+		c.state.Term, c.state.Vote, c.state.Leader = term, c.id, ""
+		if !c.byOrder {
+			c.state.Leader = c.id
+		}
 		c.saveState = true
 	} else {
 		c.byOrder = false
@@ -71,7 +88,7 @@
 	for _, m := range c.members() {
 		if m.Voter && m.ID != c.id {
 			c.send(Message{
-				Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: c.byOrder,
+				Kind: kind, To: m.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: c.byOrder, Over: c.over,
 			})
 		}
 	}
@@ -93,6 +110,9 @@
 	if grant {
 		if c.state.Vote != m.From {
 			c.state.Vote = m.From
+			if c.state.Leader == "" && !m.Transfer {
+				c.state.Leader = m.From
+			}
 			c.saveState = true
 		}
 		c.resetDeadline(now)
@@ -139,7 +159,7 @@
 		// An ordered campaign does not wait for the promises of the voters to end.
 		c.leaseFrom = now.Add(c.election)
 	}
-	c.byOrder, c.transferTo, c.reads, c.patience = false, "", nil, 0
+	c.byOrder, c.transferTo, c.reads, c.patience, c.over = false, "", nil, 0, 0
 	c.peers = make(map[string]*progress)
 	for _, m := range c.members() {
 		c.addPeer(now, m.ID)
--- a/internal/process/keeper/vote_test.go
+++ b/internal/process/keeper/vote_test.go
@@ -22,6 +22,7 @@
 	cores   map[string]*Core
 	flights []flight
 	disk    time.Duration // for a vote
+	leader  string        // of the term before the restart, if it is known
 }
 
 // run ticks the keepers each millisecond until one leads and returns when.
@@ -32,7 +33,7 @@
 		for i, m := range r.members {
 			if at == starts[i] {
 				r.cores[m.ID] = NewCore(CoreConfig{
-					State: journaler.State{Identity: m.ID, Cluster: "x", Term: 3}, Now: now, Election: election,
+					State: journaler.State{Identity: m.ID, Cluster: "x", Term: 3, Leader: r.leader}, Now: now, Election: election,
 					Rand:    rand.New(rand.NewPCG(seed, uint64(i))),
 					Entries: []journaler.Entry{{Index: 1, Term: 3, Kind: journaler.KindMembers, Data: encodeMembers(r.members)}},
 				})
@@ -122,3 +123,57 @@
 		}
 	}
 }
+
+// A leader that is restarted with all others leads again as soon as most of them
+// run: nobody has to wait for the end of a lease that ended with its process.
+func TestRestartedLeaderLeadsAtOnce(t *testing.T) {
+	const election = 500 * time.Millisecond
+	const ms = time.Millisecond
+	starts := []time.Duration{0, 76 * ms, 202 * ms, 282 * ms, 351 * ms}
+	for _, leader := range []string{"a", "c", "e"} {
+		for seed := range uint64(100) {
+			r := &restarted{cores: make(map[string]*Core), disk: toDisk, leader: leader}
+			for i := range starts {
+				name := string(rune('a' + i))
+				r.members = append(r.members, Member{ID: name, Name: name, Voter: true})
+			}
+			led := r.run(seed, starts, election)
+			require.NotZero(t, led, "seed %d", seed)
+			up := max(starts[2], starts[leader[0]-'a'])
+			require.Less(t, led, up+election*3/5, "leader %s, seed %d", leader, seed)
+		}
+	}
+}
+
+// The promise to a leader stays when another one says that its lease is over, or
+// when the leader speaks of an earlier term.
+func TestPromiseStaysForOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	follower := func() *Core {
+		c := NewCore(CoreConfig{
+			State: journaler.State{Identity: "c", Cluster: "x", Term: 3}, Now: now.Add(-time.Minute), Election: time.Second, Heartbeat: time.Second / 4,
+			Rand: rand.New(rand.NewPCG(1, 1)), Entries: []journaler.Entry{{Index: 1, Term: 3, Kind: journaler.KindMembers, Data: encodeMembers(members)}},
+		})
+		c.Step(now, Message{Kind: KindAppend, From: "a", To: "c", Cluster: "x", Term: 3, Index: 1, LogTerm: 3})
+		return c
+	}
+	cases := map[string]struct {
+		from string
+		over uint64
+		want bool // the promise stays
+	}{
+		"leader, its term":           {"a", 3, false},
+		"leader, without a word":     {"a", 0, true},
+		"leader, an earlier term":    {"a", 2, true},
+		"another, the leader's term": {"b", 3, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := follower()
+			require.True(t, c.isPromised(now))
+			c.Step(now, Message{Kind: KindPreVote, From: tc.from, To: "c", Cluster: "x", Term: 4, Index: 1, LogTerm: 3, Over: tc.over})
+			require.Equal(t, tc.want, c.isPromised(now))
+		})
+	}
+}
