Search for a leader without waiting long for silent keepers

Cause: after a loss of all power an entry asked keepers that had no power yet and waited 0.45 s for each, so rules were in force 0.18 s after the new leader was ready.

Change: while no leader is known, a report is given 0.12 s in the first round over the keepers and as much more in each further one.

--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -19,6 +19,10 @@
 	// callTimeout bounds one report; a leader that does not answer in that time is
 	// overloaded, frozen or cut off.
 	callTimeout = 450 * time.Millisecond
+	// searchTimeout bounds a report while no leader is known, in the first round over
+	// all keepers; it grows by as much with each further one. A keeper that runs
+	// answers within a few milliseconds, and one without power never.
+	searchTimeout = 120 * time.Millisecond
 	// failPause is the time until the next try after a report that no leader answered.
 	failPause = 60 * time.Millisecond
 	// hurryPause is the shortest time between two reports.
@@ -59,6 +63,7 @@
 	keepers   []netip.AddrPort
 	leader    netip.AddrPort
 	next      int
+	searched  int // keepers that were asked since the last answer of a leader
 	failing   bool
 	answered  chan struct{} // closed when the next report to be sent was answered
 	pending   chan struct{} // closed when the one under way was answered
@@ -152,9 +157,9 @@
 			return r.take(&d, sent)
 		}
 	}
-	to := r.target()
+	to, timeout := r.target()
 	var d coordinator.Directive
-	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	err := r.config.Call(ctx, to, coordinator.BeatMethod, &report, &d)
 	if err != nil || !d.Leads {
@@ -172,7 +177,7 @@
 		r.failing = false
 		r.config.Log.Info("leader answers again", "leader", d.Leader)
 	}
-	r.keepers, r.leader = d.Keepers, d.Leader
+	r.keepers, r.leader, r.searched = d.Keepers, d.Leader, 0
 	if isNewest && sent.After(r.confirmed) {
 		r.confirmed = sent
 	}
@@ -183,16 +188,19 @@
 	return d.Pause
 }
 
-// target returns the leader if one is known, else the next keeper.
-func (r *Reporter) target() netip.AddrPort {
+// target returns the leader if one is known, else the next keeper, and how long to
+// wait for it.
+func (r *Reporter) target() (netip.AddrPort, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leader.IsValid() {
-		return r.leader
+		return r.leader, callTimeout
 	}
 	known := slices.Concat(r.keepers, r.seeds)
+	round := r.searched / len(known)
 	r.next++
-	return known[r.next%len(known)]
+	r.searched++
+	return known[r.next%len(known)], min(time.Duration(1+round)*searchTimeout, callTimeout)
 }
 
 // fail forgets a leader that did not answer as one.
