--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -113,6 +113,14 @@
 	return r.answered
 }
 
+// Answered returns a channel that is closed when a report that is sent from now on
+// was answered, or was not. Unlike Hurry it has none sent sooner.
+func (r *Reporter) Answered() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
 func (r *Reporter) run() {
 	defer close(r.done)
 	pause := time.Duration(0)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -49,6 +49,9 @@
 	// Renew has this node's allowances renewed at once and returns a channel that is
 	// closed when that is done.
 	Renew func() <-chan struct{}
+	// Await returns a channel that is closed when it is worth looking again whether
+	// the rules are there and confirmed.
+	Await func() <-chan struct{}
 	// Encode returns the header of a call for an endpoint.
 	Encode func(call *Call, order *Order) http.Header
 	// Decode reads the head of an endpoint's answer.
@@ -80,7 +83,8 @@
 	table   atomic.Pointer[registrar.Table]
 	entries atomic.Int64
 	refused refusals
-	waits   sync.Map // longest wait of callers by route, *atomic.Int64 nanoseconds
+	waiting atomic.Int64 // calls that wait for rules
+	waits   sync.Map     // longest wait of callers by route, *atomic.Int64 nanoseconds
 }
 
 // New returns a forwarder without rules.
@@ -149,11 +153,10 @@
 // admit finds out by which rules a call is served, and whether it is.
 func (x *exchange) admit() (Refusal, time.Duration) {
 	f, call := x.f, x.call
-	table := f.table.Load()
+	table, confirmed := x.rules()
 	if table == nil {
 		return Unready, f.unreadyTime()
 	}
-	confirmed := f.config.IsConfirmed()
 	route, ok := table.Route(call.Host, call.Path)
 	if !ok {
 		return unless(confirmed, NoRoute), f.unreadyTime()
@@ -184,30 +187,6 @@
 	return x.charge()
 }
 
-const (
-	// readyAfter is how long after its start a node usually serves, also if all
-	// nodes start at once: an election, a report, and a reading of the list. It
-	// took 0.6 s after a loss of all power, with a leader that came back.
-	readyAfter = 850 * time.Millisecond
-	// unreadyTime is how long a node that serves already usually lacks a
-	// confirmation, for example while a leader is elected.
-	unreadyTime = 500 * time.Millisecond
-)
-
-// unreadyTime returns when a caller should come back to a node that is not ready.
-func (f *Forwarder) unreadyTime() time.Duration {
-	since := f.config.Clock.Now().Sub(f.started)
-	return f.spread(max(unreadyTime, readyAfter-since+unreadyTime/2))
-}
-
-// unless returns a refusal by the rules, or Unready if they may have changed.
-func unless(confirmed bool, refusal Refusal) Refusal {
-	if confirmed {
-		return refusal
-	}
-	return Unready
-}
-
 // charge holds the call against the customer's limit.
 func (x *exchange) charge() (Refusal, time.Duration) {
 	if x.customer == nil || x.customer.Rate <= 0 {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -184,6 +184,8 @@
 	trials    []forwarder.Trial
 	placer    *placer.Placer
 	endpoints []placer.Endpoint
+	announced chan struct{}
+	awaited   int
 }
 
 const calls = 10 // the customer's allowance
@@ -203,7 +205,7 @@
 	pool := pooler.New(clock.System{})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
-		Renew: func() <-chan struct{} { return nil }, Began: func(string) { f.note(func() { f.began++ }) },
+		Renew: func() <-chan struct{} { return nil }, Await: f.await, Began: func(string) { f.note(func() { f.began++ }) },
 		Ended:   func(_ *forwarder.Call, r *forwarder.Result) { f.note(func() { f.results = append(f.results, *r) }) },
 		Version: func(string, bool, float64) forwarder.Version { return f.version },
 		Sent:    func(route string, _ placer.Endpoint) { f.note(func() { f.sent = append(f.sent, route) }) },
@@ -227,6 +229,26 @@
 	do()
 }
 
+// await returns a channel that announce closes.
+func (f *front) await() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced == nil {
+		f.announced = make(chan struct{})
+	}
+	f.awaited++
+	return f.announced
+}
+
+func (f *front) announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced != nil {
+		close(f.announced)
+		f.announced = nil
+	}
+}
+
 func (f *front) isConfirmed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
