Keep the leader's work for a report from growing with the fleet

Cause: for each report the leader added up the loads and demands of all nodes, counted them and sorted their clocks.

Change: sums are kept up to date with each report; nodes that are gone, the number of entries and the agreed time are looked at every 0.2 s, ended allowances every 0.1 s. What a node held whose allowance has ended counts as out for that much longer, which errs on the side of the limit.

TestLoadsOfOthers let time run backwards; its last look comes last now.

--- /dev/null
+++ b/internal/process/coordinator/bench_test.go
@@ -0,0 +1,50 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoprudder/internal/process/coordinator"
+	"hyssoprudder/internal/process/divider"
+)
+
+// BenchmarkBeat is the work of the leader for one report, by the size of the fleet.
+func BenchmarkBeat(b *testing.B) {
+	for _, nodes := range []int{20, 83, 370} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			c := coordinator.NewCore(3, start, share, window)
+			limits := make(map[string]divider.Limit)
+			for i := range 16 {
+				limits[fmt.Sprint("customer", i)] = divider.Limit{Rate: 1000, Burst: 1000, Spare: 100}
+			}
+			c.SetLimits(limits, start)
+			list := make([]coordinator.Endpoint, 2*nodes)
+			for i := range list {
+				list[i] = coordinator.Endpoint{ID: fmt.Sprint("e", i)}
+			}
+			c.SetEndpoints(list)
+			now := start.Add(time.Minute)
+			table := c.Beat(report("n0", now), now).Table
+			reports := make([]*coordinator.Report, nodes)
+			for i := range reports {
+				r := report(fmt.Sprint("n", i), now)
+				r.Table, r.Demand = table, make(map[string]float64)
+				for k := range 16 {
+					r.Demand[fmt.Sprint("customer", k)] = float64(k + 1)
+				}
+				for k := range 10 {
+					r.Loads = append(r.Loads, coordinator.Load{Place: uint16((7*i + k) % len(list)), Calls: 2, Unread: 500})
+				}
+				reports[i] = r
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(4 * time.Millisecond)
+				r := reports[i%nodes]
+				r.Wall = now.UnixNano()
+				c.Beat(r, now)
+			}
+		})
+	}
+}
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -26,13 +26,17 @@
 	youngPause = 100 * time.Millisecond
 	// clockAge is how old a report may be to count for the agreed time.
 	clockAge = 5 * time.Second
+	// reviewPause is the time between two looks at all nodes, so that the work for
+	// one report does not grow with the fleet.
+	reviewPause = 200 * time.Millisecond
 )
 
 // node is what the leader knows of a node.
 type node struct {
-	report Report
-	at     time.Time
-	ahead  time.Duration // of its time of day against the leader's clock
+	report   Report
+	at       time.Time
+	ahead    time.Duration // of its time of day against the leader's clock
+	isSummed bool          // its loads are in the sums
 }
 
 // Core is the state of the leader in one term. It is a state machine without
@@ -45,6 +49,11 @@
 	endpoints []Endpoint
 	divider   *divider.Divider
 	ledger    *accountant.Ledger
+
+	sums     []Load // of all nodes, by place in the list
+	reviewed time.Time
+	serving  int           // entries, at the last review
+	ahead    time.Duration // of the agreed time, at the last review
 }
 
 // NewCore returns the state of a leader whose term began at now. Allowances
@@ -75,6 +84,10 @@
 	}
 	c.table = TableID{Term: c.term, Number: c.table.Number + 1}
 	c.endpoints = list
+	c.sums = make([]Load, len(list))
+	for _, o := range c.nodes {
+		o.isSummed = false // its places are those of the last list
+	}
 	return true
 }
 
@@ -85,11 +98,13 @@
 
 // Beat takes a report that arrived at now and answers it.
 func (c *Core) Beat(r *Report, now time.Time) Directive {
-	c.nodes[r.Node] = &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
+	c.note(r, now)
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
+	if now.Sub(c.reviewed) >= reviewPause || c.Age(now) < youngTime {
+		c.review(now)
+	}
 	d := Directive{
-		Leads: true, Table: c.table, Time: now.Add(c.Ahead(now)).UnixNano(), Lasting: c.divider.Length(),
-		Entries: c.entries(now),
+		Leads: true, Table: c.table, Time: now.Add(c.ahead).UnixNano(), Lasting: c.divider.Length(), Entries: c.serving,
 	}
 	d.Pause = max(minPause, time.Duration(d.Entries)*nodePause)
 	if c.Age(now) < youngTime {
@@ -106,41 +121,79 @@
 		d.Fresh, d.Endpoints = true, c.endpoints
 	}
 	if r.Table == c.table {
-		d.Loads = c.loads(r.Node, now)
+		d.Loads = c.loads(c.nodes[r.Node])
 	}
 	return d
 }
 
-func (c *Core) entries(now time.Time) int {
-	n := 0
+// note takes the place of a node's last report.
+func (c *Core) note(r *Report, now time.Time) {
+	last := c.nodes[r.Node]
+	c.unsum(last)
+	if last == nil && r.Entry {
+		c.serving++
+	}
+	o := &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
+	c.nodes[r.Node] = o
+	if r.Table != c.table {
+		return
+	}
+	o.isSummed = true
+	for _, l := range r.Loads {
+		if int(l.Place) < len(c.sums) {
+			c.sums[l.Place].add(l)
+		}
+	}
+}
+
+// unsum takes the loads of a node out of the sums.
+func (c *Core) unsum(o *node) {
+	if o == nil || !o.isSummed {
+		return
+	}
+	o.isSummed = false
+	for _, l := range o.report.Loads {
+		if int(l.Place) < len(c.sums) {
+			c.sums[l.Place].subtract(l)
+		}
+	}
+}
+
+// review looks at all nodes: those that are gone run nothing and are forgotten.
+func (c *Core) review(now time.Time) {
+	c.reviewed, c.serving = now, 0
 	for name, o := range c.nodes {
+		if now.Sub(o.at) > goneAfter {
+			c.unsum(o)
+		}
 		switch {
 		case now.Sub(o.at) > clockAge:
 			delete(c.nodes, name)
 		case o.report.Entry && now.Sub(o.at) < goneAfter:
-			n++
+			c.serving++
 		}
 	}
-	return n
+	c.ahead = c.Ahead(now)
 }
 
-// loads adds up what the nodes other than one have under way.
-func (c *Core) loads(except string, now time.Time) []Load {
-	sums := make([]Load, len(c.endpoints))
-	for name, o := range c.nodes {
-		if name == except || o.report.Table != c.table || now.Sub(o.at) > goneAfter {
-			continue
-		}
-		for _, l := range o.report.Loads {
-			if int(l.Place) < len(sums) {
-				sums[l.Place].add(l)
-			}
+// loads returns what the nodes other than one have under way.
+func (c *Core) loads(except *node) []Load {
+	own := make(map[uint16]Load, len(except.report.Loads))
+	if except.isSummed {
+		for _, l := range except.report.Loads {
+			sum := own[l.Place]
+			sum.add(l)
+			own[l.Place] = sum
 		}
 	}
-	out := sums[:0]
-	for place, l := range sums {
+	var out []Load
+	for place, l := range c.sums {
+		if l.Calls == 0 {
+			continue
+		}
+		l.Place = uint16(place)
+		l.subtract(own[l.Place])
 		if l.Calls > 0 {
-			l.Place = uint16(place)
 			out = append(out, l)
 		}
 	}
@@ -154,8 +207,18 @@
 	l.Held += o.Held
 }
 
+func (l *Load) subtract(o Load) {
+	l.Calls -= o.Calls
+	l.Waiting -= o.Waiting
+	l.Unread -= o.Unread
+	l.Held -= o.Held
+}
+
 // Under returns what all nodes have under way, by place in the list.
-func (c *Core) Under(now time.Time) []Load { return c.loads("", now) }
+func (c *Core) Under(now time.Time) []Load {
+	c.review(now)
+	return c.loads(&node{})
+}
 
 // Refused returns how many calls to a service the nodes refused, since their starts.
 func (c *Core) Refused(service string) uint64 {
--- a/internal/process/coordinator/core_test.go
+++ b/internal/process/coordinator/core_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"hyssoprudder/internal/process/accountant"
 	"hyssoprudder/internal/process/coordinator"
@@ -53,13 +54,13 @@
 	c.Beat(with("b", coordinator.Load{Place: 0, Calls: 1}, coordinator.Load{Place: 1, Calls: 4}), start)
 	require.Equal(t, []coordinator.Load{{Place: 0, Calls: 2, Unread: 10}}, c.Beat(with("b", coordinator.Load{Place: 1, Calls: 4}), start).Loads)
 	require.Equal(t, []coordinator.Load{{Place: 0, Calls: 2, Unread: 10}, {Place: 1, Calls: 4}}, c.Under(start))
-	// A node that is gone runs nothing.
-	require.Empty(t, c.Under(start.Add(10*time.Second)))
 	// Places of another list say nothing.
 	stray := with("c", coordinator.Load{Place: 1, Calls: 9})
 	stray.Table.Number++
 	c.Beat(stray, start)
 	require.Equal(t, []coordinator.Load{{Place: 0, Calls: 2, Unread: 10}, {Place: 1, Calls: 4}}, c.Under(start))
+	// A node that is gone runs nothing.
+	require.Empty(t, c.Under(start.Add(10*time.Second)))
 }
 
 // Pattern: the time of day jumps on a third of the nodes.
@@ -98,3 +99,56 @@
 	r.Entry = false
 	require.Empty(t, c.Beat(r, start).Allowances, "only nodes that serve callers get a part")
 }
+
+// What is kept up to date with each report is what one would add up anew.
+func TestLoadsAreTheSumsOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := coordinator.NewCore(3, start, share, window)
+		c.SetEndpoints(make([]coordinator.Endpoint, 4))
+		now := start.Add(time.Minute)
+		table := c.Beat(report("z", now), now).Table
+		type held struct {
+			report *coordinator.Report
+			at     time.Time
+		}
+		newest := make(map[string]held)
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 19).Draw(t, "list") == 0 {
+				c.SetEndpoints(make([]coordinator.Endpoint, rapid.IntRange(5, 50).Draw(t, "endpoints")))
+				table = c.Beat(report("z", now), now).Table
+			}
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "node")
+			r := report(name, now)
+			r.Table = table
+			if rapid.IntRange(0, 9).Draw(t, "old list") == 0 {
+				r.Table.Number--
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "loads") {
+				r.Loads = append(r.Loads, coordinator.Load{
+					Place: uint16(rapid.IntRange(0, 5).Draw(t, "place")), Calls: uint16(rapid.IntRange(1, 9).Draw(t, "calls")), Unread: 7,
+				})
+			}
+			newest[name] = held{r, now}
+			c.Beat(r, now)
+			list, _ := c.Endpoints()
+			want := make(map[uint16]coordinator.Load)
+			for _, h := range newest {
+				if h.report.Table != table || now.Sub(h.at) > 3*time.Second {
+					continue
+				}
+				for _, l := range h.report.Loads {
+					if int(l.Place) < len(list) {
+						sum := want[l.Place]
+						want[l.Place] = coordinator.Load{Place: l.Place, Calls: sum.Calls + l.Calls, Unread: sum.Unread + l.Unread}
+					}
+				}
+			}
+			got := make(map[uint16]coordinator.Load)
+			for _, l := range c.Under(now) {
+				got[l.Place] = l
+			}
+			require.Equal(t, want, got)
+		}
+	})
+}
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -19,6 +19,11 @@
 	maxShare = 0.5
 )
 
+// sweepPause is the time between two looks at all nodes, so that the work for one
+// report does not grow with the fleet. What a node held whose allowance has ended
+// counts as out for so much longer.
+const sweepPause = 100 * time.Millisecond
+
 // fullShare is the part of a bucket from which it counts as full.
 const fullShare = 0.95
 
@@ -74,12 +79,14 @@
 	sequence uint64
 	pools    map[string]*pool
 	nodes    map[string]*holder
+	demand   map[string]float64 // of all nodes, by customer
+	swept    time.Time
 }
 
 // New returns a divider for a term of the log, whose allowances last for length
 // from when they were asked for.
 func New(term uint64, length time.Duration) *Divider {
-	return &Divider{length: length, sequence: term << 32, pools: make(map[string]*pool), nodes: make(map[string]*holder)}
+	return &Divider{length: length, sequence: term << 32, pools: make(map[string]*pool), nodes: make(map[string]*holder), demand: make(map[string]float64)}
 }
 
 // Length returns how long an allowance lasts.
@@ -123,10 +130,8 @@
 
 // Renew takes what a node has left back and grants it a new allowance.
 func (d *Divider) Renew(r *Report, now time.Time) Grant {
-	for name, h := range d.nodes {
-		if name != r.Node && !now.Before(h.until) {
-			d.forget(name, h)
-		}
+	if now.Sub(d.swept) >= sweepPause {
+		d.sweep(r.Node, now)
 	}
 	for _, p := range d.pools {
 		p.fill(now)
@@ -137,7 +142,11 @@
 		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(d.pools)),
 		before: r.Left, until: now.Add(d.length),
 	}
+	if last := d.nodes[r.Node]; last != nil {
+		d.count(last, -1)
+	}
 	d.nodes[r.Node] = h
+	d.count(h, 1)
 	for name, p := range d.pools {
 		grant := max(max(p.level, 0)*min(d.weight(h, name), maxShare), p.most(r.Wants[name]))
 		h.granted[name] = grant
@@ -147,6 +156,27 @@
 	return Grant{Sequence: h.sequence, Allowances: h.granted}
 }
 
+// sweep forgets nodes whose allowances have ended, but for the one that reports, and
+// adds the demands up anew.
+func (d *Divider) sweep(except string, now time.Time) {
+	d.swept = now
+	clear(d.demand)
+	for name, h := range d.nodes {
+		if name != except && !now.Before(h.until) {
+			d.forget(name, h)
+			continue
+		}
+		d.count(h, 1)
+	}
+}
+
+// count adds a node's demand to the sums, or takes it out.
+func (d *Divider) count(h *holder, sign float64) {
+	for customer, demand := range h.demand {
+		d.demand[customer] = max(d.demand[customer]+sign*demand, 0)
+	}
+}
+
 // forget drops a node whose allowance has ended. Whether it was spent is unknown,
 // so it is not returned.
 func (d *Divider) forget(name string, h *holder) {
@@ -176,10 +206,7 @@
 
 // weight returns the part of what is left that a node gets.
 func (d *Divider) weight(h *holder, name string) float64 {
-	sum := 0.0
-	for _, o := range d.nodes {
-		sum += o.demand[name]
-	}
+	sum := d.demand[name]
 	part := 1 / float64(len(d.nodes))
 	if sum > 0 {
 		part = evenShare*part + (1-evenShare)*h.demand[name]/sum
