Read long lists of instances within the platform's rate

Cause: the list was read as fast as the pages came, every 0.3 s.

Change: one reader keeps to 0.8 of the rate; a page that was one read too many is asked for again. A reading may take 5 s.

Before: TestListKeepsWithinTheRate, the first refused page ended the reading. After: it passes.

--- a/cmd/hyssoprudder-managed/main.go
+++ b/cmd/hyssoprudder-managed/main.go
@@ -80,7 +80,7 @@
 
 // outside plugs the platform in.
 func outside(s *settings.Managed) assembler.Outside {
-	cloud := platform.NewCloud(s.Provider().Address(), cloudTimeout)
+	cloud := platform.NewCloud(s.Provider().Address(), cloudTimeout, s.Provider().Rate())
 	return assembler.Outside{
 		Front: func(serve assembler.Serve, isClosing func() bool, now func() time.Time) http.Handler {
 			return platform.Front(platform.Serve(serve), isClosing, now)
