Send nodes only what changed in the list of endpoints

Cause: each change of the list was sent whole to each entry.

Ruled out: the reports' rate, which is bounded by the number of entries already.

Change: endpoints keep their places in the list of a term; a node is sent the places that changed since the reading that it has.

TestChangesLeadToTheNewestList: whatever directives are lost, a node ends with the leader's list.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -53,9 +53,10 @@
 	done      chan struct{}
 	group     sync.WaitGroup
 
-	mu    sync.Mutex
-	table coordinator.TableID
-	ahead time.Duration // of the agreed time against the steady clock
+	mu     sync.Mutex
+	table  coordinator.TableID
+	places []coordinator.Endpoint // of the list, by place
+	ahead  time.Duration          // of the agreed time against the steady clock
 }
 
 func (n *Node) buildEntry() {
@@ -204,13 +205,12 @@
 	}
 	e.mu.Lock()
 	e.ahead = time.Unix(0, d.Time).Sub(e.node.steady.Now())
-	if d.Fresh {
-		e.table = d.Table
-		e.placer.SetEndpoints(endpointsOf(d.Endpoints))
+	if d.Places > 0 && e.table != d.Table {
+		e.table, e.places = d.Table, d.Apply(e.places)
+		e.placer.SetEndpoints(endpointsOf(e.places))
 	}
-	same := e.table == d.Table
 	e.mu.Unlock()
-	if same {
+	if d.Places > 0 {
 		e.placer.SetPeers(loadsOf(d.Loads), now)
 	}
 	e.forwarder.SetEntries(d.Entries)
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -42,13 +42,12 @@
 // Core is the state of the leader in one term. It is a state machine without
 // input or output and not safe for concurrent use.
 type Core struct {
-	term      uint64
-	started   time.Time
-	nodes     map[string]*node
-	table     TableID
-	endpoints []Endpoint
-	divider   *divider.Divider
-	ledger    *accountant.Ledger
+	term    uint64
+	started time.Time
+	nodes   map[string]*node
+	list    *list
+	divider *divider.Divider
+	ledger  *accountant.Ledger
 
 	sums     []Load // of all nodes, by place in the list
 	reviewed time.Time
@@ -60,7 +59,7 @@
 // last for share, and usage is counted in windows of the given length.
 func NewCore(term uint64, now time.Time, share, window time.Duration) *Core {
 	return &Core{
-		term: term, started: now, nodes: make(map[string]*node), divider: divider.New(term, share),
+		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, share),
 		ledger: accountant.NewLedger(window, now),
 	}
 }
@@ -74,19 +73,17 @@
 // Ledger returns the usage of the nodes.
 func (c *Core) Ledger() *accountant.Ledger { return c.ledger }
 
-// Endpoints returns the newest list; ok is false before it was read.
-func (c *Core) Endpoints() (list []Endpoint, ok bool) { return c.endpoints, c.table.Number > 0 }
+// Endpoints returns the newest list by places, of which those without an ID are
+// empty; ok is false before it was read.
+func (c *Core) Endpoints() (places []Endpoint, ok bool) { return c.list.places, c.list.isRead() }
 
 // SetEndpoints takes over a reading of the list. It reports whether it differs.
-func (c *Core) SetEndpoints(list []Endpoint) bool {
-	if c.table.Number > 0 && slices.Equal(list, c.endpoints) {
+func (c *Core) SetEndpoints(endpoints []Endpoint, now time.Time) bool {
+	if !c.list.read(endpoints, now) {
 		return false
 	}
-	c.table = TableID{Term: c.term, Number: c.table.Number + 1}
-	c.endpoints = list
-	c.sums = make([]Load, len(list))
-	for _, o := range c.nodes {
-		o.isSummed = false // its places are those of the last list
+	for len(c.sums) < len(c.list.places) {
+		c.sums = append(c.sums, Load{})
 	}
 	return true
 }
@@ -104,7 +101,7 @@
 		c.review(now)
 	}
 	d := Directive{
-		Leads: true, Table: c.table, Time: now.Add(c.ahead).UnixNano(), Lasting: c.divider.Length(), Entries: c.serving,
+		Leads: true, Table: c.list.table, Time: now.Add(c.ahead).UnixNano(), Lasting: c.divider.Length(), Entries: c.serving,
 	}
 	d.Pause = max(minPause, time.Duration(d.Entries)*nodePause)
 	if c.Age(now) < youngTime {
@@ -117,10 +114,9 @@
 		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Left: r.Left, Demand: r.Demand, Wants: r.Wants,
 	}, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
-	if c.table.Number > 0 && r.Table != c.table {
-		d.Fresh, d.Endpoints = true, c.endpoints
-	}
-	if r.Table == c.table {
+	if c.list.isRead() {
+		d.Places = len(c.list.places)
+		d.Changes, d.Fresh = c.list.changes(r.Table)
 		d.Loads = c.loads(c.nodes[r.Node])
 	}
 	return d
@@ -135,8 +131,8 @@
 	}
 	o := &node{report: *r, at: now, ahead: time.Unix(0, r.Wall).Sub(now)}
 	c.nodes[r.Node] = o
-	if r.Table != c.table {
-		return
+	if r.Table.Term != c.term {
+		return // its places are those of another leader's list
 	}
 	o.isSummed = true
 	for _, l := range r.Loads {
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -14,7 +14,8 @@
 const BeatMethod = ServiceName + ".Beat"
 
 // TableID names one reading of the list of endpoints. Readings of a later term,
-// or of the same term with a higher number, are newer.
+// or of the same term with a higher number, are newer. Within a term an endpoint
+// keeps its place.
 type TableID struct {
 	Term   uint64 `msgpack:"t"`
 	Number uint64 `msgpack:"n"`
@@ -32,6 +33,13 @@
 	Reclaimable bool           `msgpack:"r,omitempty"`
 }
 
+// Change says what is at a place of the list; nothing is there if the endpoint has
+// no ID.
+type Change struct {
+	Place    uint16   `msgpack:"p"`
+	Endpoint Endpoint `msgpack:"e"`
+}
+
 // Load is what a node has under way at the endpoint with the given place in the
 // list. Sizes are in tokens.
 type Load struct {
@@ -81,11 +89,13 @@
 	// Number is the newest ruleset; Ruleset is its encoding if the node has another.
 	Number  uint64 `msgpack:"n"`
 	Ruleset []byte `msgpack:"r,omitempty"`
-	// Table is the newest list; Endpoints is its content if Fresh.
-	Table     TableID    `msgpack:"t"`
-	Fresh     bool       `msgpack:"f,omitempty"`
-	Endpoints []Endpoint `msgpack:"e,omitempty"`
-	// Loads are what all other nodes have under way, if they use the same list.
+	// Table is the newest list, which has Places places. Changes lead to it from the
+	// list that the node has, or from an empty one if Fresh.
+	Table   TableID  `msgpack:"t"`
+	Places  int      `msgpack:"j,omitempty"`
+	Fresh   bool     `msgpack:"f,omitempty"`
+	Changes []Change `msgpack:"e,omitempty"`
+	// Loads are what all other nodes have under way.
 	Loads []Load `msgpack:"o,omitempty"`
 	// Allowances are the node's parts of customers' limits, granted under Sequence.
 	// They last for Lasting from when the report was sent.
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -31,6 +31,8 @@
 	tick = 250 * time.Millisecond
 	// callTime bounds a call to the provider.
 	callTime = 1500 * time.Millisecond
+	// listTime bounds a reading of the whole list, which may have many pages.
+	listTime = 5 * time.Second
 )
 
 // Holder says who acts, and under which fencing number.
@@ -182,7 +184,7 @@
 }
 
 func (s *surveyor) survey() {
-	ctx, cancel := context.WithTimeout(s.ctx, callTime)
+	ctx, cancel := context.WithTimeout(s.ctx, listTime)
 	defer cancel()
 	list, err := s.config.List(ctx)
 	if err != nil {
@@ -196,8 +198,8 @@
 		s.config.Log.Info("list of endpoints is read again", "endpoints", len(list))
 	}
 	s.failing = false
-	s.config.Do(func(core *coordinator.Core, _ keeper.Lease, _ time.Time) {
-		if core.SetEndpoints(list) {
+	s.config.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) {
+		if core.SetEndpoints(list, now) {
 			s.config.Log.Debug("list of endpoints changed", "endpoints", len(list))
 		}
 	})
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -5,6 +5,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"sync"
@@ -170,19 +171,25 @@
 	return &Placer{services: make(map[string][]*endpoint), byID: make(map[string]*endpoint)}
 }
 
-// SetEndpoints replaces the list of endpoints. What is known of those that stay
-// is kept; one that comes back at another address is a new one.
+// SetEndpoints replaces the list of endpoints; places of those without an ID are
+// empty. What is known of those that stay is kept; one that comes back at another
+// address is a new one.
 func (p *Placer) SetEndpoints(list []Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	byID := make(map[string]*endpoint, len(list))
 	p.services = make(map[string][]*endpoint)
 	p.places = p.places[:0]
+	rates := p.typicalRates()
 	for _, listed := range list {
+		if listed.ID == "" {
+			p.places = append(p.places, nil)
+			continue
+		}
 		e := p.byID[listed.ID]
 		if e == nil || e.Address != listed.Address || e.Service != listed.Service {
 			e = &endpoint{
-				hash: xxhash.Sum64String(listed.ID), rate: p.typicalRate(listed.Service),
+				hash: xxhash.Sum64String(listed.ID), rate: cmp.Or(rates[listed.Service], startRate),
 				held: make(map[uint64]time.Time), sizes: make(map[uint64]int),
 			}
 		}
@@ -194,19 +201,17 @@
 	p.byID = byID
 }
 
-// typicalRate returns the mean speed of the known endpoints of a service.
-func (p *Placer) typicalRate(service string) float64 {
-	sum, n := 0.0, 0
+// typicalRates returns the mean speed of the known endpoints by service.
+func (p *Placer) typicalRates() map[string]float64 {
+	sums, counts := make(map[string]float64), make(map[string]float64)
 	for _, e := range p.byID {
-		if e.Service == service {
-			sum += e.rate
-			n++
-		}
+		sums[e.Service] += e.rate
+		counts[e.Service]++
 	}
-	if n == 0 {
-		return startRate
+	for service, n := range counts {
+		sums[service] /= n
 	}
-	return sum / float64(n)
+	return sums
 }
 
 // SetPeers notes what the other nodes report of the endpoints, by their place in
@@ -216,7 +221,9 @@
 	defer p.mu.Unlock()
 	p.peersAt = now
 	for place, e := range p.places {
-		e.peers = loads[place]
+		if e != nil {
+			e.peers = loads[place]
+		}
 	}
 }
 
@@ -226,7 +233,7 @@
 	defer p.mu.Unlock()
 	out := make(map[int]Load)
 	for place, e := range p.places {
-		if e.own != (Load{}) {
+		if e != nil && e.own != (Load{}) {
 			out[place] = e.own
 		}
 	}
@@ -258,7 +265,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.places {
-		if e.Address == address {
+		if e != nil && e.Address == address {
 			return true
 		}
 	}
