Bound what the leader tells each entry of loads, and encode the whole list once

Cause: a report was answered with the loads of all endpoints, of which a deployment of 299 machines has 3,000, and after a change of the leader the whole list was encoded for each entry anew.

Change: where there are more than 256 endpoints, nodes are told the loads of about as many with most to do; the whole list is encoded once.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -205,12 +205,9 @@
 	}
 	e.mu.Lock()
 	e.ahead = time.Unix(0, d.Time).Sub(e.node.steady.Now())
-	if d.Places > 0 && e.table != d.Table {
-		e.table, e.places = d.Table, d.Apply(e.places)
-		e.placer.SetEndpoints(endpointsOf(e.places))
-	}
+	isListed := e.takeList(d)
 	e.mu.Unlock()
-	if d.Places > 0 {
+	if isListed {
 		e.placer.SetPeers(loadsOf(d.Loads), now)
 	}
 	e.forwarder.SetEntries(d.Entries)
@@ -220,6 +217,25 @@
 	return d.Number > 0 && e.forwarder.Table().Number() >= d.Number
 }
 
+// takeList takes over what changed in the list of endpoints, and reports whether the
+// node has the newest list. It is called under the lock.
+func (e *entry) takeList(d *coordinator.Directive) bool {
+	if d.Places == 0 {
+		return false
+	}
+	if e.table == d.Table {
+		return true
+	}
+	places, err := d.Apply(e.places)
+	if err != nil {
+		e.node.log.Error("list of endpoints can't be taken over; the last one stays in use", "err", err)
+		return false
+	}
+	e.table, e.places = d.Table, places
+	e.placer.SetEndpoints(endpointsOf(places))
+	return true
+}
+
 // putRuleset puts rules in force.
 func (e *entry) putRuleset(number uint64, body []byte) {
 	var r registrar.Ruleset
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -29,6 +29,11 @@
 	// reviewPause is the time between two looks at all nodes, so that the work for
 	// one report does not grow with the fleet.
 	reviewPause = 200 * time.Millisecond
+	// maxLoads is about the number of endpoints whose loads a node is told: those with
+	// most to do. A node's own calls are spread over fewer than that.
+	maxLoads = 256
+	// callWeight is the number of unread tokens that weigh as much as a call.
+	callWeight = 300
 )
 
 // node is what the leader knows of a node.
@@ -53,6 +58,7 @@
 	reviewed time.Time
 	serving  int           // entries, at the last review
 	ahead    time.Duration // of the agreed time, at the last review
+	least    uint64        // weight of the loads that nodes are told, at the last review
 }
 
 // NewCore returns the state of a leader whose term began at now. Allowances
@@ -115,9 +121,8 @@
 	}, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.list.isRead() {
-		d.Places = len(c.list.places)
-		d.Changes, d.Fresh = c.list.changes(r.Table)
-		d.Loads = c.loads(c.nodes[r.Node])
+		c.list.direct(&d, r.Table)
+		d.Loads = c.loads(c.nodes[r.Node], c.least)
 	}
 	return d
 }
@@ -169,11 +174,28 @@
 			c.serving++
 		}
 	}
-	c.ahead = c.Ahead(now)
+	c.ahead, c.least = c.Ahead(now), c.leastWeight()
 }
 
-// loads returns what the nodes other than one have under way.
-func (c *Core) loads(except *node) []Load {
+// weight tells how much there is to do at an endpoint.
+func (l *Load) weight() uint64 { return uint64(l.Unread) + callWeight*uint64(l.Calls) }
+
+// leastWeight returns the weight that about maxLoads endpoints exceed.
+func (c *Core) leastWeight() uint64 {
+	if len(c.sums) <= maxLoads {
+		return 0
+	}
+	weights := make([]uint64, len(c.sums))
+	for place := range c.sums {
+		weights[place] = c.sums[place].weight()
+	}
+	slices.Sort(weights)
+	return weights[len(weights)-maxLoads]
+}
+
+// loads returns what the nodes other than one have under way, where that weighs
+// enough.
+func (c *Core) loads(except *node, least uint64) []Load {
 	own := make(map[uint16]Load, len(except.report.Loads))
 	if except.isSummed {
 		for _, l := range except.report.Loads {
@@ -184,7 +206,7 @@
 	}
 	var out []Load
 	for place, l := range c.sums {
-		if l.Calls == 0 {
+		if l.Calls == 0 || l.weight() < least {
 			continue
 		}
 		l.Place = uint16(place)
@@ -213,7 +235,7 @@
 // Under returns what all nodes have under way, by place in the list.
 func (c *Core) Under(now time.Time) []Load {
 	c.review(now)
-	return c.loads(&node{})
+	return c.loads(&node{}, 0)
 }
 
 // Refused returns how many calls to a service the nodes refused, since their starts.
--- a/internal/process/coordinator/core_test.go
+++ b/internal/process/coordinator/core_test.go
@@ -25,6 +25,36 @@
 	return &coordinator.Report{Node: node, Incarnation: 1, Entry: true, Wall: wall.UnixNano()}
 }
 
+func apply(t require.TestingT, d *coordinator.Directive, places []coordinator.Endpoint) []coordinator.Endpoint {
+	out, err := d.Apply(places)
+	require.NoError(t, err)
+	return out
+}
+
+// In a large fleet nodes are told of the endpoints with most to do only.
+func TestLoadsAreBounded(t *testing.T) {
+	c := coordinator.NewCore(3, start, share, window)
+	listed := make([]coordinator.Endpoint, 3000)
+	for i := range listed {
+		listed[i].ID = fmt.Sprint("e", i)
+	}
+	c.SetEndpoints(listed, start)
+	busy := report("a", start)
+	busy.Table = c.Beat(report("b", start), start).Table
+	for place := range listed {
+		busy.Loads = append(busy.Loads, coordinator.Load{Place: uint16(place), Calls: uint16(1 + place%40)})
+	}
+	c.Beat(busy, start)
+	require.Len(t, c.Under(start), len(listed), "the leader knows all")
+	now := start.Add(time.Second)
+	told := c.Beat(report("b", now), now).Loads
+	require.Less(t, len(told), 400)
+	require.Greater(t, len(told), 200)
+	for _, l := range told {
+		require.Greater(t, l.Calls, uint16(30))
+	}
+}
+
 func TestEndpointsAreSentWhenTheyChange(t *testing.T) {
 	c := coordinator.NewCore(3, start, share, window)
 	require.Zero(t, c.Beat(report("a", start), start).Places, "nothing was read yet")
@@ -33,7 +63,7 @@
 	require.False(t, c.SetEndpoints([]coordinator.Endpoint{e2, e1}, start), "the order says nothing")
 	d := c.Beat(report("a", start), start)
 	require.True(t, d.Fresh)
-	places := d.Apply(nil)
+	places := apply(t, &d, nil)
 	require.Equal(t, []coordinator.Endpoint{e1, e2}, places)
 	r := report("a", start)
 	r.Table = d.Table
@@ -45,13 +75,13 @@
 	require.True(t, c.SetEndpoints([]coordinator.Endpoint{e1, e3}, start))
 	d = c.Beat(r, start)
 	require.False(t, d.Fresh)
-	require.Equal(t, []coordinator.Endpoint{e1, {}, e3}, d.Apply(places), "a place stays empty for a while")
+	require.Equal(t, []coordinator.Endpoint{e1, {}, e3}, apply(t, &d, places), "a place stays empty for a while")
 	// The list of another leader is another one, whatever its number.
 	other := coordinator.NewCore(4, start, share, window)
 	other.SetEndpoints([]coordinator.Endpoint{e2}, start)
 	d = other.Beat(r, start)
 	require.True(t, d.Fresh)
-	require.Equal(t, []coordinator.Endpoint{e2}, d.Apply(places))
+	require.Equal(t, []coordinator.Endpoint{e2}, apply(t, &d, places))
 }
 
 // Whatever directives are lost, a node's list is that of the leader in the end, and
@@ -76,7 +106,7 @@
 			if rapid.Bool().Draw(t, "lost") {
 				continue
 			}
-			places, r.Table = d.Apply(places), d.Table
+			places, r.Table = apply(t, &d, places), d.Table
 			var held []coordinator.Endpoint
 			for place, e := range places {
 				if e.ID == "" {
--- a/internal/process/coordinator/list.go
+++ b/internal/process/coordinator/list.go
@@ -1,6 +1,11 @@
 package coordinator
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // placeRest is how long a place stays empty before another endpoint gets it: longer
 // than nodes report what they still run at the one before.
@@ -14,6 +19,7 @@
 	changed []uint64   // number of the reading that changed the place last
 	byID    map[string]int
 	empty   []emptied // in the order in which they became so
+	whole   []byte    // encoding of all that is listed, nil if it changed since
 }
 
 type emptied struct {
@@ -57,7 +63,7 @@
 		differs = true
 	}
 	if differs {
-		l.table.Number = next
+		l.table.Number, l.whole = next, nil
 	}
 	return differs
 }
@@ -72,35 +78,55 @@
 	return len(l.places) - 1
 }
 
-// changes returns what leads from the list that a node has to the newest one;
-// isFresh says that it begins with an empty list.
-func (l *list) changes(has TableID) (changes []Change, isFresh bool) {
-	since := has.Number
-	if has.Term != l.table.Term || since > l.table.Number {
-		since, isFresh = 0, true
+// direct completes a directive for a node that has an older list, or none. The whole
+// list is encoded once for all nodes, since all ask for it after a leader began.
+func (l *list) direct(d *Directive, has TableID) {
+	d.Table, d.Places = l.table, len(l.places)
+	if has.Term == l.table.Term && has.Number <= l.table.Number {
+		d.Changes = l.since(has.Number)
+		return
+	}
+	d.Fresh = true
+	if l.whole == nil {
+		whole, err := msgpack.Marshal(l.since(0))
+		if err != nil {
+			panic("coordinator: encode list: " + err.Error())
+		}
+		l.whole = whole
 	}
-	if since == l.table.Number {
-		return nil, isFresh
+	d.Whole = l.whole
+}
+
+// since returns what changed after a reading; after none, empty places are left out.
+func (l *list) since(number uint64) []Change {
+	if number == l.table.Number {
+		return nil
 	}
+	var changes []Change
 	for place, e := range l.places {
-		if l.changed[place] > since && (e.ID != "" || !isFresh) {
+		if l.changed[place] > number && (e.ID != "" || number > 0) {
 			changes = append(changes, Change{Place: uint16(place), Endpoint: e})
 		}
 	}
-	return changes, isFresh
+	return changes
 }
 
 // Apply returns the places of a node's list after a directive. The slice that is
 // passed in is not changed.
-func (d *Directive) Apply(places []Endpoint) []Endpoint {
+func (d *Directive) Apply(places []Endpoint) ([]Endpoint, error) {
 	out := make([]Endpoint, d.Places)
-	if !d.Fresh {
+	changes := d.Changes
+	if d.Fresh {
+		if err := msgpack.Unmarshal(d.Whole, &changes); err != nil {
+			return nil, fmt.Errorf("decode the list of endpoints: %w", err)
+		}
+	} else {
 		copy(out, places)
 	}
-	for _, c := range d.Changes {
+	for _, c := range changes {
 		if int(c.Place) < len(out) {
 			out[c.Place] = c.Endpoint
 		}
 	}
-	return out
+	return out, nil
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -95,7 +95,10 @@
 	Places  int      `msgpack:"j,omitempty"`
 	Fresh   bool     `msgpack:"f,omitempty"`
 	Changes []Change `msgpack:"e,omitempty"`
-	// Loads are what all other nodes have under way.
+	// Whole is the encoding of all changes in place of Changes, if Fresh.
+	Whole []byte `msgpack:"h,omitempty"`
+	// Loads are what all other nodes have under way, in a large fleet at the endpoints
+	// with most to do.
 	Loads []Load `msgpack:"o,omitempty"`
 	// Allowances are the node's parts of customers' limits, granted under Sequence.
 	// They last for Lasting from when the report was sent.
