Send a long list of endpoints in parts

Cause: after a change of the leader all entries ask for the whole list at once.

Change: a node is sent 512 places at a time, with what changed meanwhile at the places that it has, and asks for the next part at once. It serves from what it has.

TestLongListComesInParts: no change is missed while the parts come.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	table  coordinator.TableID
 	places []coordinator.Endpoint // of the list, by place
+	held   int                    // number of places that are known
 	ahead  time.Duration          // of the agreed time against the steady clock
 }
 
@@ -188,7 +189,7 @@
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	e.versions.report(r)
 	e.mu.Lock()
-	r.Table = e.table
+	r.Table, r.Held = e.table, e.held
 	e.mu.Unlock()
 	for place, l := range e.placer.Loads() {
 		r.Loads = append(r.Loads, coordinator.Load{
@@ -223,7 +224,7 @@
 	if d.Places == 0 {
 		return false
 	}
-	if e.table == d.Table {
+	if e.table == d.Table && e.held == d.Held {
 		return true
 	}
 	places, err := d.Apply(e.places)
@@ -231,7 +232,7 @@
 		e.node.log.Error("list of endpoints can't be taken over; the last one stays in use", "err", err)
 		return false
 	}
-	e.table, e.places = d.Table, places
+	e.table, e.places, e.held = d.Table, places, d.Held
 	e.placer.SetEndpoints(endpointsOf(places))
 	return true
 }
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -29,6 +29,9 @@
 	// reviewPause is the time between two looks at all nodes, so that the work for
 	// one report does not grow with the fleet.
 	reviewPause = 200 * time.Millisecond
+	// pagePause is the time until the next report of a node that lacks a part of the
+	// list.
+	pagePause = 20 * time.Millisecond
 	// maxLoads is about the number of endpoints whose loads a node is told: those with
 	// most to do. A node's own calls are spread over fewer than that.
 	maxLoads = 256
@@ -121,7 +124,10 @@
 	}, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.list.isRead() {
-		c.list.direct(&d, r.Table)
+		c.list.direct(&d, r.Table, r.Held)
+		if d.Held < d.Places {
+			d.Pause = pagePause
+		}
 		d.Loads = c.loads(c.nodes[r.Node], c.least)
 	}
 	return d
--- a/internal/process/coordinator/core_test.go
+++ b/internal/process/coordinator/core_test.go
@@ -31,6 +31,34 @@
 	return out
 }
 
+// A long list comes in parts, and what changes meanwhile is not missed.
+func TestLongListComesInParts(t *testing.T) {
+	c := coordinator.NewCore(3, start, share, window)
+	listed := make([]coordinator.Endpoint, 3000)
+	for i := range listed {
+		listed[i].ID = fmt.Sprint("e", i)
+	}
+	c.SetEndpoints(listed, start)
+	r := report("a", start)
+	var places []coordinator.Endpoint
+	now := start.Add(time.Minute)
+	for part := range 20 {
+		d := c.Beat(r, now)
+		require.Equal(t, part == 0, d.Fresh)
+		places, r.Table, r.Held = apply(t, &d, places), d.Table, d.Held
+		require.Less(t, len(d.Page), 100<<10)
+		if d.Held == d.Places {
+			break
+		}
+		require.Less(t, d.Pause, 100*time.Millisecond)
+		// One that was sent and one that was not leave; more are added.
+		listed[part].Leaving, listed[2990-part].Leaving = true, true
+		listed = append(listed, coordinator.Endpoint{ID: fmt.Sprint("new", part)})
+		c.SetEndpoints(listed, now)
+	}
+	require.Equal(t, listed, places)
+}
+
 // In a large fleet nodes are told of the endpoints with most to do only.
 func TestLoadsAreBounded(t *testing.T) {
 	c := coordinator.NewCore(3, start, share, window)
@@ -66,10 +94,11 @@
 	places := apply(t, &d, nil)
 	require.Equal(t, []coordinator.Endpoint{e1, e2}, places)
 	r := report("a", start)
-	r.Table = d.Table
+	r.Table, r.Held = d.Table, d.Held
 	d = c.Beat(r, start)
 	require.False(t, d.Fresh)
 	require.Empty(t, d.Changes)
+	require.Empty(t, d.Page)
 	e1.Leaving = true
 	require.True(t, c.SetEndpoints([]coordinator.Endpoint{e1, e2}, start))
 	require.True(t, c.SetEndpoints([]coordinator.Endpoint{e1, e3}, start))
@@ -106,7 +135,7 @@
 			if rapid.Bool().Draw(t, "lost") {
 				continue
 			}
-			places, r.Table = apply(t, &d, places), d.Table
+			places, r.Table, r.Held = apply(t, &d, places), d.Table, d.Held
 			var held []coordinator.Endpoint
 			for place, e := range places {
 				if e.ID == "" {
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -58,8 +58,10 @@
 	Entry bool `msgpack:"e"`
 	// Ruleset is the number of the ruleset in force at the node.
 	Ruleset uint64 `msgpack:"r"`
-	// Table names the list of endpoints that the node has and Loads refers to.
+	// Table names the list of endpoints that Loads refers to, and Held is the number
+	// of its places that the node has.
 	Table TableID `msgpack:"t"`
+	Held  int     `msgpack:"g,omitempty"`
 	// Wall is the node's time of day, in nanoseconds since 1970.
 	Wall  int64  `msgpack:"w"`
 	Loads []Load `msgpack:"l,omitempty"`
@@ -90,13 +92,14 @@
 	Number  uint64 `msgpack:"n"`
 	Ruleset []byte `msgpack:"r,omitempty"`
 	// Table is the newest list, which has Places places. Changes lead to it from the
-	// list that the node has, or from an empty one if Fresh.
+	// list that the node has, or from an empty one if Fresh; Page is the encoding of
+	// what is at the places behind those that the node has, which are Held then.
 	Table   TableID  `msgpack:"t"`
 	Places  int      `msgpack:"j,omitempty"`
 	Fresh   bool     `msgpack:"f,omitempty"`
 	Changes []Change `msgpack:"e,omitempty"`
-	// Whole is the encoding of all changes in place of Changes, if Fresh.
-	Whole []byte `msgpack:"h,omitempty"`
+	Page    []byte   `msgpack:"h,omitempty"`
+	Held    int      `msgpack:"g,omitempty"`
 	// Loads are what all other nodes have under way, in a large fleet at the endpoints
 	// with most to do.
 	Loads []Load `msgpack:"o,omitempty"`
