--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -1,9 +1,13 @@
 package coordinator
 
 import (
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"hyssoprudder/internal/process/accountant"
 )
 
@@ -43,11 +47,42 @@
 // Load is what a node has under way at the endpoint with the given place in the
 // list. Sizes are in tokens.
 type Load struct {
-	Place   uint16 `msgpack:"p"`
-	Calls   uint16 `msgpack:"c"`
-	Waiting uint16 `msgpack:"w,omitempty"`
-	Unread  uint32 `msgpack:"u,omitempty"`
-	Held    uint32 `msgpack:"h,omitempty"`
+	Place   uint16
+	Calls   uint16
+	Waiting uint16
+	Unread  uint32
+	Held    uint32
+}
+
+// loadFields is the number of fields of a load on the wire.
+const loadFields = 5
+
+// EncodeMsgpack writes the fields in their order. Loads are most of what nodes tell
+// each other, so they have no names and need no reflection.
+func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return errors.Join(
+		enc.EncodeArrayLen(loadFields), enc.EncodeUint(uint64(l.Place)), enc.EncodeUint(uint64(l.Calls)),
+		enc.EncodeUint(uint64(l.Waiting)), enc.EncodeUint(uint64(l.Unread)), enc.EncodeUint(uint64(l.Held)),
+	)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (l *Load) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err == nil && n != loadFields {
+		err = fmt.Errorf("a load has %d fields, not %d", n, loadFields)
+	}
+	for _, field := range []*uint16{&l.Place, &l.Calls, &l.Waiting} {
+		if err == nil {
+			*field, err = dec.DecodeUint16()
+		}
+	}
+	for _, field := range []*uint32{&l.Unread, &l.Held} {
+		if err == nil {
+			*field, err = dec.DecodeUint32()
+		}
+	}
+	return err
 }
 
 // Report is what a node says of itself.
--- /dev/null
+++ b/internal/process/coordinator/wire_test.go
@@ -0,0 +1,54 @@
+package coordinator_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"hyssoprudder/internal/process/coordinator"
+)
+
+func TestLoadsOnTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := coordinator.Report{Node: "a", Loads: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) coordinator.Load {
+			return coordinator.Load{
+				Place: rapid.Uint16().Draw(t, "place"), Calls: rapid.Uint16().Draw(t, "calls"), Waiting: rapid.Uint16().Draw(t, "waiting"),
+				Unread: rapid.Uint32().Draw(t, "unread"), Held: rapid.Uint32().Draw(t, "held"),
+			}
+		}), 1, 300).Draw(t, "loads")}
+		raw, err := msgpack.Marshal(&sent)
+		require.NoError(t, err)
+		var got coordinator.Report
+		require.NoError(t, msgpack.Unmarshal(raw, &got))
+		require.Equal(t, sent, got)
+		// What is cut off is an error, not an empty load.
+		require.Error(t, msgpack.Unmarshal(raw[:len(raw)-1-rapid.IntRange(0, len(raw)/2).Draw(t, "cut")], &got))
+	})
+}
+
+func BenchmarkLoadsOnTheWire(b *testing.B) {
+	d := coordinator.Directive{}
+	for place := range 256 {
+		d.Loads = append(d.Loads, coordinator.Load{Place: uint16(place), Calls: 9, Waiting: 1, Unread: 4000, Held: 90000})
+	}
+	b.Run("encode", func(b *testing.B) {
+		for range b.N {
+			if _, err := msgpack.Marshal(&d); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	raw, err := msgpack.Marshal(&d)
+	require.NoError(b, err)
+	b.Logf("%d bytes", len(raw))
+	b.Run("decode", func(b *testing.B) {
+		for range b.N {
+			var got coordinator.Directive
+			if err := msgpack.Unmarshal(raw, &got); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
