--- /dev/null
+++ b/internal/request/forwarder/front_test.go
@@ -0,0 +1,192 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/connection/pooler"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/request/apportioner"
+	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/placer"
+)
+
+// front is a forwarder before stand-in endpoints.
+type front struct {
+	forwarder *forwarder.Forwarder
+	quotas    *apportioner.Quotas
+	server    *httptest.Server
+
+	mu        sync.Mutex
+	confirmed bool
+	began     int
+	results   []forwarder.Result
+	version   forwarder.Version
+	sent      []string
+	trials    []forwarder.Trial
+	placer    *placer.Placer
+	endpoints []placer.Endpoint
+	announced chan struct{}
+	awaited   int
+}
+
+const calls = 10 // the customer's allowance
+
+func newFront(t *testing.T, endpoints ...*endpoint) *front {
+	t.Helper()
+	f := &front{quotas: apportioner.New(), confirmed: true}
+	place := placer.New()
+	var list []placer.Endpoint
+	for i, e := range endpoints {
+		list = append(list, placer.Endpoint{
+			ID: strconv.Itoa(i), Service: "desk", Slots: 6, Address: e.listener.Addr().(*net.TCPAddr).AddrPort(),
+		})
+	}
+	place.SetEndpoints(list)
+	f.placer, f.endpoints = place, list
+	pool := pooler.New(clock.System{})
+	f.forwarder = forwarder.New(forwarder.Config{
+		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
+		Renew: func() <-chan struct{} { return nil }, Await: f.await, Began: func(string) { f.note(func() { f.began++ }) },
+		Ended:   func(_ *forwarder.Call, r *forwarder.Result) { f.note(func() { f.results = append(f.results, *r) }) },
+		Version: func(string, bool, float64) forwarder.Version { return f.version },
+		Sent:    func(route string, _ placer.Endpoint) { f.note(func() { f.sent = append(f.sent, route) }) },
+		Tried:   func(trial *forwarder.Trial) { f.note(func() { f.trials = append(f.trials, *trial) }) },
+		Quotas:  f.quotas, Placer: place, Pool: pool, Budget: forwarder.NewBudget(0.2, 1000, 10*time.Second),
+	})
+	f.forwarder.SetTable(registrar.NewTable(rules()))
+	f.quotas.SetRates(map[string]float64{"masons": 100})
+	f.quotas.SetAllowances(1, map[string]float64{"masons": calls}, time.Now(), time.Now().Add(time.Hour))
+	f.server = httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(func() {
+		f.server.Close()
+		pool.Sweep(func(netip.AddrPort) bool { return false })
+	})
+	return f
+}
+
+func (f *front) note(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+// await returns a channel that announce closes.
+func (f *front) await() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced == nil {
+		f.announced = make(chan struct{})
+	}
+	f.awaited++
+	return f.announced
+}
+
+func (f *front) announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced != nil {
+		close(f.announced)
+		f.announced = nil
+	}
+}
+
+func (f *front) isConfirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+func rules() *registrar.Ruleset {
+	route := func(name string, kind registrar.Kind, attempts int) registrar.Route {
+		return registrar.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
+			Pause: 200 * time.Millisecond, Attempts: attempts, Shares: []registrar.Share{{Service: "desk", Weight: 1}},
+		}
+	}
+	resumable := route("resumable", registrar.Stream, 2)
+	resumable.Resumable = true
+	open := route("open", registrar.Repeatable, 2)
+	open.Open = true
+	return &registrar.Ruleset{
+		Number: 1, Keyed: true, Services: []registrar.Service{{Name: "desk"}},
+		Routes:    []registrar.Route{route("safe", registrar.Repeatable, 2), route("once", registrar.Once, 2), route("stream", registrar.Stream, 1), resumable, open},
+		Customers: []registrar.Customer{{Name: "masons", Keys: []string{"k1"}, Rate: 100, Burst: 100}},
+	}
+}
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	call := &forwarder.Call{
+		ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header,
+		Key: r.Header.Get("Key"), IsKeyed: r.Header.Get("Key") != "", Arrived: time.Now(), Wait: 1500 * time.Millisecond,
+		Body: func(int64) ([]byte, forwarder.Refusal) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return nil, forwarder.Malformed
+			}
+			return body, forwarder.None
+		},
+	}
+	f.forwarder.Serve(r.Context(), w, call)
+}
+
+func encode(call *forwarder.Call, order *forwarder.Order) http.Header {
+	h := make(http.Header)
+	h.Set(headerID, call.ID)
+	h.Set(headerAfter, order.After)
+	h.Set(headerOwner, order.Customer)
+	return h
+}
+
+func decode(r *http.Response) forwarder.Reply {
+	return forwarder.Reply{
+		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "", IsClosing: r.Close,
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
+	w.Header().Set("Refusal", string(refusal))
+	w.WriteHeader(http.StatusTeapot)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	refusal string
+	body    string
+	err     error
+}
+
+func (f *front) call(t *testing.T, path, key, body string) reply {
+	t.Helper()
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequestWithContext(context.Background(), method, f.server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set(headerID, "c1")
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header.Get("Refusal"), string(text), err}
+}
