Wait with the report of usage until a new leader knows all counts

What is reported can't be corrected.

Change: a leader waits for 2.5 s, unless the report is due within 2 s.

Before: TestNewLeaderWaitsForCounts, 7 of 12 calls reported.

--- a/internal/process/clock/boot.go
+++ b/internal/process/clock/boot.go
@@ -13,15 +13,20 @@
 type Boot struct {
 	start  time.Time     // time of day, without a monotonic reading
 	booted time.Duration // since the boot, at start
+	since  func() time.Duration
 }
 
 // NewBoot returns a clock that starts at the present time of day.
 func NewBoot() *Boot {
-	return &Boot{start: time.Now().Round(0), booted: sinceBoot()}
+	return newBoot(time.Now().Round(0), sinceBoot)
+}
+
+func newBoot(start time.Time, since func() time.Duration) *Boot {
+	return &Boot{start: start, booted: since(), since: since}
 }
 
 // Now returns the time of day of the start plus all time that passed since.
-func (b *Boot) Now() time.Time { return b.start.Add(sinceBoot() - b.booted) }
+func (b *Boot) Now() time.Time { return b.start.Add(b.since() - b.booted) }
 
 // NewTimer returns a timer of the operating system's clock.
 func (b *Boot) NewTimer(d time.Duration) Timer { return System{}.NewTimer(d) }
--- a/internal/process/submitter/submitter_test.go
+++ b/internal/process/submitter/submitter_test.go
@@ -149,6 +149,29 @@
 	require.Equal(t, []int64{ended, ended, ended}, l.windows[:3])
 }
 
+// A leader that has just begun does not know all counts yet, and what it reports
+// can't be corrected.
+func TestNewLeaderWaitsForCounts(t *testing.T) {
+	l := newLeader(t, 0, nil, 300*time.Millisecond)
+	ended := l.ended()
+	began := time.Now()
+	l.report(ended, 7)
+	time.Sleep(600 * time.Millisecond) // some looks at what is due
+	require.Eventually(t, func() bool {
+		return l.core.Do(func(core *coordinator.Core, _ keeper.Lease, _ time.Time) {
+			core.Ledger().Add("m", 1, []accountant.Counts{{Window: ended, Calls: map[string]int{"masons": 5}}})
+		})
+	}, patience, time.Millisecond)
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.usage) >= 1
+	}, patience, time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.Equal(t, map[string]int{"masons": 12}, l.usage[0], "after %s", time.Since(began))
+}
+
 // A process that was just started may have acted in its last life, so it waits for
 // as long as holders must not alternate.
 func TestFreshProcessWaitsBeforeItActs(t *testing.T) {
--- a/internal/process/submitter/usage.go
+++ b/internal/process/submitter/usage.go
@@ -18,6 +18,14 @@
 // counts for it.
 const reportDelay = 2500 * time.Millisecond
 
+const (
+	// gatherTime is how long after a leader began all nodes have told it their counts,
+	// also those that had to search for it.
+	gatherTime = 2500 * time.Millisecond
+	// urgentTime is how long before a window's usage is due that is not waited for.
+	urgentTime = 2 * time.Second
+)
+
 // usageReporter reports the usage of windows. The counts of a window are fixed
 // in the log before they are sent, so that every later try, also of a successor,
 // sends the same.
@@ -62,6 +70,10 @@
 			if len(d.counts) == 0 && !d.isLate {
 				continue
 			}
+			isUrgent := agreed.Sub(accountant.End(w, u.config.Window)) > u.config.Late-urgentTime
+			if core.Age(now) < gatherTime && !isUrgent {
+				continue
+			}
 			out = append(out, d)
 		}
 	})
