--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -26,9 +26,6 @@
 	youngPause = 100 * time.Millisecond
 	// clockAge is how old a report may be to count for the agreed time.
 	clockAge = 5 * time.Second
-	// forgetAfter is how long after its last report a node is forgotten, longer than
-	// cuts last that a node survives.
-	forgetAfter = 15 * time.Second
 	// reviewPause is the time between two looks at all nodes, so that the work for
 	// one report does not grow with the fleet.
 	reviewPause = 200 * time.Millisecond
@@ -177,7 +174,7 @@
 			c.unsum(o)
 		}
 		switch {
-		case now.Sub(o.at) > forgetAfter:
+		case now.Sub(o.at) > clockAge:
 			delete(c.nodes, name)
 		case o.report.Entry && now.Sub(o.at) < goneAfter:
 			c.serving++
@@ -256,17 +253,6 @@
 	return sum
 }
 
-// HasHeard reports whether all entries have reported since a time, but for those that
-// are forgotten.
-func (c *Core) HasHeard(since time.Time) bool {
-	for _, o := range c.nodes {
-		if o.report.Entry && o.at.Before(since) {
-			return false
-		}
-	}
-	return true
-}
-
 // Counts returns what the nodes counted of the calls of services that move.
 func (c *Core) Counts() [][]byte {
 	var out [][]byte
--- a/internal/process/coordinator/core_test.go
+++ b/internal/process/coordinator/core_test.go
@@ -198,21 +198,6 @@
 	}
 }
 
-// A node that is out of touch is waited for, until it is forgotten.
-func TestHasHeardOfAllEntries(t *testing.T) {
-	c := coordinator.NewCore(3, start, share, window)
-	c.Beat(report("a", start), start)
-	c.Beat(report("b", start), start)
-	now := start.Add(time.Second)
-	require.True(t, c.HasHeard(start))
-	c.Beat(report("a", now), now)
-	require.False(t, c.HasHeard(start.Add(500*time.Millisecond)), "b is out of touch")
-	for now = start; now.Before(start.Add(20 * time.Second)); now = now.Add(time.Second) {
-		c.Beat(report("a", now), now)
-	}
-	require.True(t, c.HasHeard(now.Add(-2*time.Second)), "b is forgotten")
-}
-
 func TestUsageAndAllowances(t *testing.T) {
 	c := coordinator.NewCore(3, start, share, window)
 	c.SetLimits(map[string]divider.Limit{"masons": {Rate: 10, Burst: 20, Spare: 20}}, start)
--- a/internal/process/submitter/submitter_test.go
+++ b/internal/process/submitter/submitter_test.go
@@ -172,43 +172,6 @@
 	require.Equal(t, map[string]int{"masons": 12}, l.usage[0], "after %s", time.Since(began))
 }
 
-// A node that is cut off tells its counts when it is back; a window that is not due
-// yet waits for it.
-func TestUsageWaitsForNodesOutOfTouch(t *testing.T) {
-	l := newLeader(t, 0, nil, 300*time.Millisecond)
-	beat := func(node string, ended int64, calls int) {
-		r := &coordinator.Report{Node: node, Incarnation: 1, Entry: true, Wall: time.Now().UnixNano()}
-		if calls > 0 {
-			r.Usage = []accountant.Counts{{Window: ended, Calls: map[string]int{"masons": calls}}}
-		}
-		require.Eventually(t, func() bool {
-			return l.core.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) { core.Beat(r, now) })
-		}, patience, time.Millisecond)
-	}
-	var current int64
-	require.Eventually(t, func() bool {
-		return l.core.Do(func(_ *coordinator.Core, _ keeper.Lease, now time.Time) { current = accountant.Window(now, window) })
-	}, patience, time.Millisecond)
-	beat("far", current, 5)
-	for deadline := time.Now().Add(4500 * time.Millisecond); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
-		beat("near", current, 7)
-	}
-	l.mu.Lock()
-	require.Empty(t, l.usage, "a node has not been heard since the window")
-	l.mu.Unlock()
-	beat("far", current, 9)
-	require.Eventually(t, func() bool {
-		beat("near", current, 7)
-		beat("far", current, 9)
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return len(l.usage) >= 1
-	}, patience, 100*time.Millisecond)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	require.Equal(t, map[string]int{"masons": 16}, l.usage[0])
-}
-
 // A process that was just started may have acted in its last life, so it waits for
 // as long as holders must not alternate.
 func TestFreshProcessWaitsBeforeItActs(t *testing.T) {
--- a/internal/process/submitter/usage.go
+++ b/internal/process/submitter/usage.go
@@ -22,9 +22,6 @@
 	// gatherTime is how long after a leader began all nodes have told it their counts,
 	// also those that had to search for it.
 	gatherTime = 2500 * time.Millisecond
-	// countMargin is how long after the end of a window a report covers it whole: the
-	// agreed times of nodes differ by less.
-	countMargin = 300 * time.Millisecond
 	// urgentTime is how long before a window's usage is due that is not waited for.
 	urgentTime = 2 * time.Second
 )
@@ -73,10 +70,8 @@
 			if len(d.counts) == 0 && !d.isLate {
 				continue
 			}
-			ended := accountant.End(w, u.config.Window)
-			isUrgent := agreed.Sub(ended) > u.config.Late-urgentTime
-			isKnown := core.Age(now) >= gatherTime && core.HasHeard(ended.Add(countMargin-core.Ahead(now)))
-			if !isKnown && !isUrgent {
+			isUrgent := agreed.Sub(accountant.End(w, u.config.Window)) > u.config.Late-urgentTime
+			if core.Age(now) < gatherTime && !isUrgent {
 				continue
 			}
 			out = append(out, d)
