Count answers between nodes that no call waits for

To tell whether rules come late because the answer that carries them outlasts its timeout, or because they are applied slowly, the messenger now counts and logs answers that arrive, whole or in part, after their call had timed out, and the line 'rules in force' tells their size and how long decoding took.

Decoding is given in the same log.

--- a/internal/connection/messenger/codec.go
+++ b/internal/connection/messenger/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -126,5 +127,6 @@
 // itself decodes the reply, so that a late answer never writes to memory that
 // the caller has reused.
 type incoming struct {
-	body []byte
+	body       []byte
+	isTimedOut atomic.Bool // the caller no longer waits
 }
--- a/internal/connection/messenger/engine.go
+++ b/internal/connection/messenger/engine.go
@@ -61,6 +61,9 @@
 	}
 	s.setClosed()
 	if s.link != nil {
+		if n := c.InboundBuffered(); n > 0 && s.session.established {
+			e.messenger.dropUnused(s.link.to, "connection closed amid an answer; its bytes are lost", n)
+		}
 		s.link.fail()
 	} else {
 		e.messenger.streams.remove(s)
--- a/internal/connection/messenger/link.go
+++ b/internal/connection/messenger/link.go
@@ -195,9 +195,15 @@
 
 // ReadResponseBody stores the bytes of the answer, which the caller decodes.
 func (l *link) ReadResponseBody(body any) error {
-	if in, ok := body.(*incoming); ok {
-		in.body = l.answerBody
+	in, ok := body.(*incoming)
+	if !ok {
+		return nil
+	}
+	if in.isTimedOut.Load() {
+		l.messenger.dropUnused(l.to, "answer arrived after its call had timed out; dropping it", len(l.answerBody))
+		return nil
 	}
+	in.body = l.answerBody
 	return nil
 }
 
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -247,6 +247,14 @@
 	m.log.Debug("message dropped", "reason", string(d), "peer", from.id)
 }
 
+// dropUnused records an answer, or the part of one that was received, that no call
+// waits for.
+func (m *Messenger) dropUnused(from netip.AddrPort, event string, size int) {
+	m.meter.unused.Inc()
+	m.meter.unusedBytes.Add(float64(size))
+	m.log.Info(event, "peer", from, "bytes", size)
+}
+
 // acceptDatagram verifies a datagram and queues it for the handler.
 func (m *Messenger) acceptDatagram(from netip.AddrPort, b []byte) {
 	m.meter.received(transportUDP, len(b))
@@ -377,6 +385,7 @@
 		l.end(started, true)
 		return result(call, in, reply)
 	case <-ctx.Done():
+		in.isTimedOut.Store(true)
 		l.end(started, false)
 		return fmt.Errorf("%w: %w", ErrUnanswered, ctx.Err())
 	}
--- a/internal/connection/messenger/messenger_test.go
+++ b/internal/connection/messenger/messenger_test.go
@@ -333,3 +333,27 @@
 		})
 	})
 }
+
+// An answer that arrives after its call has timed out is counted with its size.
+func TestUnusedAnswersAreCounted(t *testing.T) {
+	a, _ := startNode(t, "a")
+	b, echo := startNode(t, "b")
+	ctx, cancel := context.WithCancel(withTimeout(t, 20*time.Second))
+	call := &caller{m: a, to: b.Address(), method: "Echo.Wait", done: make(chan error, 1)}
+	go call.run(ctx)
+	<-echo.entered
+	// The connection stays open after the timeout, since it carries other answers.
+	require.NoError(t, a.Call(withTimeout(t, 20*time.Second), b.Address(), "Echo.Say", Text{}, new(Text)))
+	cancel()
+	require.ErrorIs(t, <-call.done, ErrUnanswered)
+	echo.open()
+	require.Eventually(t, func() bool { return counted(t, a.meter.unused) == 1 }, 20*time.Second, time.Millisecond)
+	require.Positive(t, counted(t, a.meter.unusedBytes))
+}
+
+func counted(t *testing.T, c prometheus.Counter) float64 {
+	t.Helper()
+	var m dto.Metric
+	require.NoError(t, c.Write(&m))
+	return m.GetCounter().GetValue()
+}
--- a/internal/connection/messenger/meter.go
+++ b/internal/connection/messenger/meter.go
@@ -18,6 +18,8 @@
 	messages      *prometheus.CounterVec
 	calls         *prometheus.CounterVec
 	dropped       *prometheus.CounterVec
+	unused        prometheus.Counter
+	unusedBytes   prometheus.Counter
 }
 
 func newMeter(r prometheus.Registerer) (*meter, error) {
@@ -42,11 +44,19 @@
 			Name: "hyssoprudder_messenger_dropped_total",
 			Help: "Inputs dropped by reason.",
 		}, []string{"reason"}),
+		unused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_unused_answers_total",
+			Help: "Answers that arrived, whole or in part, after their call had timed out.",
+		}),
+		unusedBytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssoprudder_messenger_unused_answer_bytes_total",
+			Help: "Bytes of answers that arrived after their call had timed out.",
+		}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.sentBytes, m.receivedBytes, m.messages, m.calls, m.dropped} {
+	for _, c := range []prometheus.Collector{m.sentBytes, m.receivedBytes, m.messages, m.calls, m.dropped, m.unused, m.unusedBytes} {
 		if err := r.Register(c); err != nil {
 			return nil, fmt.Errorf("register metric: %w", err)
 		}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -242,6 +242,7 @@
 
 // setRuleset decodes a ruleset and puts it in force.
 func (e *entry) setRuleset(number uint64, body []byte) {
+	started := e.node.clock.Now()
 	var r registrar.Ruleset
 	if err := msgpack.Unmarshal(body, &r); err != nil {
 		e.node.log.Error("ruleset can't be decoded; the previous rules stay in force", "number", number, "err", err)
@@ -250,7 +251,8 @@
 	t := registrar.NewTable(&r)
 	e.quotas.SetRates(ratesOf(t))
 	e.forwarder.SetTable(t)
-	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers))
+	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
+		"bytes", len(body), "took", e.node.clock.Now().Sub(started))
 }
 
 // ratesOf returns the rates of the customers that have a limit.
