--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -237,6 +237,12 @@
 	}
 }
 
+func openRuleset(number uint64) *registrar.Ruleset {
+	r := ruleset(number, "k1")
+	r.Routes[0].Open = true
+	return r
+}
+
 // put sends a ruleset to a keeper until it is accepted.
 func (d *deployment) put(n *testNode, r *registrar.Ruleset) {
 	d.t.Helper()
@@ -312,3 +318,18 @@
 	_, err := d.keepers[2].operators.Document(ctx)
 	require.Error(t, err, "one keeper of three can't know the newest document")
 }
+
+// An entry served routes that need no key by rules that had been replaced, for as long as it had no contact to
+// the leader.
+func TestOpenRouteIsNotServedByUnconfirmedRules(t *testing.T) {
+	d := newDeployment(t)
+	d.put(d.keepers[0], openRuleset(5))
+	d.requireEventually("", "answer for")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, n := range d.keepers[:2] {
+		_ = n.node.Stop(ctx)
+		n.node = nil
+	}
+	d.requireEventually("", string(forwarder.Unready))
+}
