Retrieve rulesets in pages from all keepers

Cause: the leader's answer to a report carried the whole ruleset, and a report times out after 450 ms. On a link of 10 Mbit/s 338 KB (2,849 routes) take 270 ms when nothing else uses it. At the timeout the connection is closed amid the answer, and the next report asks for everything again, from the first byte, at all entries at once. The class: a timeout for a whole transfer whose size grows with the configuration, and retries that start over.

Evidence: 'connection closed amid an answer' at 68 nodes after 262 to 298 KB. Ruled out: slow decoding (23 ms at most for 2,849 routes in the same log) and a new leader with older rules (the entries had no confirmation at all).

Now directives name the newest ruleset, and package retriever fetches it in pages of 64 KB with a timeout each, keeps what it has, halves pages that time out, and begins at a different keeper on each node.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -18,6 +18,7 @@
 	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/registrar"
 	"hyssoprudder/internal/process/reporter"
+	"hyssoprudder/internal/process/retriever"
 	"hyssoprudder/internal/request/apportioner"
 	"hyssoprudder/internal/request/forwarder"
 	"hyssoprudder/internal/request/placer"
@@ -47,6 +48,7 @@
 	counter        *accountant.Counter
 	recorder       *recorder
 	versions       *versions
+	retriever      *retriever.Retriever
 	callers        *http.Server
 	callerListener net.Listener
 	ready          *listener.Listener
@@ -76,6 +78,9 @@
 		config.Local = n.keeper.coordinator.HandleReport
 	}
 	n.reporter = reporter.New(config)
+	e.retriever = retriever.New(retriever.Config{
+		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
+	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
@@ -112,6 +117,7 @@
 	e.group.Add(2)
 	go e.run()
 	go (&sweeper{entry: e}).run()
+	e.retriever.Start()
 	e.node.reporter.Start()
 	return e.ready.Start(e.node.settings.Ready())
 }
@@ -163,6 +169,7 @@
 		e.callers.Close()
 	}
 	e.node.reporter.Stop()
+	e.retriever.Stop()
 	e.ready.Close()
 	close(e.done)
 	e.group.Wait()
@@ -185,7 +192,6 @@
 func (e *entry) fill(r *coordinator.Report) {
 	now := e.node.clock.Now()
 	r.Node, r.Incarnation, r.Entry, r.WallClock = e.node.settings.ID(), e.node.incarnation, true, now.UnixNano()
-	r.RulesetNumber = e.forwarder.Table().Number()
 	quotas := e.quotas.Report(now)
 	r.Demand, r.Unspent, r.Sequence, r.Pending = quotas.Demand, quotas.Unspent, quotas.Sequence, quotas.Pending
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
@@ -201,11 +207,11 @@
 }
 
 // apply applies the directive that answered a report sent at sentAt. It reports whether the
-// directive names a ruleset and the node then has that ruleset or a newer one.
+// directive names a ruleset and that ruleset or a newer one is in force at the node.
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
 	now := e.node.clock.Now()
-	if len(d.Ruleset) > 0 && d.RulesetNumber > e.forwarder.Table().Number() {
-		e.setRuleset(d.RulesetNumber, d.Ruleset)
+	if d.RulesetNumber > e.forwarder.Table().Number() {
+		e.retriever.Retrieve(d.RulesetNumber, d.Keepers)
 	}
 	e.mu.Lock()
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
@@ -240,7 +246,7 @@
 	return true
 }
 
-// setRuleset decodes a ruleset and puts it in force.
+// setRuleset decodes a ruleset and puts it in force. The next report confirms it.
 func (e *entry) setRuleset(number uint64, body []byte) {
 	started := e.node.clock.Now()
 	var r registrar.Ruleset
@@ -253,6 +259,7 @@
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
 		"bytes", len(body), "took", e.node.clock.Now().Sub(started))
+	e.node.reporter.ReportNow()
 }
 
 // ratesOf returns the rates of the customers that have a limit.
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -62,6 +62,12 @@
 	return nil
 }
 
+// Page returns a page of a ruleset.
+func (s *Service) Page(args *RulesetRequest, reply *RulesetPage) error {
+	*reply = s.Coordinator.RulesetPage(args)
+	return nil
+}
+
 // HandleReport answers a report. An answer with Leads set confirms everything that was accepted
 // before the report was sent.
 func (c *Coordinator) HandleReport(r *Report) Directive {
@@ -86,12 +92,25 @@
 			d.Moves = append(d.Moves, m.Body)
 		}
 	}
-	if ruleset.Number > r.RulesetNumber {
-		d.Ruleset = ruleset.Body
-	}
 	return d
 }
 
+// RulesetPage returns a page of the newest ruleset that this keeper has applied. It needs no lease: a committed
+// ruleset never changes.
+func (c *Coordinator) RulesetPage(r *RulesetRequest) RulesetPage {
+	ruleset := c.config.Ruleset()
+	page := RulesetPage{Number: ruleset.Number, Size: len(ruleset.Body)}
+	if ruleset.Number < r.Number {
+		return page
+	}
+	if ruleset.Number == r.Number {
+		page.Offset = min(max(r.Offset, 0), len(ruleset.Body))
+	}
+	end := min(page.Offset+max(r.MaxBytes, 0), len(ruleset.Body))
+	page.Data = ruleset.Body[page.Offset:end]
+	return page
+}
+
 // hashMoves returns a hash of the moves' states, or 0 if there are none.
 func hashMoves(moves []applier.Move) uint64 {
 	if len(moves) == 0 {
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -17,6 +17,25 @@
 // BeatMethod is the RPC method by which a node sends a report and receives a directive.
 const BeatMethod = ServiceName + ".Beat"
 
+// RulesetMethod is the RPC method by which a node requests a page of a ruleset from any keeper.
+const RulesetMethod = ServiceName + ".Page"
+
+// RulesetRequest requests at most MaxBytes of the encoding of the ruleset with the given number, from Offset on.
+type RulesetRequest struct {
+	Number   uint64 `msgpack:"n"`
+	Offset   int    `msgpack:"o"`
+	MaxBytes int    `msgpack:"m"`
+}
+
+// RulesetPage is a part of the encoding of a ruleset, which has Size bytes in all. A keeper that does not have the
+// requested ruleset yet sends no data; one that has a later ruleset sends the first page of that.
+type RulesetPage struct {
+	Number uint64 `msgpack:"n"`
+	Size   int    `msgpack:"s"`
+	Offset int    `msgpack:"o"`
+	Data   []byte `msgpack:"d"`
+}
+
 // ListID identifies a version of the list of endpoints. Versions of a later term, or of the
 // same term with a higher number, are newer. Within a term an endpoint keeps its position.
 type ListID struct {
@@ -90,8 +109,6 @@
 	Incarnation uint64 `msgpack:"i"`
 	// Entry is true for nodes that serve callers.
 	Entry bool `msgpack:"e"`
-	// RulesetNumber is the number of the ruleset in force at the node.
-	RulesetNumber uint64 `msgpack:"r"`
 	// ListID identifies the list of endpoints that Loads refers to, and Received is the number
 	// of its positions that the node has received: the first ones, since pages are sent in
 	// order.
@@ -124,10 +141,10 @@
 	Leads   bool             `msgpack:"y"`
 	Leader  netip.AddrPort   `msgpack:"l"`
 	Keepers []netip.AddrPort `msgpack:"k,omitempty"`
-	// RulesetNumber is the number of the newest ruleset; Ruleset is its encoding if the node
-	// has an older one.
+	// RulesetNumber is the number of the newest ruleset. The node requests the ruleset itself by
+	// RulesetMethod: a directive has to arrive within the timeout of a report, whatever the size of
+	// the ruleset.
 	RulesetNumber uint64 `msgpack:"n"`
-	Ruleset       []byte `msgpack:"r,omitempty"`
 	// ListID identifies the newest list, which has Length positions. Changes lead to it from
 	// the list that the node has, or from an empty one if Reset. Page encodes the positions
 	// that follow those the node has received; with it the node has received Received
