Stop serving by rules that are known to be replaced

Callers saw calls handled by ruleset 11 three seconds after ruleset 13 was acknowledged. Cause: an entry that could not get the new rules served routes that need no key without any bound, and the others for 0.75 of the bound on revoked keys, 3.75 s, though a change has to be in force within 2 to 2.5 s; the bound on changes was read from the settings and used nowhere.

Now no call is served by rules that are not confirmed, and an entry refuses calls once it has known for half of the bound on changes that its rules are replaced; the other half covers the time until it learns of new rules.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -74,6 +74,11 @@
 // serves by rules that were not confirmed again. The rest covers calls in flight.
 const confirmedFraction = 0.75
 
+// outdatedFraction is the fraction of the bound on changes for which a node serves by
+// rules that it knows to be replaced. The rest covers the time until it learns of the
+// new ones.
+const outdatedFraction = 0.5
+
 // Node is a node of a managed deployment. It is an entry, a keeper or both.
 type Node struct {
 	settings    *settings.Managed
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -57,6 +57,7 @@
 	group          sync.WaitGroup
 
 	mu            sync.Mutex
+	freshness     registrar.Freshness
 	listID        coordinator.ListID
 	endpoints     []coordinator.Endpoint // the endpoint list, by position
 	received      int                    // number of positions of the list that were received
@@ -95,10 +96,20 @@
 }
 
 // isConfirmed reports whether the rules were confirmed recently enough that no key
-// in them can have been revoked for longer than the bound on revoked keys.
+// in them can have been revoked for longer than the bound on revoked keys, and whether
+// rules that are known to be replaced may still be in force.
 func (e *entry) isConfirmed() bool {
-	bound := time.Duration(confirmedFraction * float64(e.node.settings.Bounds().Revoke()))
-	return e.node.bootClock.Now().Sub(e.node.reporter.Confirmed()) < bound
+	b, now := e.node.settings.Bounds(), e.node.bootClock.Now()
+	if now.Sub(e.node.reporter.Confirmed()) >= fractionOf(b.Revoke(), confirmedFraction) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.freshness.Outdated(e.forwarder.Table().Number(), now) < fractionOf(b.Change(), outdatedFraction)
+}
+
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
 }
 
 func (e *entry) isReady() bool {
@@ -209,11 +220,12 @@
 // apply applies the directive that answered a report sent at sentAt. It reports whether the
 // directive names a ruleset and that ruleset or a newer one is in force at the node.
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
-	now := e.node.clock.Now()
-	if d.RulesetNumber > e.forwarder.Table().Number() {
+	now, inForce := e.node.clock.Now(), e.forwarder.Table().Number()
+	if d.RulesetNumber > inForce {
 		e.retriever.Retrieve(d.RulesetNumber, d.Keepers)
 	}
 	e.mu.Lock()
+	e.freshness.Name(d.RulesetNumber, inForce, e.node.bootClock.Now())
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
 	isCurrent := e.applyList(d)
 	e.mu.Unlock()
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -82,7 +82,7 @@
 	a.conn = conn
 	// Whether the rules are confirmed is checked last, so that a process that was
 	// suspended does not send a call under outdated rules.
-	if x.customer != nil && !x.route.Open && !x.f.config.IsConfirmed() {
+	if !x.f.config.IsConfirmed() {
 		conn.Release()
 		x.result.Detail = "rules not confirmed"
 		return stepUnsent
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -46,7 +46,8 @@
 	Clock  clock.Clock
 	Log    *log.Logger
 	Domain string
-	// IsConfirmed reports whether the rules of this node were confirmed recently.
+	// IsConfirmed reports whether the rules of this node were confirmed recently, and
+	// no newer rules are known for long. Without it no call is served.
 	IsConfirmed func() bool
 	// RenewAllowances requests new allowances for this node at once. The returned
 	// channel is closed when the request is completed.
@@ -165,18 +166,15 @@
 func (x *exchange) admit() (Refusal, time.Duration) {
 	f, call := x.f, x.call
 	table, confirmed := x.waitForRules()
-	if table == nil {
+	if table == nil || !confirmed {
 		return Unready, f.unreadyRetryAfter()
 	}
 	route, ok := table.Route(call.Host, call.Path)
 	if !ok {
-		return orUnready(confirmed, NoRoute), f.unreadyRetryAfter()
+		return NoRoute, 0
 	}
 	x.route, x.result.Route, x.result.Kind = route, route.Name, route.Kind
 	if table.RequiresKeys() && !route.Open {
-		if !confirmed {
-			return Unready, f.unreadyRetryAfter()
-		}
 		if x.customer = table.Customer(call.Key); !call.IsKeyed || x.customer == nil {
 			return Unauthorized, 0
 		}
--- a/internal/request/forwarder/rules.go
+++ b/internal/request/forwarder/rules.go
@@ -22,15 +22,6 @@
 	return f.retryAfter(max(confirmationGap, startupTime-since+confirmationGap/2))
 }
 
-// orUnready returns the refusal if the rules are confirmed, or Unready if they may
-// have changed.
-func orUnready(confirmed bool, refusal Refusal) Refusal {
-	if confirmed {
-		return refusal
-	}
-	return Unready
-}
-
 const (
 	// rulesWaitFraction is the fraction of the caller's time for which a call waits
 	// at most for confirmed rules. A caller that has to retry loses more time than
