Compress rulesets in the replicated log

Operators saw an order with 4,249 routes acknowledged 2.2 to 3.3 s after it was sent, at the second or third keeper, and nodes lost their leader meanwhile. Cause: the command holds the ruleset and the operator's document, 1.8 MB, and the leader sends it to eight keepers and then, with the others, to all entries, on a quarter of a core.

Rulesets and documents are now compressed by the keeper that takes the order, in package compressor. Encoding and decoding of rulesets, which stood in four places, is in registrar.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/connection/screener"
@@ -261,12 +259,12 @@
 // setRuleset decodes a ruleset and puts it in force. The next report confirms it.
 func (e *entry) setRuleset(number uint64, body []byte) {
 	started := e.node.clock.Now()
-	var r registrar.Ruleset
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	r, err := registrar.Decode(body)
+	if err != nil {
 		e.node.log.Error("ruleset can't be decoded; the previous rules stay in force", "number", number, "err", err)
 		return
 	}
-	t := registrar.NewTable(&r)
+	t := registrar.NewTable(r)
 	e.quotas.SetRates(ratesOf(t))
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -12,12 +12,11 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/messenger"
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/compressor"
 	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
@@ -227,12 +226,12 @@
 	if committed.Number == k.table.Number() {
 		return k.table
 	}
-	var r registrar.Ruleset
-	if err := msgpack.Unmarshal(committed.Body, &r); err != nil {
+	r, err := registrar.Decode(committed.Body)
+	if err != nil {
 		k.node.log.Error("committed ruleset can't be decoded; the previous one stays in use", "number", committed.Number, "err", err)
 		return k.table
 	}
-	k.table = registrar.NewTable(&r)
+	k.table = registrar.NewTable(r)
 	return k.table
 }
 
@@ -257,16 +256,20 @@
 
 // put proposes a ruleset. One that is not newer than the accepted one changes nothing.
 func (k *keeperRole) put(ctx context.Context, r *registrar.Ruleset, document []byte) error {
-	body, err := msgpack.Marshal(r)
+	body, err := r.Encode()
 	if err != nil {
-		return fmt.Errorf("encode ruleset: %w", err)
+		return err
 	}
-	command := applier.Command{RulesetPut: &applier.RulesetPut{Number: r.Number, Body: body, Document: document}}
+	compressed, err := compressor.Compress(document)
+	if err != nil {
+		return fmt.Errorf("encode document: %w", err)
+	}
+	command := applier.Command{RulesetPut: &applier.RulesetPut{Number: r.Number, Body: body, Document: compressed}}
 	result, err := k.proposer.Propose(ctx, command)
 	if err != nil {
 		return err
 	}
-	k.node.log.Info("ruleset put", "number", r.Number, "accepted", result.Ruleset.Accepted, "newest", result.Ruleset.Number)
+	k.node.log.Info("ruleset put", "number", r.Number, "bytes", len(body)+len(compressed), "accepted", result.Ruleset.Accepted, "newest", result.Ruleset.Number)
 	return nil
 }
 
@@ -278,5 +281,8 @@
 	if err == nil && r.Number == 0 {
 		err = errNoRuleset
 	}
-	return r.Document, err
+	if err != nil {
+		return nil, err
+	}
+	return compressor.Decompress(r.Document)
 }
--- a/internal/process/applier/command.go
+++ b/internal/process/applier/command.go
@@ -47,9 +47,9 @@
 // numbers, which need not be consecutive.
 type RulesetPut struct {
 	Number uint64 `msgpack:"n"`
-	// Body is the encoded ruleset that the nodes apply.
+	// Body is the encoded and compressed ruleset that the nodes apply.
 	Body []byte `msgpack:"b"`
-	// Document is the ruleset as the operator sent it; it is returned to operators unchanged.
+	// Document is the ruleset as the operator sent it, compressed; it is returned to operators unchanged.
 	Document []byte `msgpack:"d"`
 }
 
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
@@ -138,12 +137,12 @@
 		return
 	}
 	c.rulesetNumber = r.Number
-	var decoded registrar.Ruleset
-	if err := msgpack.Unmarshal(r.Body, &decoded); err != nil {
+	decoded, err := registrar.Decode(r.Body)
+	if err != nil {
 		c.config.Log.Error("failed to decode the committed ruleset; keeping the previous limits", "number", r.Number, "err", err)
 		return
 	}
-	c.core.SetLimits(c.config.Limits(&decoded), now)
+	c.core.SetLimits(c.config.Limits(decoded), now)
 }
 
 // Do runs f with the state of the term if this node is the leader. f must not block.
--- a/internal/process/coordinator/service_test.go
+++ b/internal/process/coordinator/service_test.go
@@ -22,7 +22,7 @@
 // newCoordinator returns the coordinator of a leader with the given ruleset.
 func newCoordinator(t *testing.T, r *registrar.Ruleset) *coordinator.Coordinator {
 	t.Helper()
-	body, err := msgpack.Marshal(r)
+	body, err := r.Encode()
 	require.NoError(t, err)
 	return coordinator.New(coordinator.Config{
 		Clock: clock.System{}, Log: log.New(io.Discard),
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -95,3 +95,20 @@
 	fmt.Println(table.Customer("k2").Name, table.Customer("k9") == nil)
 	// Output: masons true
 }
+
+// Orders with thousands of routes were acknowledged seconds late: each keeper was sent them in full.
+func TestEncodedRulesetIsSmall(t *testing.T) {
+	const maxBytesPerRoute = 40
+	want := ruleset()
+	for i := range 5000 {
+		want.Routes = append(want.Routes, route(fmt.Sprintf("r-%x", uint32(i)*2654435761), "a.example", fmt.Sprintf("/%x/", uint32(i)*2246822519)))
+	}
+	body, err := want.Encode()
+	require.NoError(t, err)
+	require.Less(t, len(body), maxBytesPerRoute*len(want.Routes))
+	got, err := registrar.Decode(body)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	_, err = registrar.Decode(body[:len(body)/2])
+	require.Error(t, err)
+}
