Add the transfer time of large messages to timeouts of the log

A command that a link can't carry in that time was never committed, and the proposer appended it again with each attempt.

Timeouts now grow by a second for each MB, which the slowest planned link (10 Mbit/s) carries. Reads keep their timeout: their size is not known before.

TestLargeEntryIsCommittedOverSlowLinks and TestLargeCommandIsSentOnceOverASlowLink fail without the change: not committed within 30 s, and 'outcome of the command is unknown' after 5 s.

--- a/internal/process/applier/command.go
+++ b/internal/process/applier/command.go
@@ -27,6 +27,20 @@
 // Encode returns the command as msgpack.
 func (c Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
 
+// PayloadSize returns the size of the fields that grow with what operators submit, in bytes.
+func (c *Command) PayloadSize() int {
+	switch {
+	case c.RulesetPut != nil:
+		return len(c.RulesetPut.Body) + len(c.RulesetPut.Document)
+	case c.RuleApply != nil:
+		return len(c.RuleApply.Text)
+	case c.MoveSet != nil:
+		return len(c.MoveSet.Body)
+	default:
+		return 0
+	}
+}
+
 // Decode decodes a command from msgpack.
 func Decode(data []byte) (Command, error) {
 	var c Command
--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -396,6 +396,24 @@
 	require.Equal(t, applier.ClaimJoined, claim("r2"), "the claim has expired too early")
 }
 
+// An entry that links could not carry within the fixed timeout of a batch was never committed.
+func TestLargeEntryIsCommittedOverSlowLinks(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.net.bandwidth = 2 << 20
+	d.startAll()
+	body := []byte(strings.Repeat("route", 256<<10))
+	result := d.propose(applier.Command{RulesetPut: &applier.RulesetPut{Number: 7, Body: body}})
+	require.True(t, result.Ruleset.Accepted)
+	d.eventually("the ruleset at all keepers", func() bool {
+		for _, k := range d.keepers {
+			if len(k.applier.Ruleset().Body) != len(body) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func TestReplacedKeeperAtANewAddressGetsALargeSnapshot(t *testing.T) {
 	tests := map[string]bool{"with its folder": false, "with an empty folder": true}
 	for name, empty := range tests {
--- a/internal/process/keeper/network_test.go
+++ b/internal/process/keeper/network_test.go
@@ -30,6 +30,20 @@
 	nodes       map[netip.AddrPort]*Keeper
 	partitioned map[[2]netip.AddrPort]bool
 	probeCount  int // number of ProbeArgs calls
+	bandwidth   int // of each link, in bytes per second; 0 means unlimited
+}
+
+// isTooSlow reports whether the link can't carry a message before ctx ends.
+func (n *network) isTooSlow(ctx context.Context, args any) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	batch, ok := args.(*Batch)
+	deadline, hasDeadline := ctx.Deadline()
+	if n.bandwidth == 0 || !ok || !hasDeadline {
+		return false
+	}
+	data, err := msgpack.Marshal(batch)
+	return err != nil || time.Until(deadline) < time.Duration(len(data))*time.Second/time.Duration(n.bandwidth)
 }
 
 func (n *network) target(from, to netip.AddrPort) (*Keeper, error) {
@@ -147,7 +161,10 @@
 		Journal: "rules", Name: name, Folder: filepath.Join(d.folder, name), Peers: d.peers, Clock: keeperClock,
 		Log: log.New(io.Discard), Rand: rand.New(rand.NewPCG(1, uint64(self.Port()))), Applier: applier.New(),
 		ElectionTimeout: d.election, HeartbeatInterval: d.heartbeat, SnapshotEvery: d.snapshotEvery,
-		Call: func(_ context.Context, to netip.AddrPort, _ string, args, reply any) error {
+		Call: func(ctx context.Context, to netip.AddrPort, _ string, args, reply any) error {
+			if d.net.isTooSlow(ctx, args) {
+				return context.DeadlineExceeded
+			}
 			return d.net.call(self, to, args, reply)
 		},
 		Register: func(string, any) error { return nil },
--- a/internal/process/keeper/sender.go
+++ b/internal/process/keeper/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -16,6 +17,27 @@
 	chunkBytes = 256 << 10 // of a snapshot
 )
 
+// size returns the approximate size of the entries of a message, in bytes.
+func (m *Message) size() int {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data) + entryOverhead
+	}
+	return size
+}
+
+// size returns the approximate size of a batch, in bytes.
+func (b *Batch) size() int {
+	size := 0
+	for i := range b.Messages {
+		size += b.Messages[i].size()
+	}
+	if b.Chunk != nil {
+		size += len(b.Chunk.Data)
+	}
+	return size
+}
+
 // sender sends messages to one replica, one call at a time.
 type sender struct {
 	keeper  *Keeper
@@ -117,8 +139,17 @@
 	cancel()
 }
 
+// minBandwidth is the bandwidth, in bytes per second, that is assumed of the slowest link between nodes.
+const minBandwidth = 1 << 20
+
+// TransferTime returns how long a message of the given size, in bytes, may take to be transferred. It is added to
+// timeouts, so that a message of any size can arrive.
+func TransferTime(size int) time.Duration {
+	return time.Duration(size) * time.Second / minBandwidth
+}
+
 func (s *sender) deliver(ctx context.Context, to netip.AddrPort, batch *Batch) {
-	ctx, cancel := context.WithTimeout(ctx, s.keeper.config.ElectionTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, s.keeper.config.ElectionTimeout/2+TransferTime(batch.size()))
 	defer cancel()
 	var receipt Receipt
 	err := s.keeper.config.Call(ctx, to, peerService(s.keeper.config.Journal)+"."+methodDeliver, batch, &receipt)
@@ -141,9 +172,7 @@
 	s.mu.Lock()
 	n, size := 0, 0
 	for n < len(s.queue) && size < batchBytes {
-		for _, e := range s.queue[n].Entries {
-			size += len(e.Data) + entryOverhead
-		}
+		size += s.queue[n].size()
 		n++
 	}
 	batch := &Batch{
--- a/internal/process/proposer/proposer.go
+++ b/internal/process/proposer/proposer.go
@@ -229,16 +229,17 @@
 }
 
 // request makes one attempt. If err is nil, the Answer of the reply is still to be checked.
-func (p *Proposer) request(ctx context.Context, method string, args, reply any) (to netip.AddrPort, err error) {
+// transferTime is what the size of the request adds to the timeout.
+func (p *Proposer) request(ctx context.Context, method string, transferTime time.Duration, args, reply any) (to netip.AddrPort, err error) {
 	to = p.target()
-	ctx, cancel := context.WithTimeout(ctx, p.config.AttemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.config.AttemptTimeout+transferTime)
 	defer cancel()
 	return to, p.config.Call(ctx, to, method, args, reply)
 }
 
 // maxWait returns how long the keeper may take: the remaining time of the attempt.
-func (p *Proposer) maxWait(ctx context.Context) time.Duration {
-	wait := p.config.AttemptTimeout
+func (p *Proposer) maxWait(ctx context.Context, transferTime time.Duration) time.Duration {
+	wait := p.config.AttemptTimeout + transferTime
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, deadline.Sub(p.config.Clock.Now()))
 	}
@@ -296,12 +297,16 @@
 	p := g.proposer
 	ctx, cancel := g.context()
 	defer cancel()
-	args := &keeper.ProposeArgs{MaxWait: p.maxWait(ctx)}
+	args, size := &keeper.ProposeArgs{}, 0
 	for _, e := range g.commands {
 		args.Commands = append(args.Commands, e.command)
+		size += e.command.PayloadSize()
 	}
+	// A group is transferred twice: to the leader, and from there to the other keepers.
+	transferTime := 2 * keeper.TransferTime(size)
+	args.MaxWait = p.maxWait(ctx, transferTime)
 	var reply keeper.ProposeReply
-	to, err := p.request(ctx, keeper.ProposeMethod(p.config.Journal), args, &reply)
+	to, err := p.request(ctx, keeper.ProposeMethod(p.config.Journal), transferTime, args, &reply)
 	switch {
 	case err != nil:
 		if p.config.IsNotRun == nil || !p.config.IsNotRun(err) {
--- a/internal/process/proposer/proposer_test.go
+++ b/internal/process/proposer/proposer_test.go
@@ -45,6 +45,8 @@
 	faults  []error       // of the next calls, one each; nil means no fault
 	groups  []int         // sizes of the executed groups
 	blocked chan struct{} // if set, calls wait until it is closed
+	// transfer, if set, returns an error for a call that does not reach the keeper.
+	transfer func(ctx context.Context, args any) error
 }
 
 func (f *fakeLog) call(ctx context.Context, to netip.AddrPort, _ string, args, reply any) error {
@@ -55,6 +57,11 @@
 			return ctx.Err()
 		}
 	}
+	if f.transfer != nil {
+		if err := f.transfer(ctx, args); err != nil {
+			return err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var fault error
@@ -128,6 +135,25 @@
 	}
 }
 
+// A command that links could not carry within the fixed timeout of an attempt was sent again and again.
+func TestLargeCommandIsSentOnceOverASlowLink(t *testing.T) {
+	const bandwidth = 2 << 20 // bytes per second
+	f := &fakeLog{leader: first}
+	f.transfer = func(ctx context.Context, args any) error {
+		deadline, _ := ctx.Deadline()
+		a, ok := args.(*keeper.ProposeArgs)
+		if ok && time.Until(deadline) < time.Duration(a.Commands[0].PayloadSize())*time.Second/bandwidth {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+	body := make([]byte, 4<<20)
+	result, err := start(t, f).Propose(context.Background(), applier.Command{RulesetPut: &applier.RulesetPut{Number: 7, Body: body}})
+	require.NoError(t, err)
+	require.True(t, result.Ruleset.Accepted)
+	require.Len(t, f.groups, 1)
+}
+
 func TestProposerTellsNotRunFromUnknown(t *testing.T) {
 	f := &fakeLog{leader: first, blocked: make(chan struct{})}
 	p := start(t, f)
--- a/internal/process/proposer/read.go
+++ b/internal/process/proposer/read.go
@@ -58,8 +58,8 @@
 	defer cancel()
 	for {
 		var reply keeper.ReadReply
-		args.MaxWait = p.maxWait(ctx)
-		to, err := p.request(ctx, keeper.ReadMethod(p.config.Journal), &args, &reply)
+		args.MaxWait = p.maxWait(ctx, 0)
+		to, err := p.request(ctx, keeper.ReadMethod(p.config.Journal), 0, &args, &reply)
 		if err == nil && reply.Answer == keeper.AnswerOK {
 			return reply, nil
 		}
