--- a/internal/node/assembler/recorder.go
+++ b/internal/node/assembler/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/placer"
 )
 
 const (
@@ -68,7 +70,16 @@
 	r.log.Info("call ended", "request", call.ID, "route", result.Route, "kind", kind, "customer", result.Customer,
 		"status", result.Status, "refusal", string(result.Refusal), "detail", result.Detail, "endpoint", result.Endpoint,
 		"attempts", result.Attempts, "predicted", result.Predicted, "first", result.First, "took", result.Took, "wait", call.MaxWait,
-		"prompt", call.Prompt)
+		"prompt", call.Prompt, "blocks", blockIDs(call.Blocks))
+}
+
+// blockIDs returns the hexadecimal IDs of the blocks of a prompt, separated by commas.
+func blockIDs(blocks []placer.PromptBlock) string {
+	ids := make([]string, len(blocks))
+	for i, b := range blocks {
+		ids[i] = strconv.FormatUint(b.ID, 16)
+	}
+	return strings.Join(ids, ",")
 }
 
 // mayLog reports whether another line may be logged in this second.
