Refuse prompts with a block that crashes endpoints

Cause: nothing linked the crashes. An entry sees a few calls of each engine, takes each crash for a failure of that engine, and sends the call on to the next one.

Entries now report which blocks were in calls that broke off when an endpoint ended (checked by a connection), and which suspected blocks were in answered calls. The leader isolates a block after three crashes in a row with no answer between them, or the block that explains these crashes better: the one that was in more of them, or later in the same prompts. Calls sent before the last crash are no new evidence, so that a lost domain isolates nothing. Entries tell a new leader what is isolated.

Ruled out: load, and second attempts alone (of 45 calls with the block that broke off none was answered; the block before it broke off as often, but in answered calls too).

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -137,6 +137,37 @@
 	return &Conn{pool: p, address: address, client: client, conn: w, idleTimeout: DefaultIdleTimeout, isFresh: true}, nil
 }
 
+// Check opens a connection to an address and keeps it for a later call. It returns an error
+// if none can be opened. If limit connections are open already, it returns ErrFull.
+func (p *Pool) Check(ctx context.Context, address netip.AddrPort, limit int) error {
+	if err := p.reserve(address, limit); err != nil {
+		return err
+	}
+	c, err := p.open(ctx, address)
+	if err != nil {
+		p.releaseSlot(address)
+		return err
+	}
+	c.Release()
+	return nil
+}
+
+// reserve reserves a slot for a new connection.
+func (p *Pool) reserve(address netip.AddrPort, limit int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if h.open >= limit {
+		return ErrFull
+	}
+	h.open++
+	return nil
+}
+
 // releaseSlot releases the slot of a connection that was closed or could not be opened.
 func (p *Pool) releaseSlot(address netip.AddrPort) {
 	p.mu.Lock()
--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -164,6 +164,23 @@
 	require.False(t, errors.As(err, &failure))
 }
 
+// A check opens a connection of its own even if an idle one exists, and later calls use it.
+func TestCheckOpensAConnection(t *testing.T) {
+	e := newEndpoint(t, answerOK)
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	require.NoError(t, p.Check(context.Background(), e.address(), 2))
+	require.NoError(t, p.Check(context.Background(), e.address(), 2))
+	require.ErrorIs(t, p.Check(context.Background(), e.address(), 2), pooler.ErrFull)
+	require.EqualValues(t, 2, p.Opened())
+	c, err := p.Get(context.Background(), e.address(), 2)
+	require.NoError(t, err)
+	require.False(t, c.IsFresh())
+	c.Release()
+	e.listener.Close()
+	require.Error(t, p.Check(context.Background(), e.address(), 3), "the endpoint has ended")
+}
+
 // Bytes after an answer belong to no call, so the connection must not be reused.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	e := newEndpoint(t, func(c net.Conn, _ *http.Request) {
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	"hyssoprudder/internal/process/settings"
 	"hyssoprudder/internal/process/submitter"
 	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/placer"
 )
 
 // waitTimeout bounds every wait for a condition. It is so long that only a fault
@@ -151,7 +153,7 @@
 			return http.NotFoundHandler()
 		},
 		Encode: func(c *forwarder.Call, o *forwarder.AttemptMetadata) http.Header {
-			return http.Header{"Call": {c.ID}, "Owner": {o.Customer}}
+			return http.Header{"Call": {c.ID}, "Owner": {o.Customer}, "Prompt": c.Header["Prompt"]}
 		},
 		Decode: func(r *http.Response) forwarder.Reply {
 			return forwarder.Reply{ID: r.Header.Get("Call"), IsSealed: true}
@@ -173,7 +175,7 @@
 func (n *testNode) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.serve(r.Context(), w, &forwarder.Call{
 		ID: "c1", Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header, Arrived: time.Now(),
-		Key: r.Header.Get("Key"), IsKeyed: true, Body: func(int64) ([]byte, forwarder.Refusal) { return nil, forwarder.None },
+		Key: r.Header.Get("Key"), IsKeyed: true, Blocks: blocksOf(r.Header.Get("Prompt")), Body: func(int64) ([]byte, forwarder.Refusal) { return nil, forwarder.None },
 	})
 }
 
@@ -253,12 +255,26 @@
 	}, waitTimeout, 20*time.Millisecond)
 }
 
+// blocksOf returns the prompt blocks in a list of numbers.
+func blocksOf(list string) []placer.PromptBlock {
+	var out []placer.PromptBlock
+	for text := range strings.SplitSeq(list, ",") {
+		if id, err := strconv.ParseUint(text, 10, 64); err == nil {
+			out = append(out, placer.PromptBlock{ID: id, Tokens: 10})
+		}
+	}
+	return out
+}
+
 // call returns the answer, or the error, that a caller with a key gets.
-func (d *deployment) call(key string) string {
+func (d *deployment) call(key string) string { return d.callWithPrompt(key, "") }
+
+func (d *deployment) callWithPrompt(key, prompt string) string {
 	address := netip.MustParseAddr(d.host + ".9")
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+netip.AddrPortFrom(address, 9100).String()+"/x", nil)
 	require.NoError(d.t, err)
 	r.Header.Set("Key", key)
+	r.Header.Set("Prompt", prompt)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return err.Error()
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"hyssoprudder/internal/process/retriever"
 	"hyssoprudder/internal/request/apportioner"
 	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/isolator"
 	"hyssoprudder/internal/request/placer"
 )
 
@@ -47,6 +49,7 @@
 	recorder       *recorder
 	versions       *versions
 	retriever      *retriever.Retriever
+	isolator       *isolator.Isolator
 	callers        *http.Server
 	callerListener net.Listener
 	ready          *listener.Listener
@@ -67,6 +70,7 @@
 	e := &entry{
 		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(),
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
+		isolator: isolator.New(),
 	}
 	n.entry = e
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
@@ -83,8 +87,9 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
-		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: func(t *forwarder.AttemptResult) { e.versions.attemptEnded(t, e.placer.IsLeaving) },
-		Quotas: e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
+		IsIsolated: e.isIsolated,
+		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	e.callers = &http.Server{
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
@@ -190,6 +195,49 @@
 	e.counter.Add(customer, e.clusterTime())
 }
 
+// attemptEnded passes the result of an attempt to the comparison of versions and to the
+// attribution of crashes.
+func (e *entry) attemptEnded(r *forwarder.AttemptResult) {
+	e.versions.attemptEnded(r, e.placer.IsLeaving)
+	now := e.clusterTime()
+	switch {
+	case r.IsAnswered:
+		e.isolator.Answered(r.Endpoint.Service, r.Blocks, now)
+	case r.IsBroken && !e.isClosing.Load() && e.isolator.Broken(r.Endpoint, r.Blocks, now.Add(r.SentAt.Sub(e.node.clock.Now())), now):
+		e.group.Add(1)
+		go (&crashCheck{entry: e, endpoint: r.Endpoint}).run()
+	}
+}
+
+func (e *entry) isIsolated(service string, blocks []placer.PromptBlock) bool {
+	return e.isolator.IsIsolated(service, blocks, e.clusterTime())
+}
+
+// crashCheckTimeout bounds the attempt to connect to an endpoint that may have crashed.
+const crashCheckTimeout = 300 * time.Millisecond
+
+// crashCheck checks whether an endpoint at which a call broke off has crashed.
+type crashCheck struct {
+	*entry
+	endpoint placer.Endpoint
+}
+
+func (c *crashCheck) run() {
+	defer c.group.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	err := c.pool.Check(ctx, c.endpoint.Address, maxCheckConnections)
+	if err == nil || errors.Is(err, pooler.ErrFull) {
+		return
+	}
+	c.isolator.Unreachable(c.endpoint.ID, c.clusterTime())
+	c.node.log.Info("endpoint ended while it ran calls; reporting the blocks of their prompts", "endpoint", c.endpoint.ID, "err", err)
+}
+
+// maxCheckConnections is the number of connections to an endpoint from which on no check
+// opens another one.
+const maxCheckConnections = 64
+
 // clusterTime returns the time of day on which the nodes agree.
 func (e *entry) clusterTime() time.Time {
 	e.mu.Lock()
@@ -204,6 +252,7 @@
 	quotas := e.quotas.Report(now)
 	r.Demand, r.Unspent, r.Sequence, r.Pending = quotas.Demand, quotas.Unspent, quotas.Sequence, quotas.Pending
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
+	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received = e.listID, e.received
@@ -230,6 +279,7 @@
 	if isCurrent {
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
+	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
 	e.forwarder.SetEntries(d.Entries)
 	e.versions.apply(d, e.forwarder.Table())
 	age := e.node.bootClock.Now().Sub(sentAt)
--- /dev/null
+++ b/internal/process/attributor/attributor.go
@@ -0,0 +1,312 @@
+// Package attributor attributes crashes of endpoints to blocks of prompts. Entries report which blocks were in the
+// calls that broke off when an endpoint ended; the leader decides from the reports of all entries which block
+// crashes endpoints, and calls with that block are refused everywhere for a while. It performs no I/O.
+package attributor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// settleReports and answerReports are how many intervals between reports the leader waits, after a crash for
+	// the reports of all entries about it, and with a suspect for their reports about answered calls.
+	settleReports = 2
+	answerReports = 3
+	// sameCrashTime is the time within which reports about an endpoint are about the same crash. A crashed
+	// endpoint takes longer than that to serve again.
+	sameCrashTime = 1500 * time.Millisecond
+	// crashTTL is how long a crash is remembered after it was counted, so that late reports do not count again.
+	crashTTL = 10 * time.Second
+	// isolationThreshold is the number of crashes in a row, without a complete answer between them, after which
+	// a block is isolated.
+	isolationThreshold = 3
+	// suspicionThreshold is the number of crashes after which entries report whether calls with the block were
+	// answered.
+	suspicionThreshold = 2
+	// suspectTTL is how long a crash counts against a block.
+	suspectTTL = time.Minute
+	// maxSeen bounds the crashes that are remembered of a suspect.
+	maxSeen = 64
+	// maxSuspects bounds the suspects that are sent to entries; those with the most crashes are sent.
+	maxSuspects = 64
+	// maxTracked bounds the blocks that are tracked.
+	maxTracked = 8192
+	// minIsolation is how long a block is isolated the first time. The time doubles up to maxIsolation each
+	// time that the block crashes an endpoint again.
+	minIsolation = 5 * time.Minute
+	maxIsolation = time.Hour
+)
+
+// Key identifies a block of the prompts of a service.
+type Key struct {
+	Service string `msgpack:"s"`
+	Block   uint64 `msgpack:"b"`
+}
+
+// Exposure is a block that was in a call that broke off when an endpoint crashed. The times are cluster time.
+type Exposure struct {
+	Key Key `msgpack:"k"`
+	// Depth is the position of the block in the prompt.
+	Depth int `msgpack:"d"`
+	// StartedAt is when the last of the calls with the block was sent.
+	StartedAt time.Time `msgpack:"t"`
+}
+
+// Crash is what one entry knows of the crash of an endpoint.
+type Crash struct {
+	Endpoint  string     `msgpack:"e"`
+	At        time.Time  `msgpack:"a"`
+	Exposures []Exposure `msgpack:"x"`
+}
+
+// Suspect is a block that may have crashed endpoints since a time.
+type Suspect struct {
+	Key   Key       `msgpack:"k"`
+	Since time.Time `msgpack:"t"`
+}
+
+// Answer tells that a call with a block was answered completely at a time.
+type Answer struct {
+	Key Key       `msgpack:"k"`
+	At  time.Time `msgpack:"t"`
+}
+
+// Isolation is a block whose calls are refused until a time.
+type Isolation struct {
+	Key   Key       `msgpack:"k"`
+	Until time.Time `msgpack:"u"`
+}
+
+// Core decides which blocks are isolated. It is a state machine and not safe for concurrent use. All times are
+// cluster time.
+type Core struct {
+	crashes    map[string]*crash // by endpoint
+	counted    int               // number of crashes counted
+	suspects   map[Key]*suspect
+	isolations map[Key]*isolation
+}
+
+type crash struct {
+	at        time.Time
+	exposures map[Key]Exposure
+	isCounted bool
+}
+
+type suspect struct {
+	since       time.Time // first crash
+	lastCrash   time.Time
+	crashes     int       // crashes in a row: each under a call that was sent after the crash before
+	suspectedAt time.Time // when crashes reached suspicionThreshold
+	depth       int
+	seenIn      []int // numbers of the crashes that the block was in, at most maxSeen
+}
+
+type isolation struct {
+	until    time.Time
+	duration time.Duration
+}
+
+// New returns a core that knows of no crashes.
+func New() *Core {
+	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation)}
+}
+
+// Add adds the report of an entry about a crash. Reports may be repeated.
+func (c *Core) Add(reported *Crash) {
+	known := c.crashes[reported.Endpoint]
+	if known == nil || reported.At.Sub(known.at).Abs() > sameCrashTime {
+		if known != nil && reported.At.Before(known.at) {
+			return
+		}
+		known = &crash{at: reported.At, exposures: make(map[Key]Exposure)}
+		c.crashes[reported.Endpoint] = known
+	}
+	if known.isCounted {
+		return
+	}
+	for _, e := range reported.Exposures {
+		if old, ok := known.exposures[e.Key]; !ok || e.StartedAt.After(old.StartedAt) {
+			known.exposures[e.Key] = e
+		}
+	}
+}
+
+// Answer records that a call was answered. Its block is then neither suspected nor isolated.
+func (c *Core) Answer(a Answer) {
+	if s := c.suspects[a.Key]; s != nil && a.At.After(s.since) {
+		delete(c.suspects, a.Key)
+	}
+	if i := c.isolations[a.Key]; i != nil && a.At.After(i.until.Add(-i.duration)) {
+		delete(c.isolations, a.Key)
+	}
+}
+
+// Adopt adds the isolations that an earlier leader decided.
+func (c *Core) Adopt(isolations []Isolation, now time.Time) {
+	for _, adopted := range isolations {
+		if i := c.isolations[adopted.Key]; (i == nil || i.until.Before(adopted.Until)) && adopted.Until.After(now) {
+			c.isolations[adopted.Key] = &isolation{until: adopted.Until, duration: minIsolation}
+		}
+	}
+}
+
+// Review counts the crashes that all entries have had the time to report, given the interval between reports. If a
+// block has to be isolated from now on, it returns that block.
+func (c *Core) Review(now time.Time, reportInterval time.Duration) (Isolation, bool) {
+	for _, k := range c.settled(now, settleReports*reportInterval) {
+		k.isCounted = true
+		c.count(k, now)
+	}
+	c.expire(now)
+	return c.decide(now, answerReports*reportInterval)
+}
+
+// settled returns the crashes to count, in the order in which they happened.
+func (c *Core) settled(now time.Time, settleTime time.Duration) []*crash {
+	var out []*crash
+	for _, k := range c.crashes {
+		if !k.isCounted && now.Sub(k.at) >= settleTime {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// count counts a crash against the blocks in it, unless an isolated block explains it. Calls that were sent before
+// the last crash that counted against a block are no new evidence: a common block is in calls at many endpoints
+// that crash together.
+func (c *Core) count(k *crash, now time.Time) {
+	for key := range k.exposures {
+		if i := c.isolations[key]; i != nil && now.Before(i.until) {
+			return
+		}
+	}
+	c.counted++
+	for key, e := range k.exposures {
+		s := c.suspects[key]
+		if s == nil {
+			if len(c.suspects) >= maxTracked {
+				continue
+			}
+			s = &suspect{since: k.at}
+			c.suspects[key] = s
+		}
+		s.depth = max(s.depth, e.Depth)
+		if len(s.seenIn) < maxSeen {
+			s.seenIn = append(s.seenIn, c.counted)
+		}
+		if !e.StartedAt.After(s.lastCrash) {
+			continue
+		}
+		s.crashes, s.lastCrash = s.crashes+1, k.at
+		if s.crashes == suspicionThreshold {
+			s.suspectedAt = now
+		}
+	}
+}
+
+// decide isolates a block that was in enough crashes in a row, or the block that explains these crashes better. It
+// waits until entries have had the time to report that calls with the block were answered.
+func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
+	var best *suspect
+	for _, s := range c.suspects {
+		if s.crashes >= isolationThreshold && (best == nil || s.crashes > best.crashes) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Isolation{}, false
+	}
+	var found Key
+	for key, s := range c.suspects {
+		if s == best || s.explains(best) {
+			best, found = s, key
+		}
+	}
+	if best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
+		return Isolation{}, false
+	}
+	return c.isolate(found, now), true
+}
+
+// explains reports whether a block was in all crashes that another one was in, and either in more of them or, as the
+// later one in the prompts, in fewer calls.
+func (s *suspect) explains(other *suspect) bool {
+	if len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
+		return false
+	}
+	for _, number := range other.seenIn {
+		if _, ok := slices.BinarySearch(s.seenIn, number); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// isolate isolates a block. The crashes counted so far are thereby explained.
+func (c *Core) isolate(k Key, now time.Time) Isolation {
+	duration := minIsolation
+	if i := c.isolations[k]; i != nil {
+		duration = min(2*i.duration, maxIsolation)
+	}
+	c.isolations[k] = &isolation{until: now.Add(duration), duration: duration}
+	clear(c.suspects)
+	return Isolation{Key: k, Until: now.Add(duration)}
+}
+
+// expire removes what is too old. A block whose isolation ended is on probation for as long as it was isolated: it
+// is isolated again after one more crash.
+func (c *Core) expire(now time.Time) {
+	for endpoint, k := range c.crashes {
+		if now.Sub(k.at) > crashTTL {
+			delete(c.crashes, endpoint)
+		}
+	}
+	for key, i := range c.isolations {
+		switch {
+		case now.Before(i.until):
+		case now.Sub(i.until) > i.duration:
+			delete(c.isolations, key)
+		case c.suspects[key] == nil:
+			c.suspects[key] = &suspect{since: i.until, lastCrash: i.until, suspectedAt: i.until, crashes: isolationThreshold - 1}
+		}
+	}
+	for key, s := range c.suspects {
+		if now.Sub(s.lastCrash) > suspectTTL && c.isolations[key] == nil {
+			delete(c.suspects, key)
+		}
+	}
+}
+
+// Suspects returns the blocks of which entries report whether calls with them were answered.
+func (c *Core) Suspects() []Suspect {
+	var keys []Key
+	for k, s := range c.suspects {
+		if s.crashes >= suspicionThreshold {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(c.suspects[b].crashes, c.suspects[a].crashes), cmp.Compare(a.Block, b.Block))
+	})
+	var out []Suspect
+	for _, k := range keys[:min(len(keys), maxSuspects)] {
+		out = append(out, Suspect{Key: k, Since: c.suspects[k].since})
+	}
+	return out
+}
+
+// Isolations returns the blocks that are isolated.
+func (c *Core) Isolations(now time.Time) []Isolation {
+	var out []Isolation
+	for k, i := range c.isolations {
+		if now.Before(i.until) {
+			out = append(out, Isolation{Key: k, Until: i.until})
+		}
+	}
+	slices.SortFunc(out, func(a, b Isolation) int { return cmp.Compare(a.Key.Block, b.Key.Block) })
+	return out
+}
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hyssoprudder/internal/process/accountant"
+	"hyssoprudder/internal/process/attributor"
 	"hyssoprudder/internal/process/divider"
 )
 
@@ -57,6 +58,9 @@
 	divider *divider.Divider
 	ledger  *accountant.Ledger
 
+	attributor *attributor.Core
+	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
+
 	sums              []Load // over all nodes, by position in the list
 	reviewedAt        time.Time
 	entries           int           // number of entries at the last review, plus new ones
@@ -69,7 +73,7 @@
 func NewCore(term uint64, now time.Time, allowanceLifetime, window time.Duration) *Core {
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
-		ledger: accountant.NewLedger(window, now),
+		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
 	}
 }
 
@@ -121,6 +125,7 @@
 	if !r.Entry {
 		return d
 	}
+	c.attribute(r, &d, now)
 	grant := c.divider.Renew(&divider.Report{
 		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: r.Unspent, Demand: r.Demand, Pending: r.Pending,
 	}, now)
@@ -135,6 +140,32 @@
 	return d
 }
 
+// attribute passes a node's evidence of crashes to the attributor and fills in what it decided.
+func (c *Core) attribute(r *Report, d *Directive, now time.Time) {
+	clusterTime := now.Add(c.clusterTimeOffset)
+	d.HasIsolations = c.Age(now) >= nodeTimeout
+	if !d.HasIsolations {
+		c.attributor.Adopt(r.Isolations, clusterTime)
+	}
+	for i := range r.Crashes {
+		c.attributor.Add(&r.Crashes[i])
+	}
+	for _, a := range r.Answers {
+		c.attributor.Answer(a)
+	}
+	if isolated, ok := c.attributor.Review(clusterTime, d.ReportInterval); ok {
+		c.isolated = append(c.isolated, isolated)
+	}
+	d.Suspects, d.Isolations = c.attributor.Suspects(), c.attributor.Isolations(clusterTime)
+}
+
+// TakeIsolated returns the blocks that were isolated since the last call.
+func (c *Core) TakeIsolated() []attributor.Isolation {
+	isolated := c.isolated
+	c.isolated = nil
+	return isolated
+}
+
 // replaceReport replaces a node's last report.
 func (c *Core) replaceReport(r *Report, now time.Time) {
 	last := c.nodes[r.Node]
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -82,6 +83,9 @@
 	c.enterTerm(lease, now)
 	c.setLimits(ruleset, now)
 	d := c.core.HandleReport(r, now)
+	for _, i := range c.core.TakeIsolated() {
+		c.config.Log.Warn("prompt block crashes endpoints; refusing its calls", "service", i.Key.Service, "block", strconv.FormatUint(i.Key.Block, 16), "until", i.Until)
+	}
 	d.Leader, _ = c.config.Leader()
 	d.Keepers = c.config.Keepers()
 	d.RulesetNumber = ruleset.Number
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hyssoprudder/internal/process/accountant"
+	"hyssoprudder/internal/process/attributor"
 )
 
 // ServiceName is the name under which Service is registered.
@@ -128,6 +129,12 @@
 	// Refused counts the calls refused for lack of capacity since the node started, by
 	// service.
 	Refused map[string]uint64 `msgpack:"f,omitempty"`
+	// Crashes are the recent crashes of endpoints, as far as this node's calls were concerned.
+	// Answers are the answered calls with blocks that the leader suspects or has isolated, and
+	// Isolations are the isolated blocks that the node knows.
+	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
+	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
+	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
 	// MovesID identifies the moves of services that the node knows, and Counts holds its
 	// counters of the calls of those services, encoded by package judge.
 	MovesID uint64 `msgpack:"m,omitempty"`
@@ -169,6 +176,12 @@
 	// others; MovesID identifies them.
 	Moves   [][]byte `msgpack:"v,omitempty"`
 	MovesID uint64   `msgpack:"b,omitempty"`
+	// Suspects are the blocks of prompts of which the leader needs to know whether calls with them
+	// were answered. Isolations are the blocks whose calls are refused: all of them if HasIsolations
+	// is true, otherwise the leader may not know yet what an earlier leader isolated.
+	Suspects      []attributor.Suspect   `msgpack:"su,omitempty"`
+	Isolations    []attributor.Isolation `msgpack:"is,omitempty"`
+	HasIsolations bool                   `msgpack:"hi,omitempty"`
 	// Entries is the number of nodes that serve callers.
 	Entries int `msgpack:"m"`
 	// ReportInterval is how long the node waits before its next report.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -65,6 +65,7 @@
 	outcome     placer.Outcome
 	isStarted   bool // Config.AttemptStarted was called
 	isUnsent    bool // no byte of the call was sent
+	isBroken    bool // the connection was lost before the answer was complete
 	sentAt      time.Time
 	firstByteAt time.Time // first byte of the answer that is useful to the caller
 	lastEventAt time.Time // last event of a stream
@@ -166,9 +167,16 @@
 	if x.ctx.Err() == nil && (!errors.Is(err, os.ErrDeadlineExceeded) || x.remaining() > minRemaining) {
 		a.outcome = placer.Failed
 	}
+	a.isBroken = a.isConnectionLost(err)
 	return stepLost
 }
 
+// isConnectionLost reports whether the endpoint closed or reset the connection, as it
+// does when it ends.
+func (a *attempt) isConnectionLost(err error) bool {
+	return a.x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // readAnswer checks the head of the answer and reads the rest.
 func (a *attempt) readAnswer() step {
 	x := a.x
@@ -242,6 +250,7 @@
 	a.conn.SetReadDeadline(x.deadline)
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedAnswer+1))
 	if err != nil {
+		a.isBroken = a.isConnectionLost(err)
 		return a.unusableAnswer("the answer broke off: " + err.Error())
 	}
 	a.recordFirstByte()
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -93,6 +93,8 @@
 	OverQuota Refusal = "over the limit"
 	// Busy means that no capacity is available in time.
 	Busy Refusal = "no capacity"
+	// Isolated means that a block of the call's prompt crashes endpoints.
+	Isolated Refusal = "prompt crashes endpoints"
 	// Unknown means that the call was sent and no complete answer arrived; it may
 	// have run.
 	Unknown Refusal = "answer lost"
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -71,6 +71,9 @@
 	// progress. isOnce reports whether the call may neither be repeated nor resumed;
 	// random is a number in [0, 1) that is the same for all attempts of the call.
 	Version func(service string, isOnce bool, random float64) Version
+	// IsIsolated reports whether a block of the prompt crashes endpoints of the service, so
+	// that the call must not be sent to any.
+	IsIsolated func(service string, blocks []placer.PromptBlock) bool
 	// AttemptStarted is called before an attempt is sent, and AttemptEnded with its
 	// result.
 	AttemptStarted func(route string, endpoint placer.Endpoint)
@@ -357,6 +360,10 @@
 // allowed.
 func (x *exchange) forward() {
 	for {
+		if x.f.config.IsIsolated(x.service.Name, x.call.Blocks) {
+			x.abandonIsolated()
+			return
+		}
 		choice, refused, wait := x.place()
 		if choice == nil {
 			x.abandon(string(refused), wait)
@@ -434,6 +441,15 @@
 	}
 }
 
+// abandonIsolated ends a call with a prompt that crashes endpoints.
+func (x *exchange) abandonIsolated() {
+	if x.mayRun {
+		x.abandon(string(Isolated), 0)
+		return
+	}
+	x.refuse(Isolated, maxRetryAfter)
+}
+
 // hasStreamBegun reports whether events of a streamed answer were sent to the caller.
 func (x *exchange) hasStreamBegun() bool { return x.stream != nil && x.stream.isStarted }
 
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -20,6 +20,14 @@
 	Route string
 	// Endpoint is the endpoint that was tried.
 	Endpoint placer.Endpoint
+	// Blocks are the blocks of the call's prompt.
+	Blocks []placer.PromptBlock
+	// SentAt is when the call was sent.
+	SentAt time.Time
+	// IsBroken reports that the connection to the endpoint was lost before the answer
+	// was complete, and IsAnswered that the answer was complete and no failure.
+	IsBroken   bool
+	IsAnswered bool
 	// IsFailed reports that the endpoint answered with an error, broke its answer
 	// off, or did not answer in time.
 	IsFailed bool
@@ -52,7 +60,10 @@
 	if !a.isStarted {
 		return
 	}
-	t := AttemptResult{Route: a.x.route.Name, Endpoint: a.choice.Endpoint()}
+	t := AttemptResult{
+		Route: a.x.route.Name, Endpoint: a.choice.Endpoint(), Blocks: a.x.call.Blocks, SentAt: a.sentAt,
+		IsBroken: a.isBroken, IsAnswered: a.outcome == placer.Answered,
+	}
 	switch a.outcome {
 	case placer.Answered:
 		t.Total = now.Sub(a.sentAt)
--- a/internal/request/forwarder/moves_test.go
+++ b/internal/request/forwarder/moves_test.go
@@ -67,16 +67,17 @@
 		answer     answerFunc
 		isFailed   bool
 		isExcluded bool
+		isBroken   bool
 	}{
-		"answered":              {"/once/1", answerWith(200, "ok"), false, false},
-		"refused by the engine": {"/once/1", answerWith(404, "none"), false, false},
-		"failure":               {"/once/1", answerWith(500, "bad"), true, false},
-		"no answer":             {"/once/1", closeUnanswered, true, false},
-		"broken off":            {"/once/1", answerTruncated, true, false},
-		"silent":                {"/once/1", neverAnswer, true, false},
-		"not run":               {"/once/1", answerNotRun, false, true},
-		"complete stream":       {"/stream/1", answerEvents(5, 5), false, false},
-		"broken stream":         {"/stream/1", answerEvents(3, 5), true, false},
+		"answered":              {"/once/1", answerWith(200, "ok"), false, false, false},
+		"refused by the engine": {"/once/1", answerWith(404, "none"), false, false, false},
+		"failure":               {"/once/1", answerWith(500, "bad"), true, false, false},
+		"no answer":             {"/once/1", closeUnanswered, true, false, true},
+		"broken off":            {"/once/1", answerTruncated, true, false, true},
+		"silent":                {"/once/1", neverAnswer, true, false, false},
+		"not run":               {"/once/1", answerNotRun, false, true, false},
+		"complete stream":       {"/stream/1", answerEvents(5, 5), false, false, false},
+		"broken stream":         {"/stream/1", answerEvents(3, 5), true, false, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -90,6 +91,8 @@
 				require.Equal(t, f.sent[0], result.Route)
 				require.Equal(t, tc.isFailed, result.IsFailed)
 				require.Equal(t, tc.isExcluded, result.IsExcluded)
+				require.Equal(t, tc.isBroken, result.IsBroken)
+				require.Equal(t, !tc.isFailed && !tc.isExcluded, result.IsAnswered)
 				if !tc.isFailed && !tc.isExcluded {
 					require.Positive(t, result.First)
 				}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -136,6 +136,7 @@
 func (a *attempt) streamEnded() step {
 	s := a.x.stream
 	if len(s.partial) > 0 || !s.isStarted {
+		a.isBroken = true
 		return a.unusableAnswer("the stream ended without an event or within one")
 	}
 	a.outcome = placer.Answered
@@ -149,6 +150,7 @@
 	a.conn.Close()
 	x.mayRun = true
 	x.result.Detail = "the stream broke off: " + err.Error()
+	a.isBroken = a.isConnectionLost(err)
 	if x.ctx.Err() == nil && (!errors.Is(err, os.ErrDeadlineExceeded) || x.remaining() > minRemaining) {
 		a.outcome = placer.Failed
 	}
