Bound answers of endpoints that never end

An endpoint in trouble may send bytes without end, in a head or a body, until the caller closes. Heads were bounded. Where bytes went on arriving, five cases of new tests failed: a body or a failure that drips held a repeatable call until its deadline, so that no other endpoint was tried; so did the body of a rejection, even of a call that had not run; and an event without end broke the caller's connection off instead of continuing at another endpoint, after 1 MB in memory, or never if it dripped, since each read moved the deadline.

The class: a deadline for silence in place of one for progress. Now a repeatable call gives an answer half of the remaining time to be complete, or to begin its events, while another endpoint may be tried; the deadline of an event counts from the event before; the rest of a rejection is read for 50 ms at most; and an event of more than 256 KB is a failure of the endpoint.

The bodies of the provider, the operators and the other composition's endpoints were found bounded by size. Answers with neither a length nor chunks, which end with their connection, get tests too; those passed before the change.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -22,8 +22,13 @@
 	// maxBufferedAnswer is the size in bytes up to which an answer is buffered before
 	// it is sent to the caller. Longer answers are streamed.
 	maxBufferedAnswer = 256 << 10
-	// maxRejectionBody bounds how much of the body of a rejection is read, in bytes.
+	// maxRejectionBody bounds how much of the body of a rejection is read, in bytes, and
+	// rejectionTimeout for how long.
 	maxRejectionBody = 16 << 10
+	rejectionTimeout = 50 * time.Millisecond
+	// bodyTimeFraction is the fraction of the remaining time in which an answer must be
+	// complete, or a stream must have its first event, while another endpoint may be tried.
+	bodyTimeFraction = 0.5
 	// objectiveFactor is the multiple of its objective that a repeatable call may
 	// take before another endpoint is tried.
 	objectiveFactor = 1.5
@@ -68,6 +73,7 @@
 	isBroken    bool // the connection was lost before the answer was complete
 	sentAt      time.Time
 	firstByteAt time.Time // first byte of the answer that is useful to the caller
+	bodyBy      time.Time // when the answer must be complete, or a stream must have an event
 	lastEventAt time.Time // last event of a stream
 	deliveries  int       // writes of stream events to the caller
 }
@@ -128,6 +134,21 @@
 	return x.deadline
 }
 
+// mayBeRepeated reports whether another endpoint may be tried after this attempt, which is
+// counted in x.sent.
+func (a *attempt) mayBeRepeated() bool {
+	return a.x.route.IsRepeatable() && a.x.sent < a.x.route.MaxAttempts
+}
+
+// bodyDeadline returns the time by which an answer whose head has arrived must be complete.
+func (a *attempt) bodyDeadline() time.Time {
+	x := a.x
+	if !a.mayBeRepeated() {
+		return x.deadline
+	}
+	return x.deadline.Add(-time.Duration((1 - bodyTimeFraction) * float64(x.remaining())))
+}
+
 // request returns the request for the endpoint. The transport cannot repeat it.
 func (a *attempt) request(remaining time.Duration) *http.Request {
 	x := a.x
@@ -216,6 +237,7 @@
 		a.outcome = placer.Misdirected
 	}
 	a.x.result.Detail = "the endpoint did not run the call: status " + strconv.Itoa(a.response.StatusCode)
+	a.conn.SetReadDeadline(a.x.f.config.Clock.Now().Add(rejectionTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBody))
 	a.release(err == nil && n < maxRejectionBody)
 	return stepNotRun
@@ -247,7 +269,7 @@
 		// The caller already has events of a stream; only further events may follow.
 		return a.unusableAnswer("the endpoint did not resume the stream: status " + strconv.Itoa(a.response.StatusCode))
 	}
-	a.conn.SetReadDeadline(x.deadline)
+	a.conn.SetReadDeadline(a.bodyDeadline())
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedAnswer+1))
 	if err != nil {
 		a.isBroken = a.isConnectionLost(err)
@@ -256,6 +278,7 @@
 	a.recordFirstByte()
 	x.countUsage()
 	if len(body) > maxBufferedAnswer {
+		a.conn.SetReadDeadline(x.deadline)
 		return a.copyAnswer(body)
 	}
 	a.release(true)
--- a/internal/request/forwarder/endpoint_test.go
+++ b/internal/request/forwarder/endpoint_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -160,3 +161,36 @@
 }
 
 func writeChunk(c net.Conn, text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+// answerUnframed returns a function that sends an answer with neither a length nor chunks, which ends with its
+// connection.
+func answerUnframed(body string) answerFunc {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		writeRaw(c, "HTTP/1.1 200 X\n%s\n", headerOf(r.Header.Get(headerID), ""))
+		_, _ = io.WriteString(c, body)
+		return false
+	}
+}
+
+// resetUnframed returns a function that sends the beginning of such an answer and resets the connection.
+func resetUnframed(body string) answerFunc {
+	return func(c net.Conn, r *http.Request, text string) bool {
+		answerUnframed(body)(c, r, text)
+		time.Sleep(20 * time.Millisecond) // the reset would overtake the answer
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// answerWithoutEnd returns a function that sends start, and then text until the client closes the connection.
+func answerWithoutEnd(start, text string, pause time.Duration) answerFunc {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		writeRaw(c, "%s", strings.ReplaceAll(start, "{id}", headerOf(r.Header.Get(headerID), "")))
+		for {
+			if _, err := io.WriteString(c, text); err != nil {
+				return false
+			}
+			time.Sleep(pause)
+		}
+	}
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -15,7 +15,7 @@
 	// streamBuffer is the size of one read of a stream, in bytes.
 	streamBuffer = 8 << 10
 	// maxEvent bounds one event, in bytes.
-	maxEvent = 1 << 20
+	maxEvent = 256 << 10
 )
 
 // stream is the state of a streamed answer, across all endpoints that serve it.
@@ -32,6 +32,8 @@
 		x.stream = &stream{lastEventID: x.call.After}
 	}
 	x.stream.partial = x.stream.partial[:0]
+	a.bodyBy = a.bodyDeadline()
+	a.lastEventAt = x.f.config.Clock.Now()
 	buffer := make([]byte, streamBuffer)
 	for {
 		a.conn.SetReadDeadline(a.eventDeadline())
@@ -40,6 +42,9 @@
 			if failed := a.forwardEvents(buffer[:n]); failed != nil {
 				return a.abortForwarding(failed)
 			}
+			if len(x.stream.partial) > maxEvent {
+				return a.unusableAnswer("an event of the stream is too long")
+			}
 		}
 		switch {
 		case err == nil:
@@ -51,13 +56,17 @@
 	}
 }
 
-// eventDeadline returns the time by which the next event must arrive.
+// eventDeadline returns the time by which the next event must be complete. It does not
+// move while parts of an event arrive.
 func (a *attempt) eventDeadline() time.Time {
 	x := a.x
-	if !x.route.IsRepeatable() || x.sent >= x.route.MaxAttempts || x.route.NextObjective <= 0 || !x.stream.isStarted {
+	switch {
+	case !x.stream.isStarted:
+		return a.bodyBy
+	case !a.mayBeRepeated() || x.route.NextObjective <= 0:
 		return x.deadline
 	}
-	if by := x.f.config.Clock.Now().Add(nextObjectiveFactor * x.route.NextObjective); by.Before(x.deadline) {
+	if by := a.lastEventAt.Add(nextObjectiveFactor * x.route.NextObjective); by.Before(x.deadline) {
 		return by
 	}
 	return x.deadline
@@ -69,9 +78,6 @@
 	s.partial = append(s.partial, chunk...)
 	end := lastEventEnd(s.partial)
 	if end == 0 {
-		if len(s.partial) > maxEvent {
-			return errors.New("the event is too long")
-		}
 		return nil
 	}
 	if a.firstByteAt.IsZero() {
@@ -125,7 +131,7 @@
 }
 
 // abortForwarding ends a stream that cannot be forwarded, because the caller has
-// disconnected or an event is too long.
+// disconnected.
 func (a *attempt) abortForwarding(err error) step {
 	a.conn.Close()
 	a.x.result.Refusal, a.x.result.Detail = Unknown, "cannot forward the stream to the caller: "+err.Error()
