Confirm retrieved rules at once, and ask the leader for the first ones

After a loss of all power calls waited longer for rules: an entry asked two to four keepers, 23 to 62 ms, since keepers that follow learn of committed entries with the next heartbeat, and then sent another report before it served.

A node without rules now asks the leader as the second keeper, without a pause; others still go round all keepers, so that a change is not sent by the leader alone. Rules that are put in force after the answer that named them are confirmed by that answer.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -269,7 +269,7 @@
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
 	now, inForce := e.node.clock.Now(), e.forwarder.Table().Number()
 	if d.RulesetNumber > inForce {
-		e.retriever.Retrieve(d.RulesetNumber, d.Keepers)
+		e.retriever.Retrieve(d.RulesetNumber, d.Keepers, d.Leader)
 	}
 	e.mu.Lock()
 	e.freshness.Name(d.RulesetNumber, inForce, e.node.bootClock.Now())
@@ -306,7 +306,7 @@
 	return true
 }
 
-// setRuleset decodes a ruleset and puts it in force. The next report confirms it.
+// setRuleset decodes a ruleset and puts it in force.
 func (e *entry) setRuleset(number uint64, body []byte) {
 	started := e.node.clock.Now()
 	r, err := registrar.Decode(body)
@@ -319,7 +319,7 @@
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
 		"bytes", len(body), "took", e.node.clock.Now().Sub(started))
-	e.node.reporter.ReportNow()
+	e.node.reporter.RulesetApplied(number)
 }
 
 // ratesOf returns the rates of the customers that have a limit.
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -59,6 +59,8 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
+	named     uint64    // ruleset that the last answer named
+	namedAt   time.Time // when the report with that answer was sent
 	seeds     []netip.AddrPort
 	keepers   []netip.AddrPort
 	leader    netip.AddrPort
@@ -94,6 +96,19 @@
 	return r.confirmed
 }
 
+// RulesetApplied records that a ruleset is in force at this node. If the last answer named that ruleset, or an older
+// one, it also confirms it, and those who wait for an answer are notified.
+func (r *Reporter) RulesetApplied(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.named == 0 || number < r.named || !r.namedAt.After(r.confirmed) {
+		return
+	}
+	r.confirmed = r.namedAt
+	close(r.answered)
+	r.answered = make(chan struct{})
+}
+
 // SetSeeds replaces the keepers to contact first.
 func (r *Reporter) SetSeeds(seeds []netip.AddrPort) {
 	r.mu.Lock()
@@ -186,6 +201,7 @@
 		r.config.Log.Info("leader answers again", "leader", d.Leader)
 	}
 	r.keepers, r.leader, r.probed = d.Keepers, d.Leader, 0
+	r.named, r.namedAt = d.RulesetNumber, sent
 	if isNewest && sent.After(r.confirmed) {
 		r.confirmed = sent
 	}
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -61,7 +61,7 @@
 		return errUnresponsive
 	}
 	d := reply.(*coordinator.Directive)
-	*d = coordinator.Directive{Leads: to == k.leader, Keepers: k.all, ReportInterval: 20 * time.Millisecond}
+	*d = coordinator.Directive{Leads: to == k.leader, Keepers: k.all, ReportInterval: 20 * time.Millisecond, RulesetNumber: 7}
 	if k.namesLeader || d.Leads {
 		d.Leader = k.leader
 	}
@@ -132,6 +132,23 @@
 
 // While no leader is known, an unresponsive keeper delays the search only briefly; if none
 // answers, each gets a longer timeout, since all may be slow.
+// A ruleset that is put in force after the answer that named it is confirmed by that answer, unless a later one was
+// named.
+func TestRulesetIsConfirmedWhenItIsApplied(t *testing.T) {
+	k := newKeepers(1)
+	k.leader, k.newest = k.all[0], false
+	r := k.start(t)
+	require.Eventually(t, func() bool { return len(k.sent()) > 2 }, waitTimeout, time.Millisecond)
+	r.RulesetApplied(6)
+	require.Zero(t, r.Confirmed(), "an older ruleset than the one that was named")
+	answered := r.Answered()
+	before := time.Now()
+	r.RulesetApplied(7)
+	<-answered
+	require.NotZero(t, r.Confirmed())
+	require.True(t, r.Confirmed().Before(before))
+}
+
 func TestSearchDoesNotWaitForUnresponsiveKeepers(t *testing.T) {
 	k := newKeepers(2)
 	k.unresponsive[k.all[0]], k.unresponsive[k.all[1]] = true, true
--- a/internal/process/retriever/retriever.go
+++ b/internal/process/retriever/retriever.go
@@ -19,7 +19,7 @@
 const (
 	// pageTimeout bounds the request for one page.
 	pageTimeout = 450 * time.Millisecond
-	// retryDelay is the time until the next request after a keeper did not send a usable page. A keeper that
+	// retryDelay is the time until the next request after two keepers did not send a usable page. A keeper that
 	// follows the leader learns a moment later than the leader that a ruleset is committed.
 	retryDelay = 15 * time.Millisecond
 )
@@ -44,16 +44,18 @@
 	done   chan struct{}
 	ctx    context.Context //nolint:containedctx // cancels the call in flight at Stop
 	cancel context.CancelFunc
-	next   uint64 // selects the keeper that is asked next
+	first  uint64 // selects the keeper that is asked first
 
 	mu      sync.Mutex
 	wanted  uint64
+	applied uint64
 	keepers []netip.AddrPort
+	leader  netip.AddrPort
 }
 
 // New returns a retriever that is not yet started.
 func New(c Config) *Retriever {
-	r := &Retriever{config: c, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), next: xxhash.Sum64String(c.Node)}
+	r := &Retriever{config: c, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), first: xxhash.Sum64String(c.Node)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -70,10 +72,10 @@
 
 // Retrieve requests the ruleset with the given number, or a later one, from the keepers. It returns at once;
 // a number that is not higher than an earlier one has no effect.
-func (r *Retriever) Retrieve(number uint64, keepers []netip.AddrPort) {
+func (r *Retriever) Retrieve(number uint64, keepers []netip.AddrPort, leader netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.keepers = keepers
+	r.keepers, r.leader = keepers, leader
 	if number <= r.wanted {
 		return
 	}
@@ -84,43 +86,57 @@
 	}
 }
 
-func (r *Retriever) target() (wanted uint64, keeper netip.AddrPort) {
+// isBehind returns the number of the newest ruleset, and whether it is not in force yet.
+func (r *Retriever) isBehind() (number uint64, behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.keepers) == 0 {
-		return r.wanted, netip.AddrPort{}
+	return r.wanted, r.wanted > r.applied
+}
+
+// target returns the keeper to ask after a number of requests of a transfer were of no use. A node without rules
+// asks the leader as the second keeper, since it serves nobody until it has rules.
+func (r *Retriever) target(misses int) netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case misses == 1 && r.applied == 0 && r.leader.IsValid():
+		return r.leader
+	case len(r.keepers) == 0:
+		return netip.AddrPort{}
 	}
-	return r.wanted, r.keepers[r.next%uint64(len(r.keepers))]
+	return r.keepers[(r.first+uint64(misses))%uint64(len(r.keepers))]
+}
+
+func (r *Retriever) setApplied(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied = number
 }
 
 func (r *Retriever) run() {
 	defer close(r.done)
-	applied := uint64(0)
 	for {
 		select {
 		case <-r.quit:
 			return
 		case <-r.wake:
 		}
-		for wanted, _ := r.target(); wanted > applied; wanted, _ = r.target() {
-			t := r.retrieve(wanted)
+		for number, behind := r.isBehind(); behind; number, behind = r.isBehind() {
+			t := r.retrieve(number)
 			if t == nil {
 				return
 			}
-			applied = t.number
 			r.config.Apply(t.number, t.received)
+			r.setApplied(t.number)
 		}
 	}
 }
 
 // retrieve retrieves the ruleset with the given number or a later one. It returns nil when the retriever stops.
 func (r *Retriever) retrieve(number uint64) *transfer {
-	t, started := newTransfer(number), r.config.Clock.Now()
-	for requests := 1; ; requests++ {
-		if r.ctx.Err() != nil {
-			return nil
-		}
-		usable, done := r.requestPage(t)
+	t, started, misses := newTransfer(number), r.config.Clock.Now(), 0
+	for requests := 1; r.ctx.Err() == nil; requests++ {
+		usable, done := r.requestPage(t, r.target(misses))
 		if done {
 			r.config.Log.Info("ruleset retrieved", "number", t.number, "bytes", len(t.received), "requests", requests, "took", r.config.Clock.Now().Sub(started))
 			return t
@@ -128,16 +144,15 @@
 		if usable {
 			continue
 		}
-		r.next++
-		if !clock.Sleep(r.config.Clock, retryDelay, r.quit) {
+		if misses++; misses > 1 && !clock.Sleep(r.config.Clock, retryDelay, r.quit) {
 			return nil
 		}
 	}
+	return nil
 }
 
-// requestPage requests the next page of a transfer.
-func (r *Retriever) requestPage(t *transfer) (usable, done bool) {
-	_, keeper := r.target()
+// requestPage requests the next page of a transfer from a keeper.
+func (r *Retriever) requestPage(t *transfer, keeper netip.AddrPort) (usable, done bool) {
 	if !keeper.IsValid() {
 		return false, false
 	}
--- a/internal/process/retriever/retriever_test.go
+++ b/internal/process/retriever/retriever_test.go
@@ -120,7 +120,7 @@
 	k := newKeepers(want, 10<<10)
 	r, applied := k.start("a")
 	defer r.Stop()
-	r.Retrieve(7, addresses)
+	r.Retrieve(7, addresses, netip.AddrPort{})
 	got := await(t, applied)
 	require.Equal(t, want.number, got.number)
 	require.True(t, bytes.Equal(want.body, got.body))
@@ -142,18 +142,31 @@
 			}
 			r, applied := k.start("a")
 			defer r.Stop()
-			r.Retrieve(7, addresses)
+			r.Retrieve(7, addresses, netip.AddrPort{})
 			require.Equal(t, want, await(t, applied))
 		})
 	}
 }
 
+// A node without rules asks the leader next if the first keeper has not applied them yet.
+func TestFirstRulesetComesFromTheLeader(t *testing.T) {
+	want := ruleset{7, body(10)}
+	k := newKeepers(ruleset{3, body(10)}, 1<<20)
+	leader := netip.MustParseAddrPort("10.0.0.9:1")
+	k.bodies[leader] = want
+	r, applied := k.start("a")
+	defer r.Stop()
+	r.Retrieve(7, addresses, leader)
+	require.Equal(t, want, await(t, applied))
+	require.Equal(t, 1, k.asked[leader])
+}
+
 // Nodes begin with different keepers, so that the leader does not send a ruleset to the whole fleet.
 func TestNodesRetrieveFromDifferentKeepers(t *testing.T) {
 	k := newKeepers(ruleset{7, body(10)}, 1<<20)
 	for _, node := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
 		r, applied := k.start(node)
-		r.Retrieve(7, addresses)
+		r.Retrieve(7, addresses, netip.AddrPort{})
 		await(t, applied)
 		r.Stop()
 	}
@@ -177,7 +190,7 @@
 					k.bodies[a] = ruleset{number, rulesets[number]}
 				}
 			})
-			r.Retrieve(number, addresses)
+			r.Retrieve(number, addresses, netip.AddrPort{})
 		}
 		for last := uint64(0); last < uint64(len(sizes)); {
 			got := await(t, applied)
