--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -103,11 +103,7 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = &host{}
-		p.hosts[address] = h
-	}
+	h := p.hostOf(address)
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
@@ -125,6 +121,16 @@
 	return nil, nil
 }
 
+// hostOf returns the connections to an address. The caller holds p.mu.
+func (p *Pool) hostOf(address netip.AddrPort) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
 func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
@@ -156,11 +162,7 @@
 func (p *Pool) reserve(address netip.AddrPort, limit int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = &host{}
-		p.hosts[address] = h
-	}
+	h := p.hostOf(address)
 	if h.open >= limit {
 		return ErrFull
 	}
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// stopTwoKeepers stops two of the three keepers, so that none can lead.
+func (d *deployment) stopTwoKeepers() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no call has to complete
+	for _, n := range d.keepers[:2] {
+		_ = n.node.Stop(ctx)
+		n.node = nil
+	}
+}
+
 // start starts a node. Each node has its own address; all use the same ports.
 func (d *deployment) start(number int, role string, first bool) *testNode {
 	d.t.Helper()
@@ -324,13 +334,10 @@
 	d := newDeployment(t)
 	d.put(d.keepers[0], ruleset(5, "k1"))
 	d.requireEventually("k1", "answer for masons")
+	d.stopTwoKeepers()
+	d.requireEventually("k1", string(forwarder.Unready))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	for _, n := range d.keepers[:2] {
-		_ = n.node.Stop(ctx)
-		n.node = nil
-	}
-	d.requireEventually("k1", string(forwarder.Unready))
 	_, err := d.keepers[2].operators.Document(ctx)
 	require.Error(t, err, "one keeper of three can't know the newest document")
 }
@@ -341,11 +348,6 @@
 	d := newDeployment(t)
 	d.put(d.keepers[0], openRuleset(5))
 	d.requireEventually("", "answer for")
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	for _, n := range d.keepers[:2] {
-		_ = n.node.Stop(ctx)
-		n.node = nil
-	}
+	d.stopTwoKeepers()
 	d.requireEventually("", string(forwarder.Unready))
 }
--- a/internal/process/keeper/sender.go
+++ b/internal/process/keeper/sender.go
@@ -15,6 +15,8 @@
 	queueSize  = 4096      // messages
 	batchBytes = 1 << 20   // of entries
 	chunkBytes = 256 << 10 // of a snapshot
+	// minBandwidth is the bandwidth of the slowest link between nodes, in bytes per second.
+	minBandwidth = 1 << 20
 )
 
 // size returns the approximate size of the entries of a message, in bytes.
@@ -139,9 +141,6 @@
 	cancel()
 }
 
-// minBandwidth is the bandwidth, in bytes per second, that is assumed of the slowest link between nodes.
-const minBandwidth = 1 << 20
-
 // TransferTime returns how long a message of the given size, in bytes, may take to be transferred. It is added to
 // timeouts, so that a message of any size can arrive.
 func TransferTime(size int) time.Duration {
