Publish the failure of a keeper before its proposals end

A proposal at a keeper whose disk fails ended with an error while Err still returned nil, so that whoever asked why was told that the keeper works. Cause: fail answered the waiting proposals and published the failure after that.

--- a/internal/process/keeper/loop.go
+++ b/internal/process/keeper/loop.go
@@ -165,8 +165,13 @@
 	return nil
 }
 
-// fail ends all pending proposals and reads with an error when the loop ends.
+// fail ends all pending proposals and reads with an error when the loop ends. The failure
+// is published first, so that whoever receives such an error finds it.
 func (k *Keeper) fail(err error) {
+	k.mu.Lock()
+	k.published.failure = err
+	k.published.role, k.published.leaseOK = RoleFollower, false
+	k.mu.Unlock()
 	for index, w := range k.waiting {
 		delete(k.waiting, index)
 		w.proposal.finish(fmt.Errorf("%w: %w", ErrUnknown, err))
@@ -174,10 +179,6 @@
 	for id := range k.pendingReads {
 		k.finishRead(ReadDone{ID: id})
 	}
-	k.mu.Lock()
-	k.published.failure = err
-	k.published.role, k.published.leaseOK = RoleFollower, false
-	k.mu.Unlock()
 }
 
 func (k *Keeper) install(s *journaler.Snapshot) error {
