--- a/internal/node/runner/streams_process_test.go
+++ b/internal/node/runner/streams_process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -136,10 +135,9 @@
 	raw, err := os.ReadFile("../../../examples/vrancea/platform.toml")
 	require.NoError(d.t, err)
 	d.write("platform.toml", string(raw))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(d.t, err)
-	d.platformAddress = listener.Addr().String()
-	listener.Close()
+	// A fixed port at the deployment's own address, since a free one that is released here can be taken before
+	// the stand-in listens.
+	d.platformAddress = fmt.Sprintf("%s:%d", d.host, 6101)
 	d.startStandin("platform", "-config", d.path("platform.toml"), "-free", "-listen", d.platformAddress)
 }
 
