Keep waiting for a silent endpoint unless another one takes the call

Callers saw 502 "answer lost", or their connection reset in the middle of a stream, although the endpoint would have gone on: an endpoint of a safe call or of a resumable stream was given up after 1.5 times the objective, half of the remaining time, or twice the objective between events, and only then was it determined whether another attempt is possible. With no other endpoint, a spent retry budget, rules that were not confirmed or a prompt that was isolated meanwhile, the call ended without its answer.

An attempt is now given up early only once the next one is secured: an endpoint is chosen, a connection to it is open and the budget is charged. The read deadline is extended inside the connection, because a deadline that has been reported breaks the connection for net/http. The connection to the endpoint that is given up is closed before the call is sent again, as before.

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -288,10 +288,11 @@
 
 type countingConnKey struct{}
 
-// countingConn counts the bytes written to a connection.
+// countingConn counts the bytes written to a connection, and extends its read deadline.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	written  atomic.Int64
+	deadline readDeadline
 }
 
 // Write writes b. Its bytes are counted before the write, because some of them may be sent
@@ -334,10 +335,3 @@
 	}
 	return failed
 }
-
-// SetReadDeadline sets the deadline for reads from the endpoint; the zero time means no
-// deadline. A call that is waiting at the deadline fails with os.ErrDeadlineExceeded.
-func (c *Conn) SetReadDeadline(t time.Time) {
-	// An error means that the connection is closed, which the next read returns.
-	_ = c.conn.SetReadDeadline(t)
-}
--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -226,3 +228,84 @@
 	require.NoError(t, call(t, p, e))
 	require.EqualValues(t, 3, e.accepted.Load())
 }
+
+// A read whose deadline is extended must go on and lose no byte; one whose deadline is not
+// extended must fail as at any deadline.
+func TestReadDeadlineIsExtended(t *testing.T) {
+	cases := map[string]struct {
+		isLate     bool // the answer comes after the first deadline
+		extensions int  // -1 for as many as are needed
+		want       error
+	}{
+		"answer in time":             {false, 0, nil},
+		"late, extended":             {true, -1, nil},
+		"late, not extended":         {true, 0, os.ErrDeadlineExceeded},
+		"late, extended a few times": {true, 2, os.ErrDeadlineExceeded},
+	}
+	for name, tc := range cases {
+		for _, isBody := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, body %t", name, isBody), func(t *testing.T) {
+				asked, proceed := make(chan struct{}, 1000), make(chan struct{})
+				var once sync.Once
+				goOn := func() { once.Do(func() { close(proceed) }) }
+				t.Cleanup(goOn)
+				e := newEndpoint(t, func(c net.Conn, _ *http.Request) {
+					if isBody {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+					}
+					<-proceed
+					if isBody {
+						_, _ = io.WriteString(c, "k")
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				})
+				if !tc.isLate {
+					goOn()
+				}
+				pool := pooler.New(clock.System{})
+				defer pool.Close()
+				conn, err := pool.Get(context.Background(), e.listener.Addr().(*net.TCPAddr).AddrPort(), 1)
+				require.NoError(t, err)
+				defer conn.Close()
+				left := tc.extensions
+				deadline := time.Now().Add(time.Hour)
+				if tc.isLate {
+					deadline = time.Now().Add(20 * time.Millisecond)
+				}
+				conn.SetExtensibleReadDeadline(deadline, func() (time.Time, bool) {
+					asked <- struct{}{}
+					if left--; left == -1 {
+						return time.Time{}, false
+					}
+					if len(asked) > 3 {
+						goOn()
+					}
+					return time.Now().Add(5 * time.Millisecond), true
+				})
+				body, err := roundTrip(conn)
+				conn.SetReadDeadline(time.Time{})
+				if tc.want != nil {
+					require.ErrorIs(t, err, tc.want)
+					require.Len(t, asked, tc.extensions+1)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, "ok", body)
+				require.Equal(t, tc.isLate, len(asked) > 0)
+			})
+		}
+	}
+}
+
+// roundTrip sends a call and reads the whole answer.
+func roundTrip(conn *pooler.Conn) (string, error) {
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "a.example", Path: "/"}, Header: make(http.Header)}
+	response, err := conn.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -41,8 +42,8 @@
 )
 
 // attempt sends the call to one endpoint.
-func (x *exchange) attempt(choice *placer.Choice) step {
-	a := &attempt{x: x, choice: choice, outcome: placer.Abandoned}
+func (x *exchange) attempt(to *secured) step {
+	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned}
 	// Deferred, so that it also runs when a panic aborts the caller's connection.
 	defer a.end()
 	return a.run()
@@ -81,12 +82,15 @@
 // run sends the call and delivers the answer.
 func (a *attempt) run() step {
 	x := a.x
-	conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
-	if err != nil {
-		a.connectFailed(err)
-		return stepUnsent
+	if a.conn == nil {
+		conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
+		if err != nil {
+			a.connectFailed(err)
+			return stepUnsent
+		}
+		a.conn = conn
 	}
-	a.conn = conn
+	conn := a.conn
 	// Whether the rules are confirmed is checked last, so that a process that was
 	// suspended does not send a call under outdated rules.
 	if !x.f.config.IsConfirmed() {
@@ -99,10 +103,12 @@
 		conn.Release()
 		return stepUnsent
 	}
-	conn.SetReadDeadline(a.responseDeadline())
+	a.waitUntil(a.responseDeadline())
 	a.sentAt, a.isStarted = x.f.config.Clock.Now(), true
 	x.f.config.AttemptStarted(x.route.Name, a.choice.Endpoint())
+	var err error
 	a.response, err = conn.Do(a.request(remaining)) //nolint:bodyclose // release closes it, or the connection is closed
+	a.endWait()
 	if err != nil {
 		return a.requestFailed(err)
 	}
@@ -112,16 +118,22 @@
 
 func (a *attempt) connectFailed(err error) {
 	a.x.result.Detail = err.Error()
+	a.outcome = unreachedOutcome(a.x.ctx, err)
+}
+
+// unreachedOutcome returns the outcome at an endpoint to which no connection was obtained.
+func unreachedOutcome(ctx context.Context, err error) placer.Outcome {
 	switch {
-	case a.x.ctx.Err() != nil:
+	case ctx.Err() != nil:
+		return placer.Abandoned
 	case errors.Is(err, pooler.ErrFull):
-		a.outcome = placer.Rejected
-	default:
-		a.outcome = placer.Unreached
+		return placer.Rejected
 	}
+	return placer.Unreached
 }
 
-// responseDeadline returns the time by which the endpoint must begin its answer.
+// responseDeadline returns the time by which the endpoint must begin its answer while
+// another endpoint is available.
 func (a *attempt) responseDeadline() time.Time {
 	x := a.x
 	if !x.route.IsRepeatable() || x.sent+1 >= x.route.MaxAttempts {
@@ -140,7 +152,8 @@
 	return a.x.route.IsRepeatable() && a.x.sent < a.x.route.MaxAttempts
 }
 
-// bodyDeadline returns the time by which an answer whose head has arrived must be complete.
+// bodyDeadline returns the time by which an answer whose head has arrived must be complete
+// while another endpoint is available.
 func (a *attempt) bodyDeadline() time.Time {
 	x := a.x
 	if !a.mayBeRepeated() {
@@ -269,8 +282,9 @@
 		// The caller already has events of a stream; only further events may follow.
 		return a.unusableAnswer("the endpoint did not resume the stream: status " + strconv.Itoa(a.response.StatusCode))
 	}
-	a.conn.SetReadDeadline(a.bodyDeadline())
+	a.waitUntil(a.bodyDeadline())
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedAnswer+1))
+	a.endWait()
 	if err != nil {
 		a.isBroken = a.isConnectionLost(err)
 		return a.unusableAnswer("the answer broke off: " + err.Error())
@@ -278,7 +292,6 @@
 	a.recordFirstByte()
 	x.countUsage()
 	if len(body) > maxBufferedAnswer {
-		a.conn.SetReadDeadline(x.deadline)
 		return a.copyAnswer(body)
 	}
 	a.release(true)
--- a/internal/request/forwarder/budget.go
+++ b/internal/request/forwarder/budget.go
@@ -55,21 +55,33 @@
 	c.calls[c.lastSlot%budgetSlots]++
 }
 
+// HasRepeat reports whether a call may be repeated, without charging the budget.
+func (b *Budget) HasRepeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.countsOf(service, now))
+}
+
 // AllowRepeat reports whether a call may be repeated, and if so charges the budget.
 func (b *Budget) AllowRepeat(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.countsOf(service, now)
+	if !b.allows(c) {
+		return false
+	}
+	c.repeats[c.lastSlot%budgetSlots]++
+	return true
+}
+
+// allows reports whether the budget covers one more repeat. The caller holds b.mu.
+func (b *Budget) allows(c *counts) bool {
 	calls, repeats := 0.0, 0.0
 	for i := range budgetSlots {
 		calls += c.calls[i]
 		repeats += c.repeats[i]
 	}
-	if repeats+1 > budgetFraction*(b.ratio*calls+b.extra/float64(b.nodes)) {
-		return false
-	}
-	c.repeats[c.lastSlot%budgetSlots]++
-	return true
+	return repeats+1 <= budgetFraction*(b.ratio*calls+b.extra/float64(b.nodes))
 }
 
 func (b *Budget) countsOf(service string, now time.Time) *counts {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -136,10 +136,11 @@
 	random         float64   // random number in [0, 1) that selects the version
 	cost           float64   // amount charged to the customer's limit
 	tried          []string
-	sent           int  // number of endpoints to which bytes of the call were sent
-	mayRun         bool // an endpoint may have run the call
-	isBudgeted     bool // the call was recorded in the retry budget
-	isUsageCounted bool // the call was counted in the customer's usage
+	next           *secured // where the call goes on after an attempt that was given up
+	sent           int      // number of endpoints to which bytes of the call were sent
+	mayRun         bool     // an endpoint may have run the call
+	isBudgeted     bool     // the call was recorded in the retry budget
+	isUsageCounted bool     // the call was counted in the customer's usage
 	buffered       *bufferedAnswer
 	stream         *stream
 	result         Result
@@ -159,6 +160,7 @@
 // end reports the result of the call. It also runs when a panic aborts the caller's
 // connection.
 func (x *exchange) end() {
+	x.releaseNext()
 	x.f.bodyBytes.Add(-x.reserved)
 	x.result.Took = x.f.config.Clock.Now().Sub(x.call.Arrived)
 	x.f.config.CallEnded(x.call, &x.result)
@@ -274,13 +276,13 @@
 // remaining returns the time remaining until the deadline.
 func (x *exchange) remaining() time.Duration { return x.deadline.Sub(x.f.config.Clock.Now()) }
 
-// place chooses an endpoint that was not tried before.
-func (x *exchange) place() (*placer.Choice, placer.Refusal, time.Duration) {
+// place chooses an endpoint that is not excluded.
+func (x *exchange) place(exclude []string) (*placer.Choice, placer.Refusal, time.Duration) {
 	now := x.f.config.Clock.Now()
 	req := &placer.Request{
 		Service: x.service.Name, Domain: x.f.config.Domain, Blocks: x.call.Blocks, Prompt: x.call.Prompt,
 		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
-		Exclude: x.tried, Now: now, Random: rand.Float64(),
+		Exclude: exclude, Now: now, Random: rand.Float64(),
 	}
 	if x.service.Model != nil {
 		req.KVSize = x.service.Model.KVSize
@@ -364,23 +366,24 @@
 			x.abandonIsolated()
 			return
 		}
-		choice, refused, wait := x.place()
-		if choice == nil {
+		next, refused, wait := x.nextEndpoint()
+		if next == nil {
 			x.abandon(string(refused), wait)
 			return
 		}
+		choice := next.choice
 		x.result.Endpoint, x.result.Predicted = choice.Endpoint().ID, choice.Predicted()
 		x.result.Attempts++
 		if !x.isBudgeted {
 			x.isBudgeted = true
 			x.f.config.Budget.RecordCall(x.service.Name, x.f.config.Clock.Now())
 		}
-		next := x.attempt(choice)
-		if next == stepDone {
+		last := x.attempt(next)
+		if last == stepDone {
 			return
 		}
 		x.tried = append(x.tried, choice.Endpoint().ID)
-		if reason := x.stopReason(next); reason != "" {
+		if reason := x.stopReason(last); reason != "" {
 			x.abandon(reason, 0)
 			return
 		}
@@ -397,6 +400,9 @@
 		return "no time is left"
 	case last == stepLost && !x.route.IsRepeatable():
 		return "the call may have run and must not run twice"
+	case x.next != nil:
+		// The next attempt was charged to the budget before this one was given up.
+		return ""
 	case last == stepUnsent:
 		if len(x.tried) > maxUnreachable {
 			return "no endpoint can be reached"
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -43,13 +43,15 @@
 	endpoints  []placer.Endpoint
 	changed    chan struct{}
 	waits      int
+	budget     *forwarder.Budget
+	listeners  []net.Listener
 }
 
 const allowance = 10 // the customer's allowance
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
-	f := &fixture{quotas: apportioner.New(), confirmed: true}
+	f := &fixture{quotas: apportioner.New(), confirmed: true, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
 	p := placer.New()
 	var list []placer.Endpoint
 	for i, e := range endpoints {
@@ -68,7 +70,7 @@
 		Version:        func(string, bool, float64) forwarder.Version { return f.version },
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
-		Quotas:         f.quotas, Placer: p, Pool: pool, Budget: forwarder.NewBudget(0.2, 1000, 10*time.Second),
+		Quotas:         f.quotas, Placer: p, Pool: pool, Budget: f.budget,
 	})
 	f.forwarder.SetTable(registrar.NewTable(rules()))
 	f.quotas.SetRates(map[string]float64{"masons": 100})
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -36,8 +36,11 @@
 	a.lastEventAt = x.f.config.Clock.Now()
 	buffer := make([]byte, streamBuffer)
 	for {
-		a.conn.SetReadDeadline(a.eventDeadline())
+		a.waitUntil(a.eventDeadline())
 		n, err := a.response.Body.Read(buffer)
+		if err != nil {
+			a.endWait()
+		}
 		if n > 0 {
 			if failed := a.forwardEvents(buffer[:n]); failed != nil {
 				return a.abortForwarding(failed)
@@ -56,8 +59,8 @@
 	}
 }
 
-// eventDeadline returns the time by which the next event must be complete. It does not
-// move while parts of an event arrive.
+// eventDeadline returns the time by which the next event must be complete while another
+// endpoint is available. It does not move while parts of an event arrive.
 func (a *attempt) eventDeadline() time.Time {
 	x := a.x
 	switch {
