Use up no attempts on the checks of a silent engine

Callers of the product's own interface could lose an answer after their engine had been silent: each 50 ms a check asked to resume the stream elsewhere, and recorded a failed attempt even if the spent retry budget refused it. After four refused checks the stream had no attempts left, so that it was neither resumed elsewhere once the budget allowed it again, nor after a real failure of the engine, and ended with "the engines failed: attempts".

failOver promised to change nothing in that case, but Retrier.Fail records the failure before it decides. Retrier.GiveUp records it only if the call may go on elsewhere.

A property holds GiveUp to what Fail decides.

--- a/internal/request/handler/move.go
+++ b/internal/request/handler/move.go
@@ -98,8 +98,7 @@
 			g.lastProgress = count
 			g.retry.ResetAttempts()
 		}
-		outcome := g.retry.Fail(now, a.endpoint.ID(), a.endpoint.Domain(), retrier.Lost, choice.First())
-		if !outcome.Retry() {
+		if !g.retry.GiveUp(now, a.endpoint.ID(), a.endpoint.Domain(), choice.First()) {
 			return step{}, false
 		}
 	}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -168,6 +168,21 @@
 	return Outcome{retry: true}
 }
 
+// GiveUp decides whether a call may leave an endpoint that has not failed, but may not
+// answer. If so, it records the attempt as Lost like Fail; otherwise it records nothing,
+// since the endpoint may still answer.
+func (r *Retrier) GiveUp(now time.Time, endpoint, domain string, expected time.Duration) bool {
+	if !r.repeatable || r.attempts+1 >= MaxAttempts || !r.deadline.IsZero() && now.Add(expected).After(r.deadline) || !r.budget.take() {
+		return false
+	}
+	r.attempts++
+	if !slices.Contains(r.tried, endpoint) {
+		r.tried = append(r.tried, endpoint)
+	}
+	r.avoid, r.mayHaveRun = domain, true
+	return true
+}
+
 func (r *Retrier) stop(reason Reason) Outcome {
 	return Outcome{runStatus: r.RunStatus(), reason: reason}
 }
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -102,3 +102,36 @@
 	// connect failed, retry: true
 	// lost after a byte, retry: false once true
 }
+
+// GiveUp allows what Fail would allow after a failure that may have run the call, with the
+// same cost, and otherwise leaves the call and the budget as they were.
+func TestGivingUpRecordsNothingUnlessAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reserve := float64(rapid.IntRange(0, 6).Draw(t, "reserve"))
+		deadline := epoch.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "deadline")) * time.Second)
+		isRepeatable := rapid.Bool().Draw(t, "repeatable")
+		earlier := rapid.IntRange(0, 3).Draw(t, "failures")
+		begin := func() (*retrier.Retrier, *retrier.Budget) {
+			budget := retrier.NewBudget(0.1, reserve)
+			r := retrier.New(budget, isRepeatable, deadline)
+			for i := range earlier {
+				r.Fail(epoch, fmt.Sprint(i), "focsani", retrier.NotRun, 0)
+			}
+			return r, budget
+		}
+		r, budget := begin()
+		twin, twinBudget := begin()
+		attempts, status, tokens := r.Attempts(), r.RunStatus(), budget.Available()
+		want := twin.Fail(epoch, "silent", "adjud", retrier.Lost, time.Second).Retry()
+		require.Equal(t, want, r.GiveUp(epoch, "silent", "adjud", time.Second))
+		if want {
+			require.Equal(t, twin, r)
+			require.Equal(t, twinBudget.Available(), budget.Available())
+			return
+		}
+		require.Equal(t, attempts, r.Attempts())
+		require.Equal(t, status, r.RunStatus())
+		require.Equal(t, tokens, budget.Available())
+		require.NotContains(t, r.Tried(), "silent")
+	})
+}
