Keep the endpoint of a call in flight while the list is replaced

A list of endpoints that arrives while calls are in flight was written into the endpoints that these calls read without a lock. A call could report the new version of its endpoint instead of the one that it was sent to, or read a text half replaced, which can end the handler and with it the caller's connection.

A Choice now holds a copy of the endpoint as it was listed when it was chosen.

TestChoiceIsReadWhileEndpointsAreReplaced failed before with "DATA RACE" and "Not equal", with "another version" in place of "v1". That a half replaced text ended a handler was never seen.

--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -82,6 +82,7 @@
 // Choice is the endpoint chosen for a call, together with the load recorded there.
 type Choice struct {
 	endpoint       *endpoint
+	listed         Endpoint      // copy of the endpoint as it was listed then
 	predicted      time.Duration // time to the first event
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
 	kvTokens       int           // KV cache tokens reserved for this call
@@ -90,8 +91,8 @@
 	isOnlyWaiter   bool // no other call was waiting for its first event
 }
 
-// Endpoint returns the chosen endpoint.
-func (c *Choice) Endpoint() Endpoint { return c.endpoint.Endpoint }
+// Endpoint returns the chosen endpoint as it was listed then.
+func (c *Choice) Endpoint() Endpoint { return c.listed }
 
 // Predicted returns the expected time to the first event.
 func (c *Choice) Predicted() time.Duration { return c.predicted }
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -201,3 +201,35 @@
 		require.Empty(t, p.Loads())
 	})
 }
+
+// The endpoint of a call in flight is read without the placer's lock, so a list that
+// replaces the endpoints meanwhile must not change it.
+func TestChoiceIsReadWhileEndpointsAreReplaced(t *testing.T) {
+	p := placer.New()
+	list := newEndpoints(1, 64)
+	p.SetEndpoints(list)
+	c, refusal, _ := p.Place(newRequest(start, 1))
+	require.Equal(t, placer.RefusedNone, refusal)
+	changed := newEndpoints(1, 64)
+	changed[0].Version = "another version"
+	r := &endpointsReplacer{placer: p, lists: [][]placer.Endpoint{changed, list}, done: make(chan struct{})}
+	go r.run()
+	for range 1000 {
+		require.Equal(t, list[0], c.Endpoint())
+	}
+	<-r.done
+	p.End(c, placer.Answered, start)
+}
+
+type endpointsReplacer struct {
+	placer *placer.Placer
+	lists  [][]placer.Endpoint
+	done   chan struct{}
+}
+
+func (r *endpointsReplacer) run() {
+	defer close(r.done)
+	for i := range 1000 {
+		r.placer.SetEndpoints(r.lists[i%len(r.lists)])
+	}
+}
