--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -82,7 +82,8 @@
 // run sends the call and delivers the answer.
 func (a *attempt) run() step {
 	x := a.x
-	if a.conn == nil {
+	isSecured := a.conn != nil
+	if !isSecured {
 		conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
 		if err != nil {
 			a.connectFailed(err)
@@ -93,7 +94,7 @@
 	conn := a.conn
 	// Whether the rules are confirmed is checked last, so that a process that was
 	// suspended does not send a call under outdated rules.
-	if !x.f.config.IsConfirmed() {
+	if !x.f.config.IsConfirmed() && (!isSecured || !x.waitForConfirmation()) {
 		conn.Release()
 		x.result.Detail = "rules not confirmed"
 		return stepUnsent
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -43,6 +43,8 @@
 	endpoints  []placer.Endpoint
 	changed    chan struct{}
 	waits      int
+	maxWait    time.Duration // of all calls
+	lapseAfter int           // number of checks after which the rules are not confirmed; 0 for never
 	budget     *forwarder.Budget
 	listeners  []net.Listener
 }
@@ -51,7 +53,7 @@
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
-	f := &fixture{quotas: apportioner.New(), confirmed: true, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
+	f := &fixture{quotas: apportioner.New(), confirmed: true, maxWait: 1500 * time.Millisecond, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
 	p := placer.New()
 	var list []placer.Endpoint
 	for i, e := range endpoints {
@@ -64,10 +66,10 @@
 	pool := pooler.New(clock.System{})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
-		RenewAllowances: func() <-chan struct{} { return nil }, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
+		RenewAllowances: f.reportAnswered, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
 		IsIsolated:     func(string, []placer.PromptBlock) bool { return f.isIsolated.Load() },
-		Version:        func(string, bool, float64) forwarder.Version { return f.version },
+		Version:        f.chooseVersion,
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
 		Quotas:         f.quotas, Placer: p, Pool: pool, Budget: f.budget,
@@ -109,9 +111,20 @@
 	}
 }
 
+func (f *fixture) chooseVersion(string, bool, float64) forwarder.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
 func (f *fixture) isConfirmed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lapseAfter > 0 {
+		if f.lapseAfter--; f.lapseAfter == 0 {
+			f.confirmed = false
+		}
+	}
 	return f.confirmed
 }
 
@@ -136,7 +149,7 @@
 func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
 	call := &forwarder.Call{
 		ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header,
-		Key: r.Header.Get("Key"), IsKeyed: r.Header.Get("Key") != "", Arrived: time.Now(), MaxWait: 1500 * time.Millisecond,
+		Key: r.Header.Get("Key"), IsKeyed: r.Header.Get("Key") != "", Arrived: time.Now(), MaxWait: f.maxWait,
 		Body: func(int64) ([]byte, forwarder.Refusal) {
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
@@ -152,6 +165,7 @@
 	h := make(http.Header)
 	h.Set(headerID, call.ID)
 	h.Set(headerAfter, metadata.After)
+	h.Set("Pause", call.Header.Get("Pause"))
 	h.Set(headerOwner, metadata.Customer)
 	return h
 }
--- a/internal/request/forwarder/rules.go
+++ b/internal/request/forwarder/rules.go
@@ -69,3 +69,24 @@
 	}
 	return table, confirmed
 }
+
+// waitForConfirmation waits until the rules are confirmed and reports whether they are. It
+// is used for a call whose endpoint was given up, which no other endpoint answers otherwise.
+func (x *exchange) waitForConfirmation() bool {
+	f := x.f
+	timer := f.config.Clock.NewTimer(min(x.remaining()-minRemaining, rulesTimeout))
+	defer timer.Stop()
+	for {
+		changed := f.config.ReportAnswered()
+		if f.config.IsConfirmed() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C():
+			return f.config.IsConfirmed()
+		case <-x.ctx.Done():
+			return false
+		}
+	}
+}
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -200,6 +200,44 @@
 	}
 }
 
+// If the confirmation of the rules lapses just after an endpoint was given up, the call must
+// wait for it and go on at the next endpoint, since the first one no longer answers.
+func TestConfirmationLapsesAfterEndpointWasGivenUp(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path string
+		at   silent
+	}{"plain": {"/safe/1", beforeHead}, "stream": {"/resumable/1", betweenEvents}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			second := answerWith(http.StatusOK, "ok")
+			if tc.path == "/resumable/1" {
+				second = answerEvents(5, 5)
+			}
+			first, other := newEndpoint(t, pauseOnce(tc.at)), newEndpoint(t, second)
+			f := newFixture(t, first, other)
+			f.preferFirst()
+			f.lapseAfter = 5 // admission, the first attempt, two checks for the next one, the next attempt
+			got := make(chan reply, 1)
+			caller := &pathCaller{t, f, tc.path, got}
+			go caller.run()
+			require.Eventually(t, func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return !f.confirmed
+			}, 10*time.Second, time.Millisecond)
+			require.Empty(t, other.requests())
+			f.locked(func() { f.confirmed = true })
+			f.notifyChange()
+			answered := <-got
+			require.NoError(t, answered.err)
+			require.Empty(t, answered.refusal)
+			require.Equal(t, http.StatusOK, answered.status)
+			require.Len(t, first.requests(), 1)
+			require.Len(t, other.requests(), 1)
+		})
+	}
+}
+
 // A caller that disconnects while another endpoint is sought must leave no call behind in
 // the placer, and no connection in use.
 func TestCallerDisconnectsWhileEndpointIsSilent(t *testing.T) {
