Keep "Connection: close" on answers that an endpoint gave

A node that stops sets "Connection: close" on each answer, and the screener does so for chunked requests. copyHeader copied the endpoint's fields over the answer's and then stripped the hop-by-hop fields from the result, so the answer never announced a close: callers kept using connections of a stopping node until it closed them, and the bytes behind a chunked request were served as another request, unscreened. Now only the endpoint's own fields are stripped.

TestConnectionIsClosedAfterAnswerToChunkedCall failed before in all four cases with "the answer announces that the connection is closed: Should be true" and "nothing is served after a chunked request: An error is expected but got nil".

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -338,10 +338,11 @@
 }
 
 // copyHeader copies the endpoint's header fields to the answer, and suppresses fields
-// that the HTTP server would add itself.
+// that the HTTP server would add itself. It removes the hop-by-hop fields from from; those
+// in to belong to the caller's connection and are kept.
 func copyHeader(to, from http.Header) {
+	StripHop(from)
 	maps.Copy(to, from)
-	StripHop(to)
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := from[name]; !ok {
 			to[name] = nil
