Answer every request that a stopping node has read

Cause: Shutdown closes connections by the server's state. The state is idle or new until the screener has delivered a whole head, and a server in shutdown drops each request whose head it reads from then on.

Now the screener drains its connections itself: the goroutine that reads from a connection closes it, and only if it has read no byte of a request; a last short read takes what had arrived before. Each request of which a byte was read is answered, with "Connection: close". The server is closed when no connection is left. The entry logs how many connections it drains, by state.

TestStoppingEntryAnswersWhatItHasRead failed before with "the connection was closed without an answer: unexpected EOF".

--- /dev/null
+++ b/internal/connection/screener/drain.go
@@ -0,0 +1,184 @@
+package screener
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// lastWait is how long a last read from an idle connection, or a last accept, waits.
+	// Both also return what had arrived before.
+	lastWait = 10 * time.Millisecond
+	// firstRequestTimeout is how long after it was accepted a connection without a
+	// request is kept during a drain: its caller is about to send one.
+	firstRequestTimeout = 500 * time.Millisecond
+)
+
+// Counts is the number of connections by what is going on at them.
+type Counts struct {
+	Fresh     int // no byte was received yet
+	Idle      int // between two requests
+	Receiving int // the head of a request is being received
+	Busy      int // a request is being handled
+}
+
+// Counts returns the number of open connections.
+func (s *Screener) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out Counts
+	for c := range s.conns {
+		c.count(&out)
+	}
+	return out
+}
+
+// Drain accepts no more connections and closes each open one as soon as it is idle. A
+// connection from which a byte of a request was read is kept until that request is answered;
+// http.Server.Shutdown would drop requests that it has read. Drain returns nil when no
+// connection is left, or the error of ctx. The server must be closed afterwards.
+func (s *Screener) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	if !s.isDraining {
+		s.isDraining = true
+		for _, l := range s.listeners {
+			s.stopAccepting(l)
+		}
+		for c := range s.conns {
+			c.drain()
+		}
+		s.closeIfEmpty()
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.emptied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// stopAccepting makes the server's next call of Accept fail that finds no connection
+// waiting. The server then closes the listener.
+func (s *Screener) stopAccepting(l net.Listener) {
+	if limited, ok := l.(interface{ SetDeadline(t time.Time) error }); ok && limited.SetDeadline(s.now().Add(lastWait)) == nil {
+		return
+	}
+	l.Close()
+}
+
+// add registers a connection. It reports false if the screener has been drained.
+func (s *Screener) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isEmptied {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	if s.isDraining {
+		c.drain()
+	}
+	return true
+}
+
+func (s *Screener) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.closeIfEmpty()
+}
+
+func (s *Screener) closeIfEmpty() {
+	if s.isDraining && !s.isEmptied && len(s.conns) == 0 {
+		s.isEmptied = true
+		close(s.emptied)
+	}
+}
+
+func (s *Screener) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDraining
+}
+
+// acceptError returns the error for the server if Accept has failed.
+func (s *Screener) acceptError(err error) error {
+	if s.draining() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.screener.remove(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) count(to *Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.isIdle:
+		to.Busy++
+	case c.hasBytes:
+		to.Receiving++
+	case c.hasServed:
+		to.Idle++
+	default:
+		to.Fresh++
+	}
+}
+
+// drain closes the connection as soon as it is idle.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isDraining = true
+	c.endIdle()
+}
+
+// endIdle interrupts the read from an idle connection that is to be closed. The reader
+// decides whether it closes, so that it never does so after it has read a byte. The caller
+// holds c.mu.
+func (c *conn) endIdle() {
+	if !c.isDraining || !c.isIdle || c.hasBytes {
+		return
+	}
+	until := c.screener.now()
+	if earliest := c.acceptedAt.Add(firstRequestTimeout); !c.hasServed && until.Before(earliest) {
+		until = earliest
+	}
+	_ = c.Conn.SetReadDeadline(until) // fails only if the connection is closed
+}
+
+// received records that bytes of a request have arrived. During a drain it removes the
+// deadline of the idle connection.
+func (c *conn) received() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hasBytes {
+		return nil
+	}
+	c.hasBytes, c.isLastRead = true, false
+	if c.isDraining && c.isIdle {
+		return c.Conn.SetReadDeadline(c.readDeadline)
+	}
+	return nil
+}
+
+// mayReadAgain decides what follows when the deadline of a read without any byte has passed:
+// before an idle connection is closed by a drain, it is read once more.
+func (c *conn) mayReadAgain(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isDraining || !c.isIdle || c.hasBytes || c.isLastRead {
+		return false
+	}
+	c.isLastRead = true
+	return c.Conn.SetReadDeadline(c.screener.now().Add(lastWait)) == nil
+}
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -52,16 +52,28 @@
 type Screener struct {
 	limits func() Limits
 	now    func() time.Time
+
+	mu         sync.Mutex
+	listeners  []net.Listener
+	conns      map[*conn]struct{}
+	isDraining bool
+	isEmptied  bool
+	emptied    chan struct{} // closed when the last connection of a drain is closed
 }
 
 // New returns a screener. It calls limits each time it applies a limit, so that changes
 // take effect at once.
 func New(limits func() Limits, now func() time.Time) *Screener {
-	return &Screener{limits: limits, now: now}
+	return &Screener{limits: limits, now: now, conns: make(map[*conn]struct{}), emptied: make(chan struct{})}
 }
 
 // Wrap returns a listener whose connections are screened.
-func (s *Screener) Wrap(l net.Listener) net.Listener { return &listener{Listener: l, screener: s} }
+func (s *Screener) Wrap(l net.Listener) net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, l)
+	return &listener{Listener: l, screener: s}
+}
 
 type listener struct {
 	net.Listener
@@ -72,9 +84,14 @@
 func (l *listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		return nil, l.screener.acceptError(err)
+	}
+	c := &conn{Conn: inner, screener: l.screener, isIdle: true, acceptedAt: l.screener.now()}
+	if !l.screener.add(c) {
+		inner.Close()
+		return nil, http.ErrServerClosed
 	}
-	return &conn{Conn: inner, screener: l.screener, isIdle: true}, nil
+	return c, nil
 }
 
 type contextKey struct{}
@@ -93,12 +110,12 @@
 }
 
 // Guard returns a handler that refuses ambiguous requests and closes the connections
-// of chunked ones after their answers. It must handle every request of a screened
+// of chunked ones, and during a drain of all, after their answers. It must handle every request of a screened
 // connection, so it must be the outermost handler.
 func Guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		framing := framingOf(r.Context())
-		if framing != Plain {
+		framing, isDraining := framingOf(r.Context())
+		if framing != Plain || isDraining {
 			w.Header().Set("Connection", "close")
 		}
 		if framing == Ambiguous {
@@ -109,11 +126,12 @@
 	})
 }
 
-// framingOf returns the framing of the request that is handled with ctx.
-func framingOf(ctx context.Context) Framing {
+// framingOf returns the framing of the request that is handled with ctx, and whether its
+// connection is being drained.
+func framingOf(ctx context.Context) (Framing, bool) {
 	c, ok := ctx.Value(contextKey{}).(*conn)
 	if !ok {
-		return Plain
+		return Plain, false
 	}
 	return c.nextFraming()
 }
@@ -129,37 +147,56 @@
 	isUnbounded   bool   // all following bytes are delivered unparsed, since the end of the request is unknown
 	isEnded       bool   // nothing after the current head is delivered
 
-	mu       sync.Mutex
-	framings []Framing
-	isIdle   bool
+	acceptedAt time.Time
+
+	mu           sync.Mutex
+	framings     []Framing
+	isIdle       bool      // the server handles no request
+	hasBytes     bool      // bytes of the current or, if idle, of the next request were received
+	hasServed    bool      // a request was handled
+	isDraining   bool      // the connection is to be closed once it is idle
+	isLastRead   bool      // the last read before that has begun
+	readDeadline time.Time // last deadline that the server has set
 }
 
-func (c *conn) nextFraming() Framing {
+func (c *conn) nextFraming() (Framing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.framings) == 0 {
-		return Plain
+		return Plain, c.isDraining
 	}
 	v := c.framings[0]
 	c.framings = c.framings[1:]
-	return v
+	return v, c.isDraining
 }
 
 func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isIdle = idle
+	if !idle {
+		c.hasServed = true
+		return
+	}
+	// Nothing is being read at this moment. Bytes are left if the caller sends the next
+	// request before it has the answer.
+	c.hasBytes = len(c.pending) > 0
+	c.endIdle()
 }
 
 // SetReadDeadline sets the read deadline. If the server sets none for an idle
 // connection, the idle limit applies.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	limit := c.screener.limits().Idle
 	c.mu.Lock()
-	idle := c.isIdle
-	c.mu.Unlock()
-	if limit := c.screener.limits().Idle; t.IsZero() && idle && limit > 0 {
+	defer c.mu.Unlock()
+	if t.IsZero() && c.isIdle && limit > 0 {
 		t = c.screener.now().Add(limit)
 	}
+	c.readDeadline = t
+	if c.isDraining && c.isIdle && !c.hasBytes {
+		return nil // the deadline of the drain applies
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -229,8 +266,14 @@
 		n, err := c.Conn.Read(chunk[:])
 		c.pending = append(c.pending, chunk[:n]...)
 		if err != nil && n == 0 {
+			if c.mayReadAgain(err) {
+				continue
+			}
 			return c.flush(err)
 		}
+		if err := c.received(); err != nil {
+			return err
+		}
 		if limit := c.screener.limits().Head; n > 0 && limit > 0 && !hasDeadline {
 			hasDeadline = true
 			if err := c.Conn.SetReadDeadline(c.screener.now().Add(limit)); err != nil {
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/connection/screener"
@@ -50,6 +52,7 @@
 	retriever      *retriever.Retriever
 	isolator       *isolator.Isolator
 	callers        *http.Server
+	screener       *screener.Screener
 	callerListener net.Listener
 	ready          *listener.Listener
 	isClosing      atomic.Bool
@@ -94,6 +97,7 @@
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
+	e.screener = screener.New(e.limits, n.clock.Now)
 	e.ready = listener.New("the balancer", &http.Server{Handler: n.adapter.ReadyHandler(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
 }
 
@@ -126,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	e.callerListener = screener.New(e.limits, e.node.clock.Now).Wrap(l)
+	e.callerListener = e.screener.Wrap(l)
 	e.group.Add(2)
 	go e.run()
 	go (&sweeper{entry: e}).run()
@@ -167,7 +171,8 @@
 }
 
 // stop serves new calls until the load balancer has detected that the node is not
-// ready, and then waits for the calls in flight.
+// ready. Then it closes idle connections and waits for the calls in flight and for those
+// of which a part was received.
 func (e *entry) stop(ctx context.Context) {
 	e.isClosing.Store(true)
 	clock.Sleep(e.node.clock, balancerDelay, ctx.Done())
@@ -177,10 +182,11 @@
 		drainCtx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
 		defer cancel()
 	}
-	if err := e.callers.Shutdown(drainCtx); err != nil {
-		e.node.log.Warn("calls aborted at the end of the time to stop", "err", err)
-		e.callers.Close()
+	e.logConnections(log.InfoLevel, "draining the connections of callers")
+	if err := e.screener.Drain(drainCtx); err != nil {
+		e.logConnections(log.WarnLevel, "calls aborted at the end of the time to stop")
 	}
+	e.callers.Close()
 	e.node.reporter.Stop()
 	e.retriever.Stop()
 	e.ready.Close()
@@ -189,6 +195,11 @@
 	e.pool.Close()
 }
 
+func (e *entry) logConnections(level log.Level, message string) {
+	c := e.screener.Counts()
+	e.node.log.Log(level, message, "idle", c.Idle, "fresh", c.Fresh, "receiving", c.Receiving, "busy", c.Busy)
+}
+
 // callBegan counts a call in the customer's usage, in the window of the cluster time.
 func (e *entry) callBegan(customer string) {
 	e.counter.Add(customer, e.clusterTime())
--- /dev/null
+++ b/internal/node/assembler/stop_test.go
@@ -0,0 +1,112 @@
+package assembler_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// callerConn is a caller's connection to the entry that sends raw bytes.
+type callerConn struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (d *deployment) dial() (*callerConn, error) {
+	c, err := net.Dial("tcp", d.host+".9:9100")
+	if err != nil {
+		return nil, err
+	}
+	d.t.Cleanup(func() { c.Close() })
+	return &callerConn{d.t, c, bufio.NewReader(c)}, nil
+}
+
+func (d *deployment) mustDial() *callerConn {
+	d.t.Helper()
+	c, err := d.dial()
+	require.NoError(d.t, err)
+	return c
+}
+
+func (c *callerConn) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(c.t, err)
+}
+
+// requireAnswer reads a complete answer and returns whether it announces that the connection
+// is closed.
+func (c *callerConn) requireAnswer(want string) bool {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err, "the connection was closed without an answer")
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	require.Equal(c.t, want, string(body))
+	return response.Close
+}
+
+// awaitDrain waits until the entry accepts no more connections.
+func (d *deployment) awaitDrain() {
+	d.t.Helper()
+	require.Eventually(d.t, func() bool {
+		c, err := d.dial()
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	}, waitTimeout, time.Millisecond)
+}
+
+// stopEntry stops the entry in the background and returns a channel that is closed afterwards.
+func (d *deployment) stopEntry() <-chan struct{} {
+	done := make(chan struct{})
+	node := d.entry.node
+	d.entry.node = nil
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		_ = node.Stop(ctx)
+	}()
+	d.t.Cleanup(func() { <-done })
+	return done
+}
+
+const callerRequest = "GET /x HTTP/1.1\r\nHost: a.example\r\nKey: k1\r\n\r\n"
+
+// An entry that stopped closed connections without an answer on which it had read a request or a part of one: on a rolling
+// restart, callers lost each request that arrived when the time for the load balancer was over.
+func TestStoppingEntryAnswersWhatItHasRead(t *testing.T) {
+	d := newDeployment(t)
+	d.put(d.keepers[0], ruleset(5, "k1"))
+	d.requireEventually("k1", "answer for masons")
+
+	kept, idle, fresh := d.mustDial(), d.mustDial(), d.mustDial()
+	for _, c := range []*callerConn{kept, idle} {
+		c.send(callerRequest)
+		c.requireAnswer("answer for masons")
+	}
+	half := len(callerRequest) / 2
+	kept.send(callerRequest[:half])
+	fresh.send(callerRequest[:half])
+	stopped := d.stopEntry()
+	d.awaitDrain()
+	_, err := idle.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "an idle connection is closed")
+	for _, c := range []*callerConn{kept, fresh} {
+		c.send(callerRequest[half:])
+		c.requireAnswer("answer for masons")
+		_, err := c.reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "the connection is closed after the answer")
+	}
+	<-stopped
+}
