Answer callers that closed only their sending side

A caller that half-closes its connection after a request and waits for the answer got a closed connection. net/http cancels the request's context when it reads the end of the stream, and abandon took each canceled context for a caller that can't read any more. A close of one side can't be told from a close of both, and work for callers that left must end soon, so the call is still ended. But as long as nothing was written, it is now answered: as not run if no endpoint may have run it, which also refunds its cost, and as unknown otherwise. The detail in the log is the cause of the cancellation.

--- a/internal/request/forwarder/connection_test.go
+++ b/internal/request/forwarder/connection_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hyssoprudder/internal/connection/screener"
+	"hyssoprudder/internal/request/forwarder"
 )
 
 // screened is the fixture behind a screened server, as callers reach it.
@@ -96,3 +97,44 @@
 	writeRaw(c, "HTTP/1.1 200 X\n%sConnection: keep-alive\nContent-Length: 2\n\nok", headerOf(r.Header.Get(headerID), ""))
 	return true
 }
+
+// A caller that closed only its sending side and waited for the answer got none: its connection was closed without a word.
+func TestCallerThatClosedItsSendingSideIsAnswered(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		answer  answerFunc
+		refusal forwarder.Refusal
+	}{
+		"safe, sent":   {"/safe/1", neverAnswer, forwarder.Unknown},
+		"once, sent":   {"/once/1", neverAnswer, forwarder.Unknown},
+		"stream, sent": {"/stream/1", neverAnswer, forwarder.Unknown},
+		"begun answer": {"/once/1", answerBegun, forwarder.Unknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan struct{}, 8)
+			e := newEndpoint(t, func(c net.Conn, r *http.Request, body string) bool {
+				sent <- struct{}{}
+				return tc.answer(c, r, body)
+			})
+			s := newScreened(t, screener.Limits{}, e)
+			c := s.dial(t)
+			_, err := io.WriteString(c, rawCall("POST", tc.path, "Content-Length: 2\r\n", "hi"))
+			require.NoError(t, err)
+			<-sent
+			require.NoError(t, c.CloseWrite())
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err, "the connection was closed without an answer")
+			defer response.Body.Close()
+			require.Equal(t, string(tc.refusal), response.Header.Get("Refusal"))
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+		})
+	}
+}
+
+// answerBegun sends a part of an answer and waits until the client closes the connection.
+func answerBegun(c net.Conn, r *http.Request, body string) bool {
+	writeRaw(c, "HTTP/1.1 200 X\n%sContent-Length: 10\n\nhalf", headerOf(r.Header.Get(headerID), ""))
+	return neverAnswer(c, r, body)
+}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -125,7 +126,7 @@
 type exchange struct {
 	f              *Forwarder
 	w              http.ResponseWriter
-	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects
+	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects or the node stops
 	call           *Call
 	route          *registrar.Route
 	service        *registrar.Service
@@ -145,7 +146,8 @@
 	result         Result
 }
 
-// Serve answers a call. ctx must be canceled when the caller disconnects.
+// Serve answers a call. ctx must be canceled when the caller disconnects; its cause tells if
+// there is another reason.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	x := &exchange{f: f, w: w, ctx: ctx, call: call, random: rand.Float64()}
 	defer x.end()
@@ -392,7 +394,7 @@
 func (x *exchange) stopReason(last step) string {
 	switch {
 	case x.ctx.Err() != nil:
-		return "the caller disconnected"
+		return x.cancelReason()
 	case x.remaining() < minRemaining:
 		return "no time is left"
 	case last == stepLost && !x.route.IsRepeatable():
@@ -410,6 +412,14 @@
 	return ""
 }
 
+// cancelReason returns why the context of the call was canceled.
+func (x *exchange) cancelReason() string {
+	if cause := context.Cause(x.ctx); !errors.Is(cause, context.Canceled) {
+		return cause.Error()
+	}
+	return "the caller disconnected"
+}
+
 // maxUnreachable is how many endpoints may be unreachable before a call is abandoned.
 const maxUnreachable = 3
 
@@ -422,13 +432,14 @@
 	}
 	x.result.Detail = reason
 	switch {
-	case x.ctx.Err() != nil:
-		// The caller has disconnected.
-		x.result.Refusal = Unknown
-		panic(http.ErrAbortHandler)
 	case x.hasStreamBegun():
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
+	case x.ctx.Err() != nil && !x.mayRun:
+		x.refuse(Busy, x.f.retryAfter(minRetryAfter))
+	case x.ctx.Err() != nil:
+		// A caller that closed only its sending side still reads.
+		x.refuse(Unknown, 0)
 	case x.buffered != nil:
 		x.buffered.deliver(x)
 	case x.mayRun && x.remaining() < minRemaining:
