Answer the calls that a stopping node aborts

What was still in flight at the end of the time to stop was ended by http.Server.Close: callers saw a closed connection and no answer. The calls' contexts have a common base now, which the entry cancels shortly before the end of the time to stop, so that each call whose answer has not begun is answered; the connections are closed after a short wait for that. The log says how many calls are aborted and how many could not be answered.

TestStoppingEntryAnswersCallsThatItAborts failed before with "the connection was closed without an answer: unexpected EOF".

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is what remains of the time to stop when the last calls are aborted.
 	stopMargin = 350 * time.Millisecond
+	// abortTimeout is how long the answers to aborted calls may take.
+	abortTimeout = 150 * time.Millisecond
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
 	// maxHeaderBytes limits a request's header; the server needs it before the rules are
@@ -52,6 +55,7 @@
 	retriever      *retriever.Retriever
 	isolator       *isolator.Isolator
 	callers        *http.Server
+	abortCalls     context.CancelCauseFunc
 	screener       *screener.Screener
 	callerListener net.Listener
 	ready          *listener.Listener
@@ -93,7 +97,10 @@
 		IsIsolated: e.isIsolated,
 		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
+	callsCtx, abortCalls := context.WithCancelCause(context.Background())
+	e.abortCalls = abortCalls
 	e.callers = &http.Server{
+		BaseContext: func(net.Listener) context.Context { return callsCtx },
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
@@ -184,7 +191,8 @@
 	}
 	e.logConnections(log.InfoLevel, "draining the connections of callers")
 	if err := e.screener.Drain(drainCtx); err != nil {
-		e.logConnections(log.WarnLevel, "calls aborted at the end of the time to stop")
+		e.logConnections(log.WarnLevel, "aborting calls at the end of the time to stop")
+		e.abort()
 	}
 	e.callers.Close()
 	e.node.reporter.Stop()
@@ -195,6 +203,18 @@
 	e.pool.Close()
 }
 
+var errStopping = errors.New("the node is stopping")
+
+// abort ends the calls in flight and waits until they are answered.
+func (e *entry) abort() {
+	e.abortCalls(errStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	if err := e.screener.Drain(ctx); err != nil {
+		e.logConnections(log.WarnLevel, "closing connections with calls that can't be answered in time")
+	}
+}
+
 func (e *entry) logConnections(level log.Level, message string) {
 	c := e.screener.Counts()
 	e.node.log.Log(level, message, "idle", c.Idle, "fresh", c.Fresh, "receiving", c.Receiving, "busy", c.Busy)
--- a/internal/node/assembler/stop_test.go
+++ b/internal/node/assembler/stop_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/request/forwarder"
 )
 
 // callerConn is a caller's connection to the entry that sends raw bytes.
@@ -17,6 +20,7 @@
 	t *testing.T
 	net.Conn
 	reader *bufio.Reader
+	peeked <-chan error // receives the result of a read in the background, if there is one
 }
 
 func (d *deployment) dial() (*callerConn, error) {
@@ -25,7 +29,7 @@
 		return nil, err
 	}
 	d.t.Cleanup(func() { c.Close() })
-	return &callerConn{d.t, c, bufio.NewReader(c)}, nil
+	return &callerConn{t: d.t, Conn: c, reader: bufio.NewReader(c)}, nil
 }
 
 func (d *deployment) mustDial() *callerConn {
@@ -45,6 +49,9 @@
 // is closed.
 func (c *callerConn) requireAnswer(want string) bool {
 	c.t.Helper()
+	if c.peeked != nil {
+		require.NoError(c.t, <-c.peeked, "the connection was closed without an answer")
+	}
 	response, err := http.ReadResponse(c.reader, nil)
 	require.NoError(c.t, err, "the connection was closed without an answer")
 	defer response.Body.Close()
@@ -54,6 +61,31 @@
 	return response.Close
 }
 
+// isRefused sends a request and reports whether it is answered before it is received by an
+// endpoint.
+func (c *callerConn) isRefused(request string, received <-chan struct{}) bool {
+	c.t.Helper()
+	c.send(request)
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.reader.Peek(1)
+		first <- err
+	}()
+	select {
+	case <-received:
+		c.peeked = first
+		return false
+	case err := <-first:
+		require.NoError(c.t, err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(c.t, err)
+	return true
+}
+
 // awaitDrain waits until the entry accepts no more connections.
 func (d *deployment) awaitDrain() {
 	d.t.Helper()
@@ -67,14 +99,12 @@
 }
 
 // stopEntry stops the entry in the background and returns a channel that is closed afterwards.
-func (d *deployment) stopEntry() <-chan struct{} {
+func (d *deployment) stopEntry(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	node := d.entry.node
 	d.entry.node = nil
 	go func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
-		defer cancel()
 		_ = node.Stop(ctx)
 	}()
 	d.t.Cleanup(func() { <-done })
@@ -98,7 +128,7 @@
 	half := len(callerRequest) / 2
 	kept.send(callerRequest[:half])
 	fresh.send(callerRequest[:half])
-	stopped := d.stopEntry()
+	stopped := d.stopEntry(context.Background())
 	d.awaitDrain()
 	_, err := idle.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF, "an idle connection is closed")
@@ -110,3 +140,26 @@
 	}
 	<-stopped
 }
+
+// A call that was still in flight at the end of the time to stop got no answer at all.
+func TestStoppingEntryAnswersCallsThatItAborts(t *testing.T) {
+	d := newDeployment(t)
+	received, released := make(chan struct{}, 1), make(chan struct{})
+	slow := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received <- struct{}{}
+		<-released
+	}))
+	t.Cleanup(slow.Close)
+	t.Cleanup(func() { close(released) })
+	d.setListed(endpointOf("e1", "", slow))
+	d.put(d.keepers[0], ruleset(5, "k1"))
+	c := d.mustDial()
+	d.requireEventually("k2", string(forwarder.Unauthorized)) // the rules are in force
+	for c.isRefused(callerRequest, received) {
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := d.stopEntry(ctx)
+	cancel()
+	c.requireAnswer(string(forwarder.Unknown) + "\n")
+	<-stopped
+}
