Refuse calls that may not end before a stopping node does

A call that reaches a stopping node after the time for the load balancer, on a connection that was being read from, could last to its route's timeout, beyond the time to stop, and was then broken off. Such a call is refused at once now unless its deadline lies before the calls in flight are aborted. It was not sent to any endpoint, so the refusal says that it did not run.

TestStoppingEntryRefusesCallsThatMayNotEndInTime failed before: expected "the node is stopping", actual "answer for masons" with 5 s of timeout and at most 4.2 s left.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -60,6 +60,7 @@
 	callerListener net.Listener
 	ready          *listener.Listener
 	isClosing      atomic.Bool
+	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
 
@@ -91,7 +92,7 @@
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
@@ -186,8 +187,10 @@
 	drainCtx := ctx
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		drainCtx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
+		deadline = deadline.Add(-stopMargin)
+		drainCtx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
+		e.until.Store(&deadline)
 	}
 	e.logConnections(log.InfoLevel, "draining the connections of callers")
 	if err := e.screener.Drain(drainCtx); err != nil {
@@ -203,6 +206,13 @@
 	e.pool.Close()
 }
 
+func (e *entry) servesUntil() time.Time {
+	if until := e.until.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
 var errStopping = errors.New("the node is stopping")
 
 // abort ends the calls in flight and waits until they are answered.
--- a/internal/node/assembler/stop_test.go
+++ b/internal/node/assembler/stop_test.go
@@ -163,3 +163,20 @@
 	c.requireAnswer(string(forwarder.Unknown) + "\n")
 	<-stopped
 }
+
+// A stopping node took calls that could last longer than its time to stop, and broke them off at the end.
+func TestStoppingEntryRefusesCallsThatMayNotEndInTime(t *testing.T) {
+	d := newDeployment(t)
+	d.put(d.keepers[0], ruleset(5, "k1")) // with a timeout of 5 s
+	d.requireEventually("k1", "answer for masons")
+	c := d.mustDial()
+	half := len(callerRequest) / 2
+	c.send(callerRequest[:half])
+	ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second) // 2.5 s of them are for the load balancer
+	defer cancel()
+	stopped := d.stopEntry(ctx)
+	d.awaitDrain()
+	c.send(callerRequest[half:])
+	require.True(t, c.requireAnswer("the node is stopping\n"))
+	<-stopped
+}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -89,6 +89,8 @@
 	Unauthorized Refusal = "unknown key"
 	// NoRoute means that no route matches.
 	NoRoute Refusal = "no route"
+	// Stopping means that the node stops, and that the call may not end before.
+	Stopping Refusal = "the node is stopping"
 	// OverQuota means that the customer is over its limit.
 	OverQuota Refusal = "over the limit"
 	// Busy means that no capacity is available in time.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -50,6 +50,9 @@
 	// IsConfirmed reports whether the rules of this node were confirmed recently, and
 	// no newer rules are known for long. Without it no call is served.
 	IsConfirmed func() bool
+	// ServesUntil returns the time by which a call that arrives now must end, or the zero
+	// time if the node isn't stopping.
+	ServesUntil func() time.Time
 	// RenewAllowances requests new allowances for this node at once. The returned
 	// channel is closed when the request is completed.
 	RenewAllowances func() <-chan struct{}
@@ -193,6 +196,9 @@
 	if call.MaxWait > 0 {
 		x.deadline = call.Arrived.Add(min(route.Timeout, call.MaxWait))
 	}
+	if until := f.config.ServesUntil(); !until.IsZero() && x.deadline.After(until) {
+		return Stopping, f.retryAfter(minRetryAfter)
+	}
 	if refusal, after := x.readBody(table.Limits().BodyBytes); refusal != None {
 		return refusal, after
 	}
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -61,7 +61,7 @@
 	f.placer, f.endpoints = p, list
 	pool := pooler.New(clock.System{})
 	f.forwarder = forwarder.New(forwarder.Config{
-		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
+		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: func() <-chan struct{} { return nil }, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
 		IsIsolated:     func(string, []placer.PromptBlock) bool { return f.isIsolated.Load() },
