--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -49,6 +50,9 @@
 	// IsConfirmed reports whether the rules of this node were confirmed recently, and
 	// no newer rules are known for long. Without it no call is served.
 	IsConfirmed func() bool
+	// ServesUntil returns the time by which a call that arrives now must end, or the zero
+	// time if the node isn't stopping.
+	ServesUntil func() time.Time
 	// RenewAllowances requests new allowances for this node at once. The returned
 	// channel is closed when the request is completed.
 	RenewAllowances func() <-chan struct{}
@@ -125,7 +129,7 @@
 type exchange struct {
 	f              *Forwarder
 	w              http.ResponseWriter
-	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects
+	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects or the node stops
 	call           *Call
 	route          *registrar.Route
 	service        *registrar.Service
@@ -146,7 +150,8 @@
 	result         Result
 }
 
-// Serve answers a call. ctx must be canceled when the caller disconnects.
+// Serve answers a call. ctx must be canceled when the caller disconnects; its cause tells if
+// there is another reason.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	x := &exchange{f: f, w: w, ctx: ctx, call: call, random: rand.Float64()}
 	defer x.end()
@@ -193,6 +198,9 @@
 	if call.MaxWait > 0 {
 		x.deadline = call.Arrived.Add(min(route.Timeout, call.MaxWait))
 	}
+	if until := f.config.ServesUntil(); !until.IsZero() && x.deadline.After(until) {
+		return Stopping, f.retryAfter(minRetryAfter)
+	}
 	if refusal, after := x.readBody(table.Limits().BodyBytes); refusal != None {
 		return refusal, after
 	}
@@ -395,7 +403,7 @@
 func (x *exchange) stopReason(last step) string {
 	switch {
 	case x.ctx.Err() != nil:
-		return "the caller disconnected"
+		return x.cancelReason()
 	case x.remaining() < minRemaining:
 		return "no time is left"
 	case last == stepLost && !x.route.IsRepeatable():
@@ -416,6 +424,14 @@
 	return ""
 }
 
+// cancelReason returns why the context of the call was canceled.
+func (x *exchange) cancelReason() string {
+	if cause := context.Cause(x.ctx); !errors.Is(cause, context.Canceled) {
+		return cause.Error()
+	}
+	return "the caller disconnected"
+}
+
 // maxUnreachable is how many endpoints may be unreachable before a call is abandoned.
 const maxUnreachable = 3
 
@@ -428,13 +444,14 @@
 	}
 	x.result.Detail = reason
 	switch {
-	case x.ctx.Err() != nil:
-		// The caller has disconnected.
-		x.result.Refusal = Unknown
-		panic(http.ErrAbortHandler)
 	case x.hasStreamBegun():
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
+	case x.ctx.Err() != nil && !x.mayRun:
+		x.refuse(Busy, x.f.retryAfter(minRetryAfter))
+	case x.ctx.Err() != nil:
+		// A caller that closed only its sending side still reads.
+		x.refuse(Unknown, 0)
 	case x.buffered != nil:
 		x.buffered.deliver(x)
 	case x.mayRun && x.remaining() < minRemaining:
