Keep the sound entries of the provider's lists beside odd ones

What callers see, on the product's own interface: one odd entry in the list of instances, notices or classes (nested too deep, a number too large, a field of another type, no JSON) and no list is followed any more; one with an unknown state or port 0 is used, or marks an endpoint as leaving; one notice with a huge number and all later notices are missed.

Cause: the answers were decoded as one JSON document, values were not checked, and the highest number of a notice became the next position.

Change: the lists go through the splitter; entries without ID, with long strings or a price below 0 are skipped, an instance needs a state that is named, a service and an address that a process can have. The position follows numbers only as far as they go on within 2^20.

--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"hyssoprudder/internal/connection/splitter"
 	"hyssoprudder/internal/process/lister"
 )
 
@@ -53,6 +54,12 @@
 // Status returns the HTTP status.
 func (e *StatusError) Status() int { return e.status }
 
+// The states of an instance.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
 // Instance is one entry of the provider's list, which may lag behind.
 type Instance struct {
 	ID           string        `json:"id"`
@@ -68,13 +75,21 @@
 }
 
 // Leaving reports whether the instance is being reclaimed or has been released.
-func (i Instance) Leaving() bool { return i.State != "live" }
+func (i Instance) Leaving() bool { return i.State != stateLive }
 
-// Endpoint returns the instance as an endpoint.
+// Endpoint returns the instance as an endpoint. The error says why the entry, which another system may have
+// written, names none.
 func (i Instance) Endpoint() (lister.Endpoint, error) {
 	address, err := netip.ParseAddrPort(i.Address)
-	if err != nil {
+	switch {
+	case err != nil:
 		return lister.Endpoint{}, fmt.Errorf("instance %s: %w", i.ID, err)
+	case !lister.IsReachable(address):
+		return lister.Endpoint{}, fmt.Errorf("instance %s: no process can have the address %s", i.ID, address)
+	case i.State != stateLive && i.State != stateLeaving:
+		return lister.Endpoint{}, fmt.Errorf("instance %s: unknown state %q", i.ID, i.State)
+	case i.Service == "" || !i.isUsable():
+		return lister.Endpoint{}, fmt.Errorf("instance %s: no service, or a value out of range", i.ID)
 	}
 	return lister.NewEndpoint(lister.Spec{
 		ID: i.ID, Service: i.Service, Version: i.Version, Domain: i.Domain,
@@ -84,8 +99,8 @@
 
 // List is the provider's list of instances at a point in time.
 type List struct {
-	At        time.Time  `json:"at"`
-	Instances []Instance `json:"instances"`
+	At        time.Time
+	Instances []Instance
 }
 
 // Notice announces that an instance will be reclaimed at a given time.
@@ -131,30 +146,46 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Instances returns the provider's list of instances.
+// Instances returns the provider's list of instances, without entries that cannot be read.
 func (c *Client) Instances(ctx context.Context) (List, error) {
-	var list List
-	err := c.call(ctx, http.MethodGet, c.base+"/instances", nil, &list)
-	return list, err
+	page, err := c.read(ctx, "/instances", "instances")
+	if err != nil {
+		return List{}, err
+	}
+	list := List{Instances: decodeEntries(page.Entries, Instance.isUsable)}
+	if raw, ok := page.Members["at"]; ok {
+		if err := json.Unmarshal(raw, &list.At); err != nil {
+			return List{}, fmt.Errorf("decode the time of the list: %w", err)
+		}
+	}
+	return list, nil
 }
 
-// Notices returns the notices after a sequence number. A notice may be late or
-// duplicated.
+// Notices returns the notices after a sequence number, without entries that cannot be read. A notice may be late
+// or duplicated.
 func (c *Client) Notices(ctx context.Context, after uint64) ([]Notice, error) {
-	var answer struct {
-		Notices []Notice `json:"notices"`
-	}
-	err := c.call(ctx, http.MethodGet, c.base+"/notices?after="+strconv.FormatUint(after, 10), nil, &answer)
-	return answer.Notices, err
+	page, err := c.read(ctx, "/notices?after="+strconv.FormatUint(after, 10), "notices")
+	return decodeEntries(page.Entries, Notice.isUsable), err
 }
 
-// Classes returns the instance classes that the provider offers.
+// Classes returns the instance classes that the provider offers, without entries that cannot be read.
 func (c *Client) Classes(ctx context.Context) ([]Class, error) {
-	var answer struct {
-		Classes []Class `json:"classes"`
-	}
-	err := c.call(ctx, http.MethodGet, c.base+"/classes", nil, &answer)
-	return answer.Classes, err
+	page, err := c.read(ctx, "/classes", "classes")
+	return decodeEntries(page.Entries, Class.isUsable), err
+}
+
+// read reads a list of the provider, to which other systems may write.
+func (c *Client) read(ctx context.Context, path, list string) (splitter.Page, error) {
+	var page splitter.Page
+	err := c.exchange(ctx, http.MethodGet, c.base+path, nil, func(body io.Reader) error {
+		raw, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+		if err != nil {
+			return err
+		}
+		page, err = splitter.Split(raw, list)
+		return err
+	})
+	return page, err
 }
 
 // Start starts an instance. The error is ErrNoCapacity or a *RateLimitedError if the
@@ -180,7 +211,19 @@
 	return c.call(ctx, http.MethodPost, c.base+"/weights", body, nil)
 }
 
+// call sends a request and decodes the answer into answer, if that is not nil.
 func (c *Client) call(ctx context.Context, method, address string, body, answer any) error {
+	return c.exchange(ctx, method, address, body, func(r io.Reader) error {
+		if answer == nil {
+			_, _ = io.Copy(io.Discard, r)
+			return nil
+		}
+		return json.NewDecoder(r).Decode(answer)
+	})
+}
+
+// exchange sends a request and passes the body of the answer to decode.
+func (c *Client) exchange(ctx context.Context, method, address string, body any, decode func(r io.Reader) error) error {
 	var reader io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
@@ -205,11 +248,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
 		return fmt.Errorf("%s %s: %w", method, address, err)
 	}
-	if answer == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
-		return nil
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer); err != nil {
+	if err := decode(io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
 		return fmt.Errorf("%s %s: decode answer: %w", method, address, err)
 	}
 	return nil
--- a/internal/node/runner/platform.go
+++ b/internal/node/runner/platform.go
@@ -89,8 +89,8 @@
 		w.runner.log.Warn("reclaim notices not read; they are requested again at the next poll", "err", err)
 		return
 	}
+	w.lastNotice = provisioner.LastNumber(w.lastNotice, notices)
 	for _, notice := range notices {
-		w.lastNotice = max(w.lastNotice, notice.Seq)
 		w.runner.table.SetTerminatesAt(notice.ID, notice.TerminatesAt)
 		w.runner.markLeaving(notice.ID, "notice")
 	}
