Take no load report with numbers out of range

What callers see: an endpoint that reports 2^62 slots, calls below 0 or a rate of 1e300 gets all calls or none, at the entries that get the report in a digest too.

Cause: reports were taken as they came; sums of the calls overflow, and the digest cuts them to 32 bits.

Change: a report out of range is left out, like one that cannot be read.

Evidence: TestReportOutOfRangeIsNotTaken failed on the code before in its 9 cases with numbers out of range; now all 11 pass.

--- a/internal/process/poller/poller.go
+++ b/internal/process/poller/poller.go
@@ -132,7 +132,7 @@
 func (r endpointReader) readLoad(ctx context.Context) {
 	cfg := r.poller.cfg
 	report, err := cfg.Load(ctx, r.endpoint)
-	if err != nil {
+	if err != nil || !isInRange(&report) {
 		return
 	}
 	at := report.At
@@ -145,6 +145,34 @@
 	})
 }
 
+// The largest numbers of a report, and the least rate, that an endpoint can have.
+const (
+	maxReportCalls = 1 << 20
+	maxReportKV    = 1 << 50
+	maxReportRate  = 1e9
+	minReportRate  = 1e-3
+)
+
+// isInRange reports whether predictions can be based on a report. A rate of 0 is not known.
+func isInRange(r *dialer.LoadReport) bool {
+	for _, n := range []int{r.Running, r.Queued, r.Slots} {
+		if n < 0 || n > maxReportCalls {
+			return false
+		}
+	}
+	for _, n := range []int64{r.KVUsed, r.KVSize} {
+		if n < 0 || n > maxReportKV {
+			return false
+		}
+	}
+	for _, rate := range []float64{r.PrefillRate, r.DecodeRate} {
+		if rate != 0 && (rate < minReportRate || rate > maxReportRate) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r endpointReader) readEvents(ctx context.Context) {
 	p, id := r.poller, r.endpoint.ID()
 	p.mu.Lock()
--- a/internal/process/poller/poller_test.go
+++ b/internal/process/poller/poller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -92,3 +93,46 @@
 	}
 	require.Equal(t, 17, known)
 }
+
+// Guards against a load report with numbers out of range that spoils what is predicted of an
+// endpoint, here and at the entries that get the report in a digest.
+func TestReportOutOfRangeIsNotTaken(t *testing.T) {
+	sound := dialer.LoadReport{At: epoch, Running: 4, Queued: 1, Slots: 16, KVUsed: 5, KVSize: 9, PrefillRate: 2000, DecodeRate: 40}
+	for name, tc := range map[string]struct {
+		change  func(r *dialer.LoadReport)
+		isTaken bool
+	}{
+		"sound":                 {func(*dialer.LoadReport) {}, true},
+		"no rates":              {func(r *dialer.LoadReport) { r.PrefillRate, r.DecodeRate = 0, 0 }, true},
+		"slots too large":       {func(r *dialer.LoadReport) { r.Slots = 1 << 62 }, false},
+		"slots below 0":         {func(r *dialer.LoadReport) { r.Slots = -1 }, false},
+		"calls that overflow":   {func(r *dialer.LoadReport) { r.Running, r.Queued = 1<<62, 1<<62 }, false},
+		"calls below 0":         {func(r *dialer.LoadReport) { r.Running = -1 << 40 }, false},
+		"memory below 0":        {func(r *dialer.LoadReport) { r.KVUsed = -1 }, false},
+		"memory too large":      {func(r *dialer.LoadReport) { r.KVSize = math.MaxInt64 }, false},
+		"rate too large":        {func(r *dialer.LoadReport) { r.PrefillRate = 1e300 }, false},
+		"rate hardly above 0":   {func(r *dialer.LoadReport) { r.DecodeRate = 1e-300 }, false},
+		"prefill hardly at all": {func(r *dialer.LoadReport) { r.PrefillRate = 1e-300 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, read := observer.New(epoch), make(chan struct{})
+			p := poller.Start(poller.Config{
+				Self: "a", Clock: clock.NewManual(epoch), Observer: o, Router: router.New(o, "focsani", router.Predictive()),
+				Nodes: func() []string { return nil },
+				Endpoints: func() []lister.Endpoint {
+					return []lister.Endpoint{lister.NewEndpoint(lister.Spec{ID: "1", Service: "pumice"})}
+				},
+				Load: func(context.Context, lister.Endpoint) (dialer.LoadReport, error) {
+					defer close(read)
+					report := sound
+					tc.change(&report)
+					return report, nil
+				},
+			})
+			<-read
+			p.Stop()
+			load := o.Load("1")
+			require.Equal(t, tc.isTaken, !load.Reported().At.IsZero())
+		})
+	}
+}
