Continue a stream only with events that continue it

What callers see: a resumable stream breaks off, the next endpoint answers 200 with an error in its body, and the error's text or whole head stands in the stream; or that answer is empty and the stream ends as if complete; or it starts anew, and events come twice or are missing. An error that an endpoint writes into its own stream is passed on as an event too.

Cause: readStream took everything up to a blank line for an event, whoever sent it, and any end without a partial event for the end of the stream. Only another status than 200 was known as no continuation.

Change: eventReader reads the blocks of a stream. A block with a line that is no field ends the stream as broken, from the first event on. An endpoint that resumes a stream must begin with an ID behind the last one, at most the largest step ahead that the stream had, and go on with increasing IDs; its answer must hold events by its header, and one at least. Events pass byte for byte, comments, fields of the endpoints' own and events without ID included.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -76,6 +76,7 @@
 	bodyBy      time.Time // when the answer must be complete, or a stream must have an event
 	lastEventAt time.Time // last event of a stream
 	deliveries  int       // writes of stream events to the caller
+	events      eventReader
 }
 
 // run sends the call and delivers the answer.
--- /dev/null
+++ b/internal/request/forwarder/events.go
@@ -0,0 +1,160 @@
+package forwarder
+
+import (
+	"bytes"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+// Names of header fields that describe the body of an answer.
+const (
+	headerContentType     = "Content-Type"
+	headerContentEncoding = "Content-Encoding"
+	contentTypeEvents     = "text/event-stream"
+)
+
+// sequence is what is known of the IDs of a stream's events.
+type sequence struct {
+	last    uint64 // ID of the last event that the caller has
+	isKnown bool   // last is known
+	maxStep uint64 // largest difference of the IDs of two events in succession
+}
+
+// follow records the ID of an event that the caller gets.
+func (s *sequence) follow(id uint64, isNumber bool) {
+	if isNumber && s.isKnown && id > s.last {
+		s.maxStep = max(s.maxStep, id-s.last)
+	}
+	s.last, s.isKnown = id, isNumber
+}
+
+// continues reports whether an event with the ID may come next: it must neither repeat an
+// event nor leave one out.
+func (s *sequence) continues(id uint64, isNumber bool) bool {
+	return isNumber && s.isKnown && id > s.last && (s.maxStep == 0 || id-s.last <= s.maxStep)
+}
+
+// eventReader checks the events of one endpoint. The caller gets what the endpoint sends
+// unchanged, up to the first block that is no event: what follows is not part of the stream.
+// The events of an endpoint that resumes the stream of another must also continue it.
+type eventReader struct {
+	sequence  *sequence
+	isResumed bool
+	isStarted bool // an event with an ID was read
+	isPlain   bool // the answer does not begin with an event
+}
+
+// read returns the length of the blocks at the start of b, which are complete, that belong to
+// the stream.
+func (r *eventReader) read(b []byte) int {
+	done := 0
+	for done < len(b) && !r.isPlain {
+		n := nextEventEnd(b[done:])
+		if !r.readBlock(b[done : done+n]) {
+			return done
+		}
+		done += n
+	}
+	return len(b)
+}
+
+func (r *eventReader) readBlock(block []byte) bool {
+	e, ok := parseBlock(block)
+	if !ok {
+		// The first endpoint may answer with something else than events.
+		r.isPlain = !r.isResumed && !r.isStarted
+		return r.isPlain
+	}
+	if !e.hasID {
+		return !e.hasFields || r.isStarted || !r.isResumed
+	}
+	// All events of an endpoint that resumes a stream must have increasing IDs, but only the
+	// first one shows whether it left out any.
+	if r.isResumed && (!r.isStarted && !r.sequence.continues(e.id, e.isNumber) || r.isStarted && (!e.isNumber || e.id <= r.sequence.last)) {
+		return false
+	}
+	r.isStarted = true
+	r.sequence.follow(e.id, e.isNumber)
+	return true
+}
+
+// block is one event, or lines between events.
+type block struct {
+	hasFields bool // there are lines other than comments
+	hasID     bool
+	id        uint64
+	isNumber  bool // the ID is a number
+}
+
+// parseBlock reports false for a block that is no event.
+func parseBlock(text []byte) (block, bool) {
+	var b block
+	for line := range bytes.Lines(text) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, value, hasValue := bytes.Cut(line, []byte(":"))
+		if !isFieldName(name, hasValue) {
+			return block{}, false
+		}
+		b.hasFields = true
+		if string(name) != "id" {
+			continue
+		}
+		if b.hasID {
+			return block{}, false
+		}
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		b.hasID, b.id, b.isNumber = true, id, err == nil
+	}
+	return b, true
+}
+
+var fieldNames = []string{"id", "event", "data", "retry"}
+
+// isFieldName reports whether a line of an event may begin with the name. Endpoints may add
+// fields of their own, which have a value and whose names hold a hyphen.
+func isFieldName(name []byte, hasValue bool) bool {
+	if slices.Contains(fieldNames, string(name)) {
+		return true
+	}
+	for _, c := range name {
+		if c != '-' && (c < 'a' || c > 'z') {
+			return false
+		}
+	}
+	return hasValue && bytes.IndexByte(name, '-') > 0
+}
+
+// nextEventEnd returns the length of the first complete block of b, or of all of b.
+func nextEventEnd(b []byte) int {
+	end := len(b)
+	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.Index(b[:end], []byte("\r\n\r\n")); i >= 0 {
+		end = i + 4
+	}
+	return end
+}
+
+// mayResume reports whether an answer with the header can hold further events of a stream
+// whose first endpoint answered with the other header.
+func mayResume(h, first http.Header) bool {
+	if h.Get(headerContentEncoding) != first.Get(headerContentEncoding) {
+		return false
+	}
+	kind := mediaType(h)
+	return kind == "" || kind == contentTypeEvents || kind == mediaType(first)
+}
+
+func mediaType(h http.Header) string {
+	kind, _, err := mime.ParseMediaType(h.Get(headerContentType))
+	if err != nil {
+		return h.Get(headerContentType)
+	}
+	return kind
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"hyssoprudder/internal/request/placer"
@@ -23,14 +24,32 @@
 	isStarted   bool
 	lastEventID string // ID of the last event that was sent to the caller
 	partial     []byte // beginning of an incomplete event
+	sequence    sequence
+	isPlain     bool        // the caller has text that is no events
+	header      http.Header // of the first endpoint
+}
+
+// newStream returns the stream of a caller that has the events up to an ID, which is empty for
+// a caller that has none.
+func newStream(after string) *stream {
+	s := &stream{lastEventID: after}
+	id, err := strconv.ParseUint(after, 10, 64)
+	if after == "" || err == nil {
+		s.sequence.follow(id, true)
+	}
+	return s
 }
 
 // readStream forwards the events of a stream as they arrive, each of them complete.
 func (a *attempt) readStream() step {
 	x := a.x
 	if x.stream == nil {
-		x.stream = &stream{lastEventID: x.call.After}
+		x.stream = newStream(x.call.After)
 	}
+	if x.stream.isStarted && (x.stream.isPlain || !mayResume(a.response.Header, x.stream.header)) {
+		return a.unusableAnswer("the endpoint did not resume the stream: its answer holds no events")
+	}
+	a.events = eventReader{sequence: &x.stream.sequence, isResumed: x.stream.isStarted}
 	x.stream.partial = x.stream.partial[:0]
 	a.bodyBy = a.bodyDeadline()
 	a.lastEventAt = x.f.config.Clock.Now()
@@ -39,9 +58,13 @@
 		a.conn.SetReadDeadline(a.eventDeadline())
 		n, err := a.response.Body.Read(buffer)
 		if n > 0 {
-			if failed := a.forwardEvents(buffer[:n]); failed != nil {
+			isStream, failed := a.forwardEvents(buffer[:n])
+			if failed != nil {
 				return a.abortForwarding(failed)
 			}
+			if !isStream {
+				return a.unusableAnswer("the endpoint sent something else than the next event of the stream")
+			}
 			if len(x.stream.partial) > maxEvent {
 				return a.unusableAnswer("an event of the stream is too long")
 			}
@@ -72,14 +95,17 @@
 	return x.deadline
 }
 
-// forwardEvents sends all complete events to the caller.
-func (a *attempt) forwardEvents(chunk []byte) error {
+// forwardEvents sends all complete events to the caller. It reports false if something else
+// follows them.
+func (a *attempt) forwardEvents(chunk []byte) (isStream bool, failed error) {
 	x, s := a.x, a.x.stream
 	s.partial = append(s.partial, chunk...)
-	end := lastEventEnd(s.partial)
+	complete := lastEventEnd(s.partial)
+	end := a.events.read(s.partial[:complete])
 	if end == 0 {
-		return nil
+		return complete == 0, nil
 	}
+	s.isPlain = s.isPlain || a.events.isPlain
 	if a.firstByteAt.IsZero() {
 		a.recordFirstByte()
 		x.countUsage()
@@ -88,23 +114,24 @@
 	a.lastEventAt = x.f.config.Clock.Now()
 	events := s.partial[:end]
 	if !s.isStarted {
-		s.isStarted = true
+		s.isStarted, s.header = true, a.response.Header
 		copyHeader(x.w.Header(), a.response.Header)
 		// The length applies to the answer of this endpoint only.
 		x.w.Header().Del("Content-Length")
 		x.writeHeader(a.response.StatusCode)
 	}
 	if _, err := x.w.Write(events); err != nil {
-		return err
+		return false, err
 	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		return err
+		return false, err
 	}
 	if id := lastID(events); id != "" {
 		s.lastEventID = id
 	}
+	isStream = end == complete
 	s.partial = append(s.partial[:0], s.partial[end:]...)
-	return nil
+	return isStream, nil
 }
 
 // lastEventEnd returns the length of the complete events at the start of b.
@@ -141,7 +168,7 @@
 // streamEnded handles the end of a stream that the endpoint has signaled.
 func (a *attempt) streamEnded() step {
 	s := a.x.stream
-	if len(s.partial) > 0 || !s.isStarted {
+	if len(s.partial) > 0 || !s.isStarted || a.events.isResumed && !a.events.isStarted {
 		a.isBroken = true
 		return a.unusableAnswer("the stream ended without an event or within one")
 	}
