Let no earlier refusal answer the same call sent again

What callers see: an endpoint writes an earlier refusal once more on a kept connection; a call that comes again with the same ID is sent on it, is answered "not run" though the endpoint runs it, or runs at a second endpoint too.

Cause: the ID of an answer is checked before it counts as a refusal, which keeps a copy from answering any other call, but says nothing where the IDs are equal.

Change: a connection knows the calls that were refused on it, by hash, at most 64; a call with one of these IDs gets another connection.

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -78,6 +78,7 @@
 	idleSince   time.Time     // when it became idle
 	isFresh     bool
 	closed      bool
+	refused     []uint64 // hashes of the IDs of refused calls
 }
 
 // Opened returns the number of connections opened since the pool was created.
@@ -247,7 +248,7 @@
 // Release returns the connection to the pool. The body of the answer must have been read
 // to its end.
 func (c *Conn) Release() {
-	if c.closed || c.client.Err() != nil {
+	if c.closed || c.client.Err() != nil || len(c.refused) >= maxRefusals {
 		c.Close()
 		return
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -82,7 +82,7 @@
 // run sends the call and delivers the answer.
 func (a *attempt) run() step {
 	x := a.x
-	conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
+	conn, err := a.connect()
 	if err != nil {
 		a.connectFailed(err)
 		return stepUnsent
@@ -111,6 +111,17 @@
 	return a.readAnswer()
 }
 
+// connect returns a connection on which the endpoint did not refuse a call with the same ID.
+func (a *attempt) connect() (*pooler.Conn, error) {
+	for {
+		conn, err := a.x.f.config.Pool.Get(a.x.ctx, a.choice.Endpoint().Address, a.x.maxConnections())
+		if err != nil || !conn.HasRefused(a.x.call.ID) {
+			return conn, err
+		}
+		conn.Close()
+	}
+}
+
 func (a *attempt) connectFailed(err error) {
 	a.x.result.Detail = err.Error()
 	switch {
@@ -240,6 +251,7 @@
 	a.x.result.Detail = "the endpoint did not run the call: status " + strconv.Itoa(a.response.StatusCode)
 	a.conn.SetReadDeadline(a.x.f.config.Clock.Now().Add(rejectionTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBody))
+	a.conn.RecordRefusal(a.x.call.ID)
 	a.release(err == nil && n < maxRejectionBody)
 	return stepNotRun
 }
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -174,6 +174,12 @@
 }
 
 func (f *fixture) call(t *testing.T, path, key, body string) reply {
+	t.Helper()
+	return f.callAs(t, "c1", path, key, body)
+}
+
+// callAs sends a call with the given ID.
+func (f *fixture) callAs(t *testing.T, id, path, key, body string) reply {
 	t.Helper()
 	method := http.MethodPost
 	if body == "" {
@@ -181,7 +187,7 @@
 	}
 	r, err := http.NewRequestWithContext(context.Background(), method, f.server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
-	r.Header.Set(headerID, "c1")
+	r.Header.Set(headerID, id)
 	if key != "" {
 		r.Header.Set("Key", key)
 	}
