Believe a refusal only from the call that it answers

What callers see, on the product's own interface: an endpoint writes an earlier refusal once more on a kept connection, the next call on it is answered `notrun`, or is tried elsewhere, though the endpoint ran it.

Cause: any 503 with Outcome: notrun answered the call that waited, and nothing in an answer said which call it belongs to.

Change: endpoints send Request back (docs/PROTOCOLS.md; the stand-ins do). An answer with another one counts as perhaps run and closes its connection. A refusal without one, from an endpoint that doesn't send it yet, counts only as the first answer on its connection. A connection also knows the calls refused on it, for a call that comes again with its ID.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -82,7 +82,7 @@
 	connect := &net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
 	return &Dialer{client: &http.Client{
 		Transport: &http.Transport{
-			DialContext:            connect.DialContext,
+			DialContext:            dialTracked(connect),
 			MaxConnsPerHost:        maxConns,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			MaxIdleConns:           0,
@@ -133,13 +133,14 @@
 	if req.Key != "" {
 		out.Header.Set(headerKey, req.Key)
 	}
-	resp, err := d.send(out)
+	resp, used, err := d.send(out)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerOutcome) == outcomeNotRun {
-		return Answer{}, ErrNotRun
+	isRefusal := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerOutcome) == outcomeNotRun
+	if err := used.checkAnswer(resp, req.ID, isRefusal); err != nil {
+		return Answer{}, err
 	}
 	content, err := readAll(resp.Body)
 	if err != nil {
@@ -150,14 +151,20 @@
 
 // send sends the request and records whether anything was sent. The call counts as sent
 // as soon as it has been assigned a connection.
-func (d *Dialer) send(req *http.Request) (*http.Response, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+func (d *Dialer) send(req *http.Request) (*http.Response, usedConn, error) {
+	var used atomic.Pointer[usedConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, ok := info.Conn.(*trackedConn)
+		if !ok {
+			conn = &trackedConn{Conn: info.Conn}
+		}
+		used.Store(&usedConn{conn: conn, isReused: info.Reused})
+	}}
 	resp, err := d.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, &SendError{sent: sent.Load(), err: err}
+		return nil, usedConn{}, &SendError{sent: used.Load() != nil, err: err}
 	}
-	return resp, nil
+	return resp, *used.Load(), nil
 }
 
 func readAll(body io.Reader) ([]byte, error) {
@@ -198,7 +205,7 @@
 		return &SendError{err: err}
 	}
 	req.Header.Set(contentType, contentTypeJSON)
-	resp, err := d.send(req)
+	resp, _, err := d.send(req)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/dialer/engine.go
+++ b/internal/connection/dialer/engine.go
@@ -96,19 +96,20 @@
 	}
 	req.Header.Set(contentType, contentTypeJSON)
 	req.Header.Set(headerRequest, g.Request)
-	resp, err := d.send(req)
+	resp, used, err := d.send(req)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		notRun := resp.Header.Get(headerOutcome) == outcomeNotRun
+	isFailure := resp.StatusCode != http.StatusOK
+	err = used.checkAnswer(resp, g.Request, isFailure && resp.Header.Get(headerOutcome) == outcomeNotRun)
+	if err == nil && isFailure {
+		err = &StatusError{status: resp.StatusCode, path: "/generate"}
+	}
+	if err != nil {
 		resp.Body.Close()
 		cancel()
-		if notRun {
-			return nil, ErrNotRun
-		}
-		return nil, &StatusError{status: resp.StatusCode, path: "/generate"}
+		return nil, err
 	}
 	return newStream(resp.Body, cancel), nil
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -54,6 +54,7 @@
 func (e *Engine) waitWhileFrozen(handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if e.faults.WaitUnfrozen(r.Context().Done()) {
+			hoster.Echo(w, r)
 			handle(w, r)
 		}
 	}
--- a/internal/standin/hoster/hoster.go
+++ b/internal/standin/hoster/hoster.go
@@ -77,6 +77,13 @@
 	h.ended.Wait()
 }
 
+// Echo sets the id of the request in the answer to it.
+func Echo(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("Request"); id != "" {
+		w.Header().Set("Request", id)
+	}
+}
+
 // Reply writes v as JSON with a status code.
 func Reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/servicer/servicer.go
+++ b/internal/standin/servicer/servicer.go
@@ -159,6 +159,7 @@
 func (s *Service) waitWhileFrozen(handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if s.faults.WaitUnfrozen(r.Context().Done()) {
+			hoster.Echo(w, r)
 			handle(w, r)
 		}
 	}
