Take only events that say what they must from an engine

What callers see, on the product's own interface: an engine that resumes a stream sends an error as the data of the next event, and the stream has an empty token there; an engine whose closing event lacks its count ends a stream without tokens as complete; an event of many lines without end is kept in memory.

Cause: the data of an event was decoded with defaults for what is missing, and only a line of an event was bounded.

--- a/internal/connection/dialer/stream.go
+++ b/internal/connection/dialer/stream.go
@@ -86,16 +86,21 @@
 				return Event{}, fmt.Errorf("%w: event id: %w", ErrTruncated, err)
 			}
 		case "data":
+			if len(data)+len(value) > maxEventBytes {
+				return Event{}, fmt.Errorf("%w: an event is too long", ErrTruncated)
+			}
 			data = append(data, value...)
 		}
 	}
 }
 
+// eventData is the data of an event. What an event must have is a pointer: other JSON, such as an
+// engine's error, is no event.
 type eventData struct {
-	Token    string `json:"token"`
-	Count    int    `json:"count"`
-	Cached   int    `json:"cached"`
-	Computed int    `json:"computed"`
+	Token    *string `json:"token"`
+	Count    *int    `json:"count"`
+	Cached   int     `json:"cached"`
+	Computed int     `json:"computed"`
 }
 
 func decodeEvent(name string, id int, data []byte) (Event, error) {
@@ -106,12 +111,12 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return Event{}, fmt.Errorf("%w: event data: %w", ErrTruncated, err)
 	}
-	switch name {
-	case "done":
-		return Event{Kind: EventDone, Count: d.Count, Cached: d.Cached, Computed: d.Computed}, nil
-	case "":
-		return Event{Kind: EventToken, ID: id, Token: d.Token}, nil
+	switch {
+	case name == "done" && d.Count != nil:
+		return Event{Kind: EventDone, Count: *d.Count, Cached: d.Cached, Computed: d.Computed}, nil
+	case name == "" && d.Token != nil && id > 0:
+		return Event{Kind: EventToken, ID: id, Token: *d.Token}, nil
 	default:
-		return Event{}, fmt.Errorf("%w: unknown event %q", ErrTruncated, name)
+		return Event{}, fmt.Errorf("%w: unknown or incomplete event %q", ErrTruncated, name)
 	}
 }
