Resume streams by what is known of their IDs

What callers see: a stream whose first events have no ID breaks off, is begun anew at the next endpoint, and its events come twice; since the events of a resumed stream are checked, one whose IDs are no numbers was not resumed at all.

Cause: the sequence of IDs did not tell "no event yet" from "events without ID" and from "IDs that are no numbers".

Change: it does. The first can be resumed from the start, the second not at all, and IDs that are no numbers are left unchecked as before.

Evidence: TestResumedStreamWithoutNumbers failed on the code before in the cases "no ID, then with" and "IDs are no numbers"; the three others passed.

--- a/internal/request/forwarder/events.go
+++ b/internal/request/forwarder/events.go
@@ -17,23 +17,41 @@
 
 // sequence is what is known of the IDs of a stream's events.
 type sequence struct {
-	last    uint64 // ID of the last event that the caller has
-	isKnown bool   // last is known
-	maxStep uint64 // largest difference of the IDs of two events in succession
+	last     uint64 // ID of the last event that the caller has
+	isNumber bool   // that ID is a number; 0 for a caller that has no event
+	maxStep  uint64 // largest difference of the IDs of two events in succession
+	isEmpty  bool   // the caller has no event with an ID
+	// isUnnamed is true if the caller has events, and none with an ID. The stream can't be
+	// resumed.
+	isUnnamed bool
+}
+
+// newSequence returns the sequence of a caller that has the events up to an ID, which is empty
+// for a caller that has none.
+func newSequence(after string) sequence {
+	if after == "" {
+		return sequence{isNumber: true, isEmpty: true}
+	}
+	id, err := strconv.ParseUint(after, 10, 64)
+	return sequence{last: id, isNumber: err == nil}
 }
 
 // follow records the ID of an event that the caller gets.
 func (s *sequence) follow(id uint64, isNumber bool) {
-	if isNumber && s.isKnown && id > s.last {
+	if isNumber && s.isNumber && id > s.last {
 		s.maxStep = max(s.maxStep, id-s.last)
 	}
-	s.last, s.isKnown = id, isNumber
+	s.last, s.isNumber, s.isEmpty, s.isUnnamed = id, isNumber, false, false
 }
 
-// continues reports whether an event with the ID may come next: it must neither repeat an
-// event nor leave one out.
-func (s *sequence) continues(id uint64, isNumber bool) bool {
-	return isNumber && s.isKnown && id > s.last && (s.maxStep == 0 || id-s.last <= s.maxStep)
+// allows reports whether an event with the ID may come next. It must not repeat an event. The
+// first one of an endpoint must not leave out any either; later ones are the endpoint's own.
+// IDs that are no numbers can't be checked.
+func (s *sequence) allows(id uint64, isNumber, isFirst bool) bool {
+	if !s.isNumber {
+		return true
+	}
+	return isNumber && id > s.last && (!isFirst || s.maxStep == 0 || id-s.last <= s.maxStep)
 }
 
 // eventReader checks the events of one endpoint. The caller gets what the endpoint sends
@@ -68,11 +86,13 @@
 		return r.isPlain
 	}
 	if !e.hasID {
-		return !e.hasFields || r.isStarted || !r.isResumed
+		if r.isResumed && !r.isStarted && e.hasFields {
+			return false
+		}
+		r.sequence.isUnnamed = r.sequence.isUnnamed || r.sequence.isEmpty && e.hasFields
+		return true
 	}
-	// All events of an endpoint that resumes a stream must have increasing IDs, but only the
-	// first one shows whether it left out any.
-	if r.isResumed && (!r.isStarted && !r.sequence.continues(e.id, e.isNumber) || r.isStarted && (!e.isNumber || e.id <= r.sequence.last)) {
+	if r.isResumed && !r.sequence.allows(e.id, e.isNumber, !r.isStarted) {
 		return false
 	}
 	r.isStarted = true
--- a/internal/request/forwarder/events_test.go
+++ b/internal/request/forwarder/events_test.go
@@ -136,3 +136,26 @@
 	require.Error(t, got.err, "an answer that broke off must not look complete")
 	require.Equal(t, "plain\n\n", got.body)
 }
+
+// Guards against events that come twice where a stream without IDs is begun anew, and against
+// a stream that isn't resumed though its IDs are no numbers or it holds no event yet.
+func TestResumedStreamWithoutNumbers(t *testing.T) {
+	cases := map[string]struct {
+		first, next, body string
+		isBroken          bool
+	}{
+		"events without ID":    {"data: a\n\nda", "data: a\n\ndata: b\n\n", "data: a\n\n", true},
+		"no ID, then with":     {"data: a\n\nda", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "data: a\n\n", true},
+		"first events without": {"data: a\n\nid: 1\ndata: 1\n\nda", "id: 2\ndata: 2\n\n", "data: a\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", false},
+		"comment only":         {": begun\n\nid: 1\nda", eventText(1, 5), ": begun\n\n" + eventText(1, 5), false},
+		"IDs are no numbers":   {"id: a1\ndata: 1\n\nda", "id: a2\ndata: 2\n\nid: a3\ndata: 3\n\n", "id: a1\ndata: 1\n\nid: a2\ndata: 2\n\nid: a3\ndata: 3\n\n", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := streamFrom(t, "/resumable/1", answerUnframed(tc.first), answerChunked("", tc.next))
+			require.Equal(t, tc.isBroken, got.err != nil)
+			require.Equal(t, tc.body, got.body)
+		})
+	}
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"hyssoprudder/internal/request/placer"
@@ -29,24 +28,13 @@
 	header      http.Header // of the first endpoint
 }
 
-// newStream returns the stream of a caller that has the events up to an ID, which is empty for
-// a caller that has none.
-func newStream(after string) *stream {
-	s := &stream{lastEventID: after}
-	id, err := strconv.ParseUint(after, 10, 64)
-	if after == "" || err == nil {
-		s.sequence.follow(id, true)
-	}
-	return s
-}
-
 // readStream forwards the events of a stream as they arrive, each of them complete.
 func (a *attempt) readStream() step {
 	x := a.x
 	if x.stream == nil {
-		x.stream = newStream(x.call.After)
+		x.stream = &stream{lastEventID: x.call.After, sequence: newSequence(x.call.After)}
 	}
-	if x.stream.isStarted && (x.stream.isPlain || !mayResume(a.response.Header, x.stream.header)) {
+	if x.stream.isStarted && (x.stream.isPlain || x.stream.sequence.isUnnamed || !mayResume(a.response.Header, x.stream.header)) {
 		return a.unusableAnswer("the endpoint did not resume the stream: its answer holds no events")
 	}
 	a.events = eventReader{sequence: &x.stream.sequence, isResumed: x.stream.isStarted}
