--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -77,6 +77,7 @@
 	bodyBy      time.Time // when the answer must be complete, or a stream must have an event
 	lastEventAt time.Time // last event of a stream
 	deliveries  int       // writes of stream events to the caller
+	events      eventReader
 }
 
 // run sends the call and delivers the answer.
@@ -84,7 +85,7 @@
 	x := a.x
 	isSecured := a.conn != nil
 	if !isSecured {
-		conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
+		conn, err := x.connect(x.ctx, a.choice)
 		if err != nil {
 			a.connectFailed(err)
 			return stepUnsent
@@ -117,6 +118,17 @@
 	return a.readAnswer()
 }
 
+// connect returns a connection on which the endpoint did not refuse a call with the same ID.
+func (x *exchange) connect(ctx context.Context, choice *placer.Choice) (*pooler.Conn, error) {
+	for {
+		conn, err := x.f.config.Pool.Get(ctx, choice.Endpoint().Address, x.maxConnections())
+		if err != nil || !conn.HasRefused(x.call.ID) {
+			return conn, err
+		}
+		conn.Close()
+	}
+}
+
 func (a *attempt) connectFailed(err error) {
 	a.x.result.Detail = err.Error()
 	a.outcome = unreachedOutcome(a.x.ctx, err)
@@ -253,6 +265,7 @@
 	a.x.result.Detail = "the endpoint did not run the call: status " + strconv.Itoa(a.response.StatusCode)
 	a.conn.SetReadDeadline(a.x.f.config.Clock.Now().Add(rejectionTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBody))
+	a.conn.RecordRefusal(a.x.call.ID)
 	a.release(err == nil && n < maxRejectionBody)
 	return stepNotRun
 }
--- a/internal/request/forwarder/silence.go
+++ b/internal/request/forwarder/silence.go
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, x.remaining())
 	defer cancel()
-	conn, err := c.Pool.Get(ctx, choice.Endpoint().Address, x.maxConnections())
+	conn, err := x.connect(ctx, choice)
 	if err != nil {
 		c.Placer.End(choice, unreachedOutcome(ctx, err), c.Clock.Now())
 		return false
