Test that an endpoint that is given up is closed before the next answers

The other endpoint in TestSilentEndpointIsReplacedOnceAnotherTakesTheCall answers only after the connection to the silent one was closed. Taking out the close in streamBroken does not make it fail, since net/http then closes the connection itself.

--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -143,10 +143,12 @@
 }
 
 // An endpoint that stays silent must still be given up, once, as soon as another one takes
-// the call: at once, or when one becomes available later.
+// the call: at once, or when one becomes available later. Its connection is closed before
+// the call is sent again, so that it stops to work on the call.
 func TestSilentEndpointIsReplacedOnceAnotherTakesTheCall(t *testing.T) {
-	hangAfter := func(head string) answerFunc {
+	hangAfter := func(head string, closed chan<- struct{}) answerFunc {
 		return func(c net.Conn, r *http.Request, body string) bool {
+			defer close(closed)
 			writeRaw(c, "%s", strings.ReplaceAll(head, "{id}", headerOf(r.Header.Get(headerID), "")))
 			return neverAnswer(c, r, body)
 		}
@@ -168,7 +170,12 @@
 				if tc.path == "/resumable/1" {
 					second = answerEvents(5, 5)
 				}
-				first, other := newEndpoint(t, hangAfter(tc.head)), newEndpoint(t, second)
+				closed := make(chan struct{})
+				afterClose := func(c net.Conn, r *http.Request, body string) bool {
+					<-closed
+					return second(c, r, body)
+				}
+				first, other := newEndpoint(t, hangAfter(tc.head, closed)), newEndpoint(t, afterClose)
 				f := newFixture(t, first, other)
 				f.preferFirst()
 				if isLater {
