Answer what a stopping server of callers has received

The product's own server of callers stopped by http.Server.Shutdown too, after the time for the load balancer: requests of which it had read a part, on kept and on fresh connections, were dropped without an answer. A screened listener now stops by draining its screener, like the entry of a managed deployment.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -82,9 +82,17 @@
 	return l.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Stop accepts no more connections and waits for the requests in flight. If ctx ends
-// first, Stop returns its error, and Close aborts the remaining requests.
+// Stop accepts no more connections and waits for the requests in flight; a screened server
+// also answers each request of which it has read a part. If ctx ends first, Stop returns its
+// error, and Close aborts the remaining requests.
 func (l *Listener) Stop(ctx context.Context) error {
+	if l.screener != nil {
+		if err := l.screener.Drain(ctx); err != nil {
+			return err
+		}
+		l.Close()
+		return nil
+	}
 	if err := l.server.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/internal/connection/server/server_test.go
+++ b/internal/connection/server/server_test.go
@@ -44,11 +44,17 @@
 }
 
 func startLogging(t *testing.T, serve serve, out io.Writer) (*server.Server, string) {
+	t.Helper()
+	return startWith(t, serve, out, "200ms")
+}
+
+// startWith starts a server with a read timeout.
+func startWith(t *testing.T, serve serve, out io.Writer, read string) (*server.Server, string) {
 	t.Helper()
 	rules, err := parser.Parse(rulesText)
 	require.NoError(t, err)
 	srv := server.New(server.Config{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: limits(t), Clock: clock.System{}, Log: log.NewWithOptions(out, log.Options{Level: log.DebugLevel, Formatter: log.LogfmtFormatter}),
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: limits(t, read), Clock: clock.System{}, Log: log.NewWithOptions(out, log.Options{Level: log.DebugLevel, Formatter: log.LogfmtFormatter}),
 		Meter: meter.NewCalls(prometheus.NewRegistry()),
 		Rules: func() *parser.Rules { return rules },
 		Ready: func() error { return nil },
@@ -58,14 +64,14 @@
 	return srv, srv.Address().String()
 }
 
-// limits returns the default limits, except for a maximum body of 16 bytes and a read
-// timeout of 200 ms.
-func limits(t *testing.T) settings.Limits {
+// limits returns the default limits, except for a maximum body of 16 bytes and the read
+// timeout.
+func limits(t *testing.T, read string) settings.Limits {
 	t.Helper()
 	dir := t.TempDir()
 	text := "id='n'\nfirm='vrancea'\ndomain='adjud'\nroles=['entry']\nkey='node.toml'\ntoken='node.toml'\n" +
 		"[listen]\ncallers='127.0.0.1:0'\nnodes='127.0.0.1:0'\noperators='127.0.0.1:0'\n" +
-		"[[keepers]]\nid='k'\naddress='127.0.0.1:1'\n[limits]\nbody=16\nread='200ms'\n"
+		"[[keepers]]\nid='k'\naddress='127.0.0.1:1'\n[limits]\nbody=16\nread='" + read + "'\n"
 	path := filepath.Join(dir, "node.toml")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := settings.Load(path)
