End a canceled generation with an error instead of an empty success

When the context of a call to a model service was canceled, its handler returned without writing anything. The HTTP server then sent 200 with an empty body, or ended a begun stream without an error. A caller that had closed only its sending side took that for its answer. Such a call now ends with 504 and the outcome unknown, or with an error event if its stream has begun, also where the stream is read from another entry.

--- a/internal/request/handler/model.go
+++ b/internal/request/handler/model.go
@@ -141,7 +141,7 @@
 		case <-changed:
 			continue
 		case <-ctx.Done():
-			f.result.Outcome, f.result.Err = OutcomeUnknown, ctx.Err()
+			f.writeCanceled(ctx)
 		}
 		break
 	}
@@ -264,6 +264,13 @@
 		Detail: problem.detail, Outcome: OutcomeUnknown, Request: f.request})
 }
 
+// writeCanceled ends the answer when ctx is canceled. A caller that closed only its sending
+// side still reads, and would take an answer without an error for a complete one.
+func (f *follower) writeCanceled(ctx context.Context) {
+	f.writeFailure(streamer.Failure{Sent: true, Status: http.StatusGatewayTimeout, Detail: "the call was canceled before its answer was complete"})
+	f.result.Err = context.Cause(ctx)
+}
+
 // writeMoved reports to the caller that another entry has taken over the stream.
 func (f *follower) writeMoved() {
 	f.result = Result{Outcome: OutcomeUnknown, Status: http.StatusServiceUnavailable, Err: errMoved}
--- a/internal/request/handler/peers.go
+++ b/internal/request/handler/peers.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		if ctx.Err() != nil {
-			f.result = Result{Outcome: OutcomeUnknown, Err: ctx.Err()}
+			f.writeCanceled(ctx)
 			return true
 		}
 		// The entry has stopped or failed. The one that takes over the stream may not have it yet.
