Don't cancel a call because its caller's next request is slow

The screener's limit on the time for a head also ran while the server handled a request: the server reads on in the background then, so the limit applied to the head of a pipelined next request. net/http takes the exceeded deadline for the loss of the caller and cancels the context of the call in service. The limit applies now only while the server waits for a request; for a head that was begun before, it starts when the previous request is answered.

--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -184,12 +184,24 @@
 	c.endIdle()
 }
 
+// isWaiting reports whether the server waits for a request. While it handles one, the head of
+// the next one has no limit, since the server takes a failed read for the loss of the caller.
+func (c *conn) isWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isIdle
+}
+
 // SetReadDeadline sets the read deadline. If the server sets none for an idle
-// connection, the idle limit applies.
+// connection, the idle limit applies, or the limit on heads if a part of one was received.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	limit := c.screener.limits().Idle
+	limits := c.screener.limits()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limit := limits.Idle
+	if c.hasBytes && limits.Head > 0 {
+		limit = limits.Head
+	}
 	if t.IsZero() && c.isIdle && limit > 0 {
 		t = c.screener.now().Add(limit)
 	}
@@ -274,7 +286,7 @@
 		if err := c.received(); err != nil {
 			return err
 		}
-		if limit := c.screener.limits().Head; n > 0 && limit > 0 && !hasDeadline {
+		if limit := c.screener.limits().Head; n > 0 && limit > 0 && !hasDeadline && c.isWaiting() {
 			hasDeadline = true
 			if err := c.Conn.SetReadDeadline(c.screener.now().Add(limit)); err != nil {
 				return err
--- a/internal/request/forwarder/connection_test.go
+++ b/internal/request/forwarder/connection_test.go
@@ -138,3 +138,32 @@
 	writeRaw(c, "HTTP/1.1 200 X\n%sContent-Length: 10\n\nhalf", headerOf(r.Header.Get(headerID), ""))
 	return neverAnswer(c, r, body)
 }
+
+// The limit on the time for a head ran for the head of a caller's next request while its previous one was served. When it
+// was exceeded, the call in service was canceled and its connection closed.
+func TestHalfOfANextRequestDoesNotCancelTheCall(t *testing.T) {
+	for name, limits := range map[string]screener.Limits{
+		"limit on heads":            {Head: time.Millisecond},
+		"limit on idle connections": {Idle: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan struct{}, 1)
+			e := newEndpoint(t, func(c net.Conn, r *http.Request, body string) bool {
+				sent <- struct{}{}
+				time.Sleep(100 * time.Millisecond) // beyond the limit
+				return answerWith(200, "ok")(c, r, body)
+			})
+			s := newScreened(t, limits, e)
+			c := s.dial(t)
+			_, err := io.WriteString(c, rawCall("POST", "/once/1", "Content-Length: 2\r\n", "hi"))
+			require.NoError(t, err)
+			<-sent
+			_, err = io.WriteString(c, "GET /safe/2 HT")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err, "the connection was closed without an answer")
+			defer response.Body.Close()
+			require.Equal(t, 200, response.StatusCode)
+		})
+	}
+}
