Answer operators' requests that a stopping node has read

The servers for operators, of keepers in a managed deployment and of each node of the product, stopped by http.Server.Shutdown like those for callers, and dropped requests of which they had read a part. They are screened now, so that they drain their connections instead, and request framing is checked there too. With TLS they offer only HTTP/1.1 thereby.

TestStoppingKeeperAnswersOperators failed before with "the connection was closed without an answer: unexpected EOF".

--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -17,6 +17,8 @@
 
 	"hyssoprudder/internal/connection/certifier"
 	"hyssoprudder/internal/connection/listener"
+	"hyssoprudder/internal/connection/screener"
+	"hyssoprudder/internal/process/clock"
 )
 
 const (
@@ -32,6 +34,7 @@
 	Listen    netip.AddrPort
 	Token     string
 	Certifier *certifier.Certifier // nil without TLS
+	Clock     clock.Clock
 	Log       *log.Logger
 	Metrics   http.Handler
 
@@ -60,8 +63,9 @@
 func NewServer(cfg Config) *Server {
 	s := &Server{cfg: cfg, token: sha256.Sum256([]byte(cfg.Token))}
 	s.listener = listener.New("operators", &http.Server{
-		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: screener.Guard(s.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}, cfg.Certifier, cfg.Log)
+	s.listener.Screen(screener.New(func() screener.Limits { return screener.Limits{Head: headerTimeout} }, cfg.Clock.Now))
 	return s
 }
 
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -14,6 +14,7 @@
 
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/messenger"
+	"hyssoprudder/internal/connection/screener"
 	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/compressor"
@@ -95,11 +96,15 @@
 	})
 	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, Log: n.log.With("part", "operator")}
 	k.control = listener.New("operators", &http.Server{
-		Handler: a.OperatorHandler(operators), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second,
+		Handler: screener.Guard(a.OperatorHandler(operators)), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
 	}, nil, n.log)
+	k.control.Screen(screener.New(func() screener.Limits { return screener.Limits{Head: controlHeadTimeout} }, n.clock.Now))
 	return nil
 }
 
+// controlHeadTimeout is how long an operator may take to send the head of a request.
+const controlHeadTimeout = 2 * time.Second
+
 // buildLog opens the log. Keepers are named by their IP addresses, so that a keeper that
 // lost its disk replaces its former self. Only seeds create the first log.
 func (k *keeperRole) buildLog() error {
--- a/internal/node/assembler/stop_test.go
+++ b/internal/node/assembler/stop_test.go
@@ -23,8 +23,8 @@
 	peeked <-chan error // receives the result of a read in the background, if there is one
 }
 
-func (d *deployment) dial() (*callerConn, error) {
-	c, err := net.Dial("tcp", d.host+".9:9100")
+func (d *deployment) dialTo(address string) (*callerConn, error) {
+	c, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -32,9 +32,11 @@
 	return &callerConn{t: d.t, Conn: c, reader: bufio.NewReader(c)}, nil
 }
 
-func (d *deployment) mustDial() *callerConn {
+func (d *deployment) mustDial() *callerConn { return d.mustDialTo(d.host + ".9:9100") }
+
+func (d *deployment) mustDialTo(address string) *callerConn {
 	d.t.Helper()
-	c, err := d.dial()
+	c, err := d.dialTo(address)
 	require.NoError(d.t, err)
 	return c
 }
@@ -87,10 +89,12 @@
 }
 
 // awaitDrain waits until the entry accepts no more connections.
-func (d *deployment) awaitDrain() {
+func (d *deployment) awaitDrain() { d.awaitDrainOf(d.host + ".9:9100") }
+
+func (d *deployment) awaitDrainOf(address string) {
 	d.t.Helper()
 	require.Eventually(d.t, func() bool {
-		c, err := d.dial()
+		c, err := d.dialTo(address)
 		if err == nil {
 			c.Close()
 		}
@@ -99,10 +103,12 @@
 }
 
 // stopEntry stops the entry in the background and returns a channel that is closed afterwards.
-func (d *deployment) stopEntry(ctx context.Context) <-chan struct{} {
+func (d *deployment) stopEntry(ctx context.Context) <-chan struct{} { return d.stopNode(ctx, d.entry) }
+
+func (d *deployment) stopNode(ctx context.Context, n *testNode) <-chan struct{} {
 	done := make(chan struct{})
-	node := d.entry.node
-	d.entry.node = nil
+	node := n.node
+	n.node = nil
 	go func() {
 		defer close(done)
 		_ = node.Stop(ctx)
@@ -180,3 +186,22 @@
 	require.True(t, c.requireAnswer("the node is stopping\n"))
 	<-stopped
 }
+
+// A keeper that stopped dropped operators' requests of which it had read a part.
+func TestStoppingKeeperAnswersOperators(t *testing.T) {
+	d := newDeployment(t)
+	address := d.host + ".1:9300"
+	kept, fresh := d.mustDialTo(address), d.mustDialTo(address)
+	kept.send(callerRequest)
+	kept.requireAnswer("404 page not found\n")
+	half := len(callerRequest) / 2
+	kept.send(callerRequest[:half])
+	fresh.send(callerRequest[:half])
+	stopped := d.stopNode(context.Background(), d.keepers[0])
+	d.awaitDrainOf(address)
+	for _, c := range []*callerConn{kept, fresh} {
+		c.send(callerRequest[half:])
+		c.requireAnswer("404 page not found\n")
+	}
+	<-stopped
+}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -144,7 +144,7 @@
 		return fmt.Errorf("%s holds no token; make one with \"hyssoprudder key create\"", r.settings.Token())
 	}
 	config := operator.Config{
-		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Log: r.log,
+		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Clock: r.clock, Log: r.log,
 		Metrics: promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}),
 		Rules:   r.currentRules, Apply: r.applyRules, History: r.history, Waiting: r.waiting,
 		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, State: r.dump,
