Answer the requests that the product's servers abort in a stop

What was still in flight at the end of the time to stop was closed without an answer by the servers for callers and operators of the product, and by that for operators of a keeper. Their requests' contexts have a common base now, which is canceled first; the connections are closed after a short wait for the answers.

TestStopAnswersCallsThatItAborts failed before with "the connection was closed without an answer: unexpected EOF".

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -17,11 +18,17 @@
 	"hyssoprudder/internal/connection/screener"
 )
 
+// abortTimeout is how long the answers to canceled requests may take.
+const abortTimeout = 150 * time.Millisecond
+
+var errStopping = errors.New("the node is stopping")
+
 // Listener runs one HTTP server.
 type Listener struct {
 	name     string
 	screener *screener.Screener // nil unless Screen was called
 	server   *http.Server
+	abort    context.CancelCauseFunc // cancels the contexts of all requests
 	log      *log.Logger
 	listener net.Listener
 	done     chan struct{}
@@ -34,7 +41,9 @@
 	if cert != nil {
 		server.TLSConfig = cert.Config()
 	}
-	return &Listener{name: name, server: server, log: l, done: make(chan struct{})}
+	ctx, abort := context.WithCancelCause(context.Background())
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	return &Listener{name: name, server: server, abort: abort, log: l, done: make(chan struct{})}
 }
 
 // Screen protects the server from request smuggling: each connection delivers one
@@ -84,7 +93,7 @@
 
 // Stop accepts no more connections and waits for the requests in flight; a screened server
 // also answers each request of which it has read a part. If ctx ends first, Stop returns its
-// error, and Close aborts the remaining requests.
+// error, and Abort ends the remaining requests.
 func (l *Listener) Stop(ctx context.Context) error {
 	if l.screener != nil {
 		if err := l.screener.Drain(ctx); err != nil {
@@ -100,6 +109,20 @@
 	return nil
 }
 
+// Abort cancels the requests in flight after Stop has failed, gives those of a screened server
+// a moment to answer, and closes all connections.
+func (l *Listener) Abort() {
+	l.abort(errStopping)
+	if l.screener != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+		defer cancel()
+		if err := l.screener.Drain(ctx); err != nil {
+			l.log.Warn("closing connections with requests that can't be answered in time", "for", l.name, "busy", l.screener.Counts().Busy)
+		}
+	}
+	l.Close()
+}
+
 // Close closes all connections immediately.
 func (l *Listener) Close() {
 	l.server.Close()
--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -102,7 +102,7 @@
 // the remaining connections.
 func (s *Server) Stop(ctx context.Context) {
 	if err := s.listener.Stop(ctx); err != nil {
-		s.listener.Close()
+		s.listener.Abort()
 	}
 }
 
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -87,7 +87,7 @@
 		return 0
 	}
 	aborted := s.inFlight.Load()
-	s.listener.Close()
+	s.listener.Abort()
 	return aborted
 }
 
--- a/internal/connection/server/stop_test.go
+++ b/internal/connection/server/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/request/handler"
 )
 
 // stopTimeout bounds the waits of these tests. It is so long that only a fault exceeds it.
@@ -61,3 +64,31 @@
 	_, err := keptReader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// A call that was still in flight at the end of the time to stop got no answer at all.
+func TestStopAnswersCallsThatItAborts(t *testing.T) {
+	received := make(chan struct{}, 1)
+	srv, address := startWith(t, func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result {
+		received <- struct{}{}
+		<-ctx.Done()
+		problem := handler.NewProblem(http.StatusGatewayTimeout, handler.OutcomeUnknown, context.Cause(ctx).Error(), "")
+		problem.Write(w, call.ID())
+		return handler.Result{Outcome: handler.OutcomeUnknown, Status: http.StatusGatewayTimeout}
+	}, io.Discard, "60s")
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	<-received
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, int64(1), srv.Stop(ctx), "the number of aborted calls")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "the connection was closed without an answer")
+	defer response.Body.Close()
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "the node is stopping")
+}
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -207,7 +207,7 @@
 	answerCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	if err := k.control.Stop(answerCtx); err != nil {
-		k.control.Close()
+		k.control.Abort()
 	}
 	handOverCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
