--- /dev/null
+++ b/internal/connection/server/stop_test.go
@@ -0,0 +1,94 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/request/handler"
+)
+
+// stopTimeout bounds the waits of these tests. It is so long that only a fault exceeds it.
+const stopTimeout = 60 * time.Second
+
+const rawRequest = "GET /v1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer masons-demo\r\n\r\n"
+
+// A server that stopped dropped requests of which it had read a part, on kept and on fresh connections.
+func TestStopAnswersWhatWasReceived(t *testing.T) {
+	srv, address := startWith(t, answerRoute, io.Discard, "60s")
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	send := func(c net.Conn, text string) {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	requireAnswer := func(r *bufio.Reader) {
+		response, err := http.ReadResponse(r, nil)
+		require.NoError(t, err, "the connection was closed without an answer")
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "answers", string(body))
+	}
+	kept, keptReader := dial()
+	send(kept, rawRequest)
+	requireAnswer(keptReader)
+	fresh, freshReader := dial()
+	half := len(rawRequest) / 2
+	send(kept, rawRequest[:half])
+	send(fresh, rawRequest[:half])
+	s := &stopper{srv: srv, aborted: make(chan int64, 1)}
+	go s.run()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	}, stopTimeout, time.Millisecond)
+	send(kept, rawRequest[half:])
+	requireAnswer(keptReader)
+	send(fresh, rawRequest[half:])
+	requireAnswer(freshReader)
+	require.Zero(t, <-s.aborted)
+	_, err := keptReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// A call that was still in flight at the end of the time to stop got no answer at all.
+func TestStopAnswersCallsThatItAborts(t *testing.T) {
+	received := make(chan struct{}, 1)
+	srv, address := startWith(t, func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result {
+		received <- struct{}{}
+		<-ctx.Done()
+		problem := handler.NewProblem(http.StatusGatewayTimeout, handler.OutcomeUnknown, context.Cause(ctx).Error(), "")
+		problem.Write(w, call.ID())
+		return handler.Result{Outcome: handler.OutcomeUnknown, Status: http.StatusGatewayTimeout}
+	}, io.Discard, "60s")
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	<-received
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, int64(1), srv.Stop(ctx), "the number of aborted calls")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "the connection was closed without an answer")
+	defer response.Body.Close()
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(body), "the node is stopping")
+}
