Deliver the failure that an endpoint answered if the call is canceled then

A repeatable call whose first endpoint answered with a failure is tried at another one. If it was canceled meanwhile, because the caller had closed its sending side or the time to stop was over, the caller was told that the answer is lost, though the complete answer of the first endpoint was there: abandon looked at the context first.

TestCanceledCallGetsTheFailureThatAnEndpointAnswered failed before with status 418 (the refusal of the fixture) in place of 500.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -447,13 +447,13 @@
 	case x.hasStreamBegun():
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
+	case x.buffered != nil:
+		x.buffered.deliver(x)
 	case x.ctx.Err() != nil && !x.mayRun:
 		x.refuse(Busy, x.f.retryAfter(minRetryAfter))
 	case x.ctx.Err() != nil:
 		// A caller that closed only its sending side still reads.
 		x.refuse(Unknown, 0)
-	case x.buffered != nil:
-		x.buffered.deliver(x)
 	case x.mayRun && x.remaining() < minRemaining:
 		x.refuse(TimedOut, 0)
 	case x.mayRun:
