Refuse requests that crash endpoints

Cause: crashes were attributed only to prompt blocks that other prompts share. Calls to plain services have none, and the last block of a prompt was left out, so the request itself was never suspected. A trial with a line for each call that broke off shows the same method, target, customer and body at each crash.

A fingerprint of these becomes a subject of attribution beside the blocks. It names no service. It goes before the blocks of its prompt, which sound requests have too; these keep one of the crashes that it explains, so that a deadly block is still found. The earliest report of a crash counts, so that a call that was repeated at once is new evidence, and the suspects with the fewest crashes are evicted when the table is full.

In place of TestPromptsWithoutSharedBlocksAreNoEvidence, which stated the fault, stands TestCallsWithoutSharedBlocksAreEvidenceAgainstTheirRequest.

--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -185,10 +185,20 @@
 func (n *testNode) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.serve(r.Context(), w, &forwarder.Call{
 		ID: "c1", Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header, Arrived: time.Now(),
-		Key: r.Header.Get("Key"), IsKeyed: true, Blocks: blocksOf(r.Header.Get("Prompt")), Body: func(int64) ([]byte, forwarder.Refusal) { return nil, forwarder.None },
+		Key: r.Header.Get("Key"), IsKeyed: true, Blocks: blocksOf(r.Header.Get("Prompt")), Size: r.ContentLength, Body: bodyReader(r.Body),
 	})
 }
 
+func bodyReader(body io.Reader) func(limit int64) ([]byte, forwarder.Refusal) {
+	return func(limit int64) ([]byte, forwarder.Refusal) {
+		read, err := io.ReadAll(io.LimitReader(body, limit))
+		if err != nil {
+			return nil, forwarder.Malformed
+		}
+		return read, forwarder.None
+	}
+}
+
 func endpointOf(id, version string, server *httptest.Server) coordinator.Endpoint {
 	return coordinator.Endpoint{
 		ID: id, Service: "desk", Domain: "one", Version: version, Slots: 64, Address: server.Listener.Addr().(*net.TCPAddr).AddrPort(),
@@ -280,11 +290,19 @@
 func (d *deployment) call(key string) string { return d.callWithPrompt(key, "") }
 
 func (d *deployment) callWithPrompt(key, prompt string) string {
+	return d.send(&testCall{method: http.MethodGet, target: "/x", key: key, prompt: prompt})
+}
+
+// testCall is a request of a caller.
+type testCall struct{ method, target, key, prompt, body string }
+
+// send returns the answer, or the error, that the caller of a request gets.
+func (d *deployment) send(c *testCall) string {
 	address := netip.MustParseAddr(d.host + ".9")
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+netip.AddrPortFrom(address, 9100).String()+"/x", nil)
+	r, err := http.NewRequestWithContext(context.Background(), c.method, "http://"+netip.AddrPortFrom(address, 9100).String()+c.target, strings.NewReader(c.body))
 	require.NoError(d.t, err)
-	r.Header.Set("Key", key)
-	r.Header.Set("Prompt", prompt)
+	r.Header.Set("Key", c.key)
+	r.Header.Set("Prompt", c.prompt)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return err.Error()
--- a/internal/node/assembler/crashes.go
+++ b/internal/node/assembler/crashes.go
@@ -7,6 +7,7 @@
 
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/request/isolator"
 	"hyssoprudder/internal/request/placer"
 )
 
@@ -22,18 +23,18 @@
 // attribution of crashes.
 func (e *entry) attemptEnded(r *forwarder.AttemptResult) {
 	e.versions.attemptEnded(r, e.placer.IsLeaving)
-	now := e.clusterTime()
+	now, call := e.clusterTime(), isolator.Call{Blocks: r.Blocks, Fingerprint: r.Fingerprint}
 	switch {
 	case r.IsAnswered:
-		e.isolator.Answered(r.Endpoint.Service, r.Blocks, now)
-	case r.IsBroken && !e.isClosing.Load() && e.isolator.Broken(r.Endpoint, r.Blocks, now.Add(r.SentAt.Sub(e.node.clock.Now())), now):
+		e.isolator.Answered(r.Endpoint.Service, call, now)
+	case r.IsBroken && !e.isClosing.Load() && e.isolator.Broken(r.Endpoint, call, now.Add(r.SentAt.Sub(e.node.clock.Now())), now):
 		e.group.Add(1)
 		go (&crashCheck{entry: e, endpoint: r.Endpoint}).run()
 	}
 }
 
-func (e *entry) isIsolated(service string, blocks []placer.PromptBlock) bool {
-	return e.isolator.IsIsolated(service, blocks, e.clusterTime())
+func (e *entry) isIsolated(service string, blocks []placer.PromptBlock, fingerprint func() uint64) bool {
+	return e.isolator.IsIsolated(service, isolator.Call{Blocks: blocks, Fingerprint: fingerprint}, e.clusterTime())
 }
 
 // crashCheck checks whether an endpoint at which a call broke off has crashed.
@@ -51,5 +52,5 @@
 		return
 	}
 	c.isolator.Unreachable(c.endpoint.ID, c.clusterTime())
-	c.node.log.Info("endpoint ended while it ran calls; reporting the blocks of their prompts", "endpoint", c.endpoint.ID, "err", err)
+	c.node.log.Info("endpoint ended while it ran calls; reporting the calls and the blocks of their prompts", "endpoint", c.endpoint.ID, "err", err)
 }
--- a/internal/node/assembler/recorder.go
+++ b/internal/node/assembler/recorder.go
@@ -70,7 +70,7 @@
 	r.log.Info("call ended", "request", call.ID, "route", result.Route, "kind", kind, "customer", result.Customer,
 		"status", result.Status, "refusal", string(result.Refusal), "detail", result.Detail, "endpoint", result.Endpoint,
 		"attempts", result.Attempts, "predicted", result.Predicted, "first", result.First, "took", result.Took, "wait", call.MaxWait,
-		"prompt", call.Prompt, "blocks", blockIDs(call.Blocks))
+		"prompt", call.Prompt, "blocks", blockIDs(call.Blocks), "fingerprint", strconv.FormatUint(result.Fingerprint, 16))
 }
 
 // blockIDs returns the hexadecimal IDs of the blocks of a prompt, separated by commas.
--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -1,10 +1,12 @@
-// Package attributor attributes crashes of endpoints to blocks of prompts. Entries report which blocks were in the
-// calls that broke off when an endpoint ended; the leader decides from the reports of all entries which block
-// crashes endpoints, and calls with that block are refused everywhere for a while. It performs no I/O.
+// Package attributor attributes crashes of endpoints to requests or to blocks of their prompts. Entries report which
+// calls broke off when an endpoint ended and which blocks were in them; the leader decides from the reports of all
+// entries which request or block crashes endpoints, and its calls are refused everywhere for a while. It performs no
+// I/O.
 package attributor
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,20 +33,32 @@
 	maxSeen = 64
 	// maxSuspects bounds the suspects that are sent to entries; those with the most crashes are sent.
 	maxSuspects = 64
-	// maxTracked bounds the blocks that are tracked.
-	maxTracked = 8192
+	// maxTracked bounds the suspects that are tracked. When it is reached, evictedSuspects of them are evicted:
+	// most requests are seen in one crash only.
+	maxTracked      = 8192
+	evictedSuspects = maxTracked / 4
 	// minIsolation is how long a block is isolated the first time. The time doubles up to maxIsolation each
 	// time that the block crashes an endpoint again.
 	minIsolation = 5 * time.Minute
 	maxIsolation = time.Hour
 )
 
-// Key identifies a block of the prompts of a service.
+// Key identifies a block of the prompts of a service or, without a service, a request by its fingerprint.
 type Key struct {
 	Service string `msgpack:"s"`
 	Block   uint64 `msgpack:"b"`
 }
 
+// RequestKey returns the key of a request. It names no service: another one may run the same request.
+func RequestKey(fingerprint uint64) Key { return Key{Block: fingerprint} }
+
+// IsRequest reports whether the key identifies a request.
+func (k Key) IsRequest() bool { return k.Service == "" }
+
+// RequestDepth is the depth of a request in an Exposure. It is greater than that of any block: a request is in fewer
+// calls than the blocks of its prompt.
+const RequestDepth = math.MaxInt32
+
 // Exposure is a block that was in a call that broke off when an endpoint crashed. The times are cluster time.
 type Exposure struct {
 	Key Key `msgpack:"k"`
@@ -116,6 +130,10 @@
 // Add adds the report of an entry about a crash. Reports may be repeated.
 func (c *Core) Add(reported *Crash) {
 	known := c.crashes[reported.Endpoint]
+	if known != nil && !known.isCounted && reported.At.Before(known.at) && known.at.Sub(reported.At) <= sameCrashTime {
+		// A call that an entry repeated right after the crash was sent before other entries saw it.
+		known.at = reported.At
+	}
 	if known == nil || reported.At.Sub(known.at).Abs() > sameCrashTime {
 		if known != nil && reported.At.Before(known.at) {
 			return
@@ -185,44 +203,59 @@
 		}
 	}
 	c.counted++
+	// Known suspects go first, so that none of them is evicted for a new one before the crash counts against it.
+	var unknown []Exposure
 	for key, e := range k.exposures {
-		s := c.suspects[key]
-		if s == nil {
-			if len(c.suspects) >= maxTracked {
-				continue
-			}
-			s = &suspect{since: k.at}
-			c.suspects[key] = s
-		}
-		s.depth = max(s.depth, e.Depth)
-		if len(s.seenIn) < maxSeen {
-			s.seenIn = append(s.seenIn, c.counted)
+		if s := c.suspects[key]; s != nil {
+			s.count(k, e, c.counted, now)
+		} else {
+			unknown = append(unknown, e)
 		}
-		if !e.StartedAt.After(s.lastCrash) {
-			continue
-		}
-		s.crashes, s.lastCrash = s.crashes+1, k.at
-		if s.crashes == suspicionThreshold {
-			s.suspectedAt = now
+	}
+	for _, e := range unknown {
+		if len(c.suspects) >= maxTracked {
+			c.evict()
 		}
+		s := &suspect{since: k.at}
+		c.suspects[e.Key] = s
+		s.count(k, e, c.counted, now)
 	}
 }
 
-// decide isolates a block that was in enough crashes in a row, or the block that explains these crashes better. It
-// waits until entries have had the time to report that calls with the block were answered.
+// count counts a crash, which has a number, against the suspect.
+func (s *suspect) count(k *crash, e Exposure, number int, now time.Time) {
+	s.depth = max(s.depth, e.Depth)
+	if len(s.seenIn) < maxSeen {
+		s.seenIn = append(s.seenIn, number)
+	}
+	if !e.StartedAt.After(s.lastCrash) {
+		return
+	}
+	s.crashes, s.lastCrash = s.crashes+1, k.at
+	if s.crashes == suspicionThreshold {
+		s.suspectedAt = now
+	}
+}
+
+// decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
+// It waits until entries have had the time to report that calls with it were answered. A request goes before the
+// blocks of its prompt: other requests have these too.
 func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
 	var best *suspect
-	for _, s := range c.suspects {
-		if s.crashes >= isolationThreshold && (best == nil || s.crashes > best.crashes) {
-			best = s
+	var found Key
+	for key, s := range c.suspects {
+		if s.crashes < isolationThreshold || best != nil && found.IsRequest() && !key.IsRequest() {
+			continue
+		}
+		if best == nil || key.IsRequest() && !found.IsRequest() || s.crashes > best.crashes {
+			best, found = s, key
 		}
 	}
 	if best == nil {
 		return Isolation{}, false
 	}
-	var found Key
 	for key, s := range c.suspects {
-		if s == best || s.explains(best) {
+		if s.explains(best) && (key.IsRequest() || !found.IsRequest()) {
 			best, found = s, key
 		}
 	}
@@ -246,17 +279,62 @@
 	return true
 }
 
-// isolate isolates a block. The crashes counted so far are thereby explained.
+// evict removes the suspects with the fewest crashes, of these the oldest ones.
+func (c *Core) evict() {
+	keys := make([]Key, 0, len(c.suspects))
+	for k := range c.suspects {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		x, y := c.suspects[a], c.suspects[b]
+		return cmp.Or(cmp.Compare(x.crashes, y.crashes), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a.Block, b.Block))
+	})
+	for _, k := range keys[:min(len(keys), evictedSuspects)] {
+		delete(c.suspects, k)
+	}
+}
+
+// isolate isolates a block or a request. The crashes that it was in are thereby explained.
 func (c *Core) isolate(k Key, now time.Time) Isolation {
 	duration := minIsolation
 	if i := c.isolations[k]; i != nil {
 		duration = min(2*i.duration, maxIsolation)
 	}
 	c.isolations[k] = &isolation{until: now.Add(duration), duration: duration}
-	clear(c.suspects)
+	explained := c.suspects[k].seenIn
+	delete(c.suspects, k)
+	for key, s := range c.suspects {
+		if !k.IsRequest() {
+			delete(c.suspects, key)
+			continue
+		}
+		s.discount(explained, key)
+		if s.crashes == 0 {
+			delete(c.suspects, key)
+		}
+	}
 	return Isolation{Key: k, Until: now.Add(duration)}
 }
 
+// discount removes crashes that a request explains. For a block one of them stays: it may be the block that makes
+// the request crash endpoints, and other requests have it too. A block is not isolated before one more crash: reports
+// that the request was in some of the crashes may have been lost.
+func (s *suspect) discount(explained []int, key Key) {
+	var rest []int
+	keepOne := !key.IsRequest()
+	for _, number := range s.seenIn {
+		if _, ok := slices.BinarySearch(explained, number); !ok {
+			rest = append(rest, number)
+		} else if keepOne {
+			rest, keepOne = append(rest, number), false
+		}
+	}
+	s.seenIn, s.crashes = rest, min(s.crashes, len(rest))
+	if !key.IsRequest() {
+		s.crashes = min(s.crashes, isolationThreshold-1)
+	}
+}
+
 // expire removes what is too old. A block whose isolation ended is on probation for as long as it was isolated: it
 // is isolated again after one more crash.
 func (c *Core) expire(now time.Time) {
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/attributor"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
@@ -84,7 +85,7 @@
 	c.setLimits(ruleset, now)
 	d := c.core.HandleReport(r, now)
 	for _, i := range c.core.TakeIsolated() {
-		c.config.Log.Warn("prompt block crashes endpoints; refusing its calls", "service", i.Key.Service, "block", strconv.FormatUint(i.Key.Block, 16), "until", i.Until)
+		c.logIsolated(i)
 	}
 	d.Leader, _ = c.config.Leader()
 	d.Keepers = c.config.Keepers()
@@ -98,6 +99,15 @@
 	return d
 }
 
+func (c *Coordinator) logIsolated(i attributor.Isolation) {
+	id := strconv.FormatUint(i.Key.Block, 16)
+	if i.Key.IsRequest() {
+		c.config.Log.Warn("request crashes endpoints; refusing it", "fingerprint", id, "until", i.Until)
+		return
+	}
+	c.config.Log.Warn("prompt block crashes endpoints; refusing its calls", "service", i.Key.Service, "block", id, "until", i.Until)
+}
+
 // RulesetPage returns a page of the newest ruleset that this keeper has applied. It needs no lease: a committed
 // ruleset never changes.
 func (c *Coordinator) RulesetPage(r *RulesetRequest) RulesetPage {
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -93,8 +93,8 @@
 	OverQuota Refusal = "over the limit"
 	// Busy means that no capacity is available in time.
 	Busy Refusal = "no capacity"
-	// Isolated means that a block of the call's prompt crashes endpoints.
-	Isolated Refusal = "prompt crashes endpoints"
+	// Isolated means that the request, or a block of its prompt, crashes endpoints.
+	Isolated Refusal = "request crashes endpoints"
 	// Unknown means that the call was sent and no complete answer arrived; it may
 	// have run.
 	Unknown Refusal = "answer lost"
@@ -120,4 +120,6 @@
 	// endpoint.
 	Predicted time.Duration
 	Took      time.Duration
+	// Fingerprint identifies the request if the refusal is Isolated.
+	Fingerprint uint64
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -71,9 +71,9 @@
 	// progress. isOnce reports whether the call may neither be repeated nor resumed;
 	// random is a number in [0, 1) that is the same for all attempts of the call.
 	Version func(service string, isOnce bool, random float64) Version
-	// IsIsolated reports whether a block of the prompt crashes endpoints of the service, so
-	// that the call must not be sent to any.
-	IsIsolated func(service string, blocks []placer.PromptBlock) bool
+	// IsIsolated reports whether the request with that fingerprint, or a block of its prompt,
+	// crashes endpoints of the service, so that the call must not be sent to any.
+	IsIsolated func(service string, blocks []placer.PromptBlock, fingerprint func() uint64) bool
 	// AttemptStarted is called before an attempt is sent, and AttemptEnded with its
 	// result.
 	AttemptStarted func(route string, endpoint placer.Endpoint)
@@ -134,6 +134,7 @@
 	reserved       int64     // bytes of memory reserved for the body
 	deadline       time.Time // end of the caller's or the route's time, whichever is earlier
 	random         float64   // random number in [0, 1) that selects the version
+	hash           *uint64   // fingerprint of the request, nil if not computed yet
 	cost           float64   // amount charged to the customer's limit
 	tried          []string
 	sent           int  // number of endpoints to which bytes of the call were sent
@@ -360,7 +361,7 @@
 // allowed.
 func (x *exchange) forward() {
 	for {
-		if x.f.config.IsIsolated(x.service.Name, x.call.Blocks) {
+		if x.f.config.IsIsolated(x.service.Name, x.call.Blocks, x.fingerprint) {
 			x.abandonIsolated()
 			return
 		}
@@ -441,8 +442,9 @@
 	}
 }
 
-// abandonIsolated ends a call with a prompt that crashes endpoints.
+// abandonIsolated ends a call that crashes endpoints.
 func (x *exchange) abandonIsolated() {
+	x.result.Fingerprint = x.fingerprint()
 	if x.mayRun {
 		x.abandon(string(Isolated), 0)
 		return
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -93,7 +93,7 @@
 		"no rules":                       {"/safe/1", "k1", func(f *fixture) { f.forwarder.SetTable(nil) }, forwarder.Unready},
 		"over the limit":                 {"/safe/1", "k1", func(f *fixture) { f.quotas.Take("masons", allowance, time.Now()) }, forwarder.OverQuota},
 		"open route, not confirmed":      {"/open/1", "", func(f *fixture) { f.confirmed = false }, forwarder.Unready},
-		"prompt crashes endpoints":       {"/safe/1", "k1", func(f *fixture) { f.isIsolated.Store(true) }, forwarder.Isolated},
+		"request crashes endpoints":      {"/safe/1", "k1", func(f *fixture) { f.isIsolated.Store(true) }, forwarder.Isolated},
 		"open route with an unknown key": {"/open/1", "k9", nil, ""},
 	}
 	for name, tc := range cases {
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -64,7 +64,7 @@
 		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: func() <-chan struct{} { return nil }, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
-		IsIsolated:     func(string, []placer.PromptBlock) bool { return f.isIsolated.Load() },
+		IsIsolated:     func(string, []placer.PromptBlock, func() uint64) bool { return f.isIsolated.Load() },
 		Version:        func(string, bool, float64) forwarder.Version { return f.version },
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -22,6 +22,9 @@
 	Endpoint placer.Endpoint
 	// Blocks are the blocks of the call's prompt.
 	Blocks []placer.PromptBlock
+	// Fingerprint returns the fingerprint of the request: the same for calls with the same
+	// method, host, target, customer and body.
+	Fingerprint func() uint64
 	// SentAt is when the call was sent.
 	SentAt time.Time
 	// IsBroken reports that the connection to the endpoint was lost before the answer
@@ -61,7 +64,7 @@
 		return
 	}
 	t := AttemptResult{
-		Route: a.x.route.Name, Endpoint: a.choice.Endpoint(), Blocks: a.x.call.Blocks, SentAt: a.sentAt,
+		Route: a.x.route.Name, Endpoint: a.choice.Endpoint(), Blocks: a.x.call.Blocks, Fingerprint: a.x.fingerprint, SentAt: a.sentAt,
 		IsBroken: a.isBroken, IsAnswered: a.outcome == placer.Answered,
 	}
 	switch a.outcome {
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -1,6 +1,6 @@
-// Package isolator refuses the calls of an entry whose prompts have a block that crashes endpoints, and collects the
-// evidence for it: which blocks were in calls that broke off when an endpoint ended, and which were in calls that
-// were answered. The leader decides (package attributor). It performs no I/O.
+// Package isolator refuses the calls of an entry that crash endpoints, by the request or by a block of its prompt, and
+// collects the evidence for it: which requests and blocks were in calls that broke off when an endpoint ended, and
+// which were in calls that were answered. The leader decides (package attributor). It performs no I/O.
 package isolator
 
 import (
@@ -19,8 +19,10 @@
 	reportTime = 2 * time.Second
 	// maxBlocks bounds the blocks of a call that are recorded.
 	maxBlocks = 32
-	// maxExposures bounds the blocks that are recorded of a crash.
+	// maxExposures bounds the requests and blocks that are recorded of a crash.
 	maxExposures = 512
+	// requestExposures is how many more requests are recorded when long prompts have used up that bound.
+	requestExposures = 128
 )
 
 // Isolator is the state of one entry. It is safe for concurrent use. All times are cluster time.
@@ -32,6 +34,14 @@
 	isolations map[attributor.Key]time.Time // until
 }
 
+// Call is what identifies a call for the attribution of crashes.
+type Call struct {
+	// Blocks are the blocks of the prompt.
+	Blocks []placer.PromptBlock
+	// Fingerprint returns the fingerprint of the request. It is called only if it is needed.
+	Fingerprint func() uint64
+}
+
 // breakage is the calls that broke off at an endpoint.
 type breakage struct {
 	at        time.Time
@@ -53,12 +63,9 @@
 }
 
 // Broken records that a call that was sent at startedAt broke off at an endpoint. It reports whether the caller has
-// to check if the endpoint can be reached, and to call Unreachable if not.
-func (i *Isolator) Broken(e placer.Endpoint, blocks []placer.PromptBlock, startedAt, now time.Time) (check bool) {
-	blocks = sharedBlocks(blocks)
-	if len(blocks) == 0 {
-		return false
-	}
+// to check if the endpoint can be reached, and to call Reachable or Unreachable.
+func (i *Isolator) Broken(e placer.Endpoint, call Call, startedAt, now time.Time) (check bool) {
+	request := attributor.RequestKey(call.Fingerprint())
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	b := i.breaks[e.ID]
@@ -67,17 +74,26 @@
 		i.breaks[e.ID] = b
 		check = true
 	}
-	for depth, block := range blocks {
-		key := attributor.Key{Service: e.Service, Block: block.ID}
-		old, ok := b.exposures[key]
-		if !ok && len(b.exposures) >= maxExposures || ok && !startedAt.After(old.StartedAt) {
-			continue
-		}
-		b.exposures[key] = attributor.Exposure{Key: key, Depth: depth, StartedAt: startedAt}
+	b.add(attributor.Exposure{Key: request, Depth: attributor.RequestDepth, StartedAt: startedAt})
+	for depth, block := range sharedBlocks(call.Blocks) {
+		b.add(attributor.Exposure{Key: attributor.Key{Service: e.Service, Block: block.ID}, Depth: depth, StartedAt: startedAt})
 	}
 	return check
 }
 
+// add adds an exposure, or replaces an earlier one of the same key.
+func (b *breakage) add(e attributor.Exposure) {
+	limit := maxExposures
+	if e.Key.IsRequest() {
+		limit += requestExposures
+	}
+	old, ok := b.exposures[e.Key]
+	if !ok && len(b.exposures) >= limit || ok && !e.StartedAt.After(old.StartedAt) {
+		return
+	}
+	b.exposures[e.Key] = e
+}
+
 // Unreachable records that no connection to an endpoint could be opened.
 func (i *Isolator) Unreachable(endpoint string, now time.Time) {
 	i.mu.Lock()
@@ -88,14 +104,14 @@
 }
 
 // Answered records that a call was answered completely.
-func (i *Isolator) Answered(service string, blocks []placer.PromptBlock, now time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if len(i.suspects) == 0 && len(i.isolations) == 0 {
+func (i *Isolator) Answered(service string, call Call, now time.Time) {
+	if !i.isCollecting() {
 		return
 	}
-	for _, block := range sharedBlocks(blocks) {
-		key := attributor.Key{Service: service, Block: block.ID}
+	keys := keysOf(service, call)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, key := range keys {
 		_, isSuspect := i.suspects[key]
 		if _, isIsolated := i.isolations[key]; isSuspect || isIsolated {
 			i.answered[key] = now
@@ -103,21 +119,44 @@
 	}
 }
 
-// IsIsolated reports whether a prompt has a block that is isolated for the service.
-func (i *Isolator) IsIsolated(service string, blocks []placer.PromptBlock, now time.Time) bool {
+// isCollecting reports whether anything is suspected or isolated.
+func (i *Isolator) isCollecting() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if len(i.isolations) == 0 {
+	return len(i.suspects) > 0 || len(i.isolations) > 0
+}
+
+// keysOf returns the keys of a call's request and of the shared blocks of its prompt.
+func keysOf(service string, call Call) []attributor.Key {
+	out := []attributor.Key{attributor.RequestKey(call.Fingerprint())}
+	for _, block := range sharedBlocks(call.Blocks) {
+		out = append(out, attributor.Key{Service: service, Block: block.ID})
+	}
+	return out
+}
+
+// IsIsolated reports whether a call's request, or a block of its prompt, is isolated for the service.
+func (i *Isolator) IsIsolated(service string, call Call, now time.Time) bool {
+	if !i.hasIsolations() {
 		return false
 	}
-	for _, block := range sharedBlocks(blocks) {
-		if until, ok := i.isolations[attributor.Key{Service: service, Block: block.ID}]; ok && now.Before(until) {
+	keys := keysOf(service, call)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, key := range keys {
+		if until, ok := i.isolations[key]; ok && now.Before(until) {
 			return true
 		}
 	}
 	return false
 }
 
+func (i *Isolator) hasIsolations() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.isolations) > 0
+}
+
 // Report returns the evidence for the leader, and the isolations that this entry knows.
 func (i *Isolator) Report(now time.Time) (crashes []attributor.Crash, answers []attributor.Answer, isolations []attributor.Isolation) {
 	i.mu.Lock()
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -16,6 +16,11 @@
 	endpoint = placer.Endpoint{ID: "e1", Service: "desk"}
 )
 
+// call returns a call of the request with that fingerprint, with a prompt.
+func call(fingerprint uint64, ids ...uint64) isolator.Call {
+	return isolator.Call{Blocks: prompt(ids...), Fingerprint: func() uint64 { return fingerprint }}
+}
+
 func prompt(ids ...uint64) []placer.PromptBlock {
 	var out []placer.PromptBlock
 	for _, id := range ids {
@@ -29,8 +34,8 @@
 func TestCrashIsReportedWithTheBlocksOfItsCalls(t *testing.T) {
 	i := isolator.New()
 	sent := start.Add(-time.Second)
-	require.True(t, i.Broken(endpoint, prompt(1, 2, 90), sent, start))
-	require.False(t, i.Broken(endpoint, prompt(1, 3, 91), sent.Add(time.Millisecond), start.Add(time.Millisecond)), "it is checked once")
+	require.True(t, i.Broken(endpoint, call(70, 1, 2, 90), sent, start))
+	require.False(t, i.Broken(endpoint, call(71, 1, 3, 91), sent.Add(time.Millisecond), start.Add(time.Millisecond)), "it is checked once")
 	crashes, _, _ := i.Report(start)
 	require.Empty(t, crashes, "a call that breaks off is no crash")
 	i.Unreachable("e1", start.Add(2*time.Millisecond))
@@ -40,20 +45,46 @@
 	require.ElementsMatch(t, []attributor.Exposure{
 		{Key: key(1), Depth: 0, StartedAt: sent.Add(time.Millisecond)}, {Key: key(2), Depth: 1, StartedAt: sent},
 		{Key: key(3), Depth: 1, StartedAt: sent.Add(time.Millisecond)},
+		{Key: attributor.RequestKey(70), Depth: attributor.RequestDepth, StartedAt: sent},
+		{Key: attributor.RequestKey(71), Depth: attributor.RequestDepth, StartedAt: sent.Add(time.Millisecond)},
 	}, crashes[0].Exposures, "the last block of a prompt is no other call's")
 	crashes, _, _ = i.Report(start.Add(10 * time.Second))
 	require.Empty(t, crashes)
 }
 
-func TestPromptsWithoutSharedBlocksAreNoEvidence(t *testing.T) {
+// Calls without a prompt, or with a prompt of their own, were no evidence of a crash.
+func TestCallsWithoutSharedBlocksAreEvidenceAgainstTheirRequest(t *testing.T) {
+	for name, c := range map[string]isolator.Call{"no prompt": call(77), "a prompt of its own": call(77, 1)} {
+		t.Run(name, func(t *testing.T) {
+			i := isolator.New()
+			require.True(t, i.Broken(endpoint, c, start, start))
+			i.Unreachable("e1", start)
+			crashes, _, _ := i.Report(start)
+			require.Len(t, crashes, 1)
+			require.Equal(t, []attributor.Exposure{{Key: attributor.RequestKey(77), Depth: attributor.RequestDepth, StartedAt: start}}, crashes[0].Exposures)
+		})
+	}
+}
+
+// A request is recorded however many blocks the other calls of the endpoint had.
+func TestRequestIsRecordedBesideLongPrompts(t *testing.T) {
 	i := isolator.New()
-	require.False(t, i.Broken(endpoint, prompt(1), start, start))
-	require.False(t, i.Broken(endpoint, nil, start, start))
+	for n := range uint64(64) {
+		var ids []uint64
+		for b := range uint64(32) {
+			ids = append(ids, 1000*n+b)
+		}
+		i.Broken(endpoint, call(n, ids...), start, start)
+	}
+	i.Broken(endpoint, call(77), start, start)
+	i.Unreachable("e1", start)
+	crashes, _, _ := i.Report(start)
+	require.Contains(t, crashes[0].Exposures, attributor.Exposure{Key: attributor.RequestKey(77), Depth: attributor.RequestDepth, StartedAt: start})
 }
 
 func TestUnreachableLongAfterABreakIsNoCrash(t *testing.T) {
 	i := isolator.New()
-	i.Broken(endpoint, prompt(1, 2), start, start)
+	i.Broken(endpoint, call(77, 1, 2), start, start)
 	i.Unreachable("e1", start.Add(5*time.Second))
 	i.Unreachable("e2", start)
 	crashes, _, _ := i.Report(start.Add(100 * time.Millisecond))
@@ -62,12 +93,12 @@
 
 func TestAnswersAreReportedForSuspectsAndIsolatedBlocks(t *testing.T) {
 	i := isolator.New()
-	i.Answered("desk", prompt(1, 2, 3, 90), start)
+	i.Answered("desk", call(77, 1, 2, 3, 90), start)
 	_, answers, _ := i.Report(start)
 	require.Empty(t, answers, "nothing is suspected")
 	i.Apply([]attributor.Suspect{{Key: key(1), Since: start}}, []attributor.Isolation{{Key: key(2), Until: start.Add(time.Minute)}}, true, start)
-	i.Answered("desk", prompt(1, 2, 3, 90), start)
-	i.Answered("other", prompt(1, 90), start)
+	i.Answered("desk", call(77, 1, 2, 3, 90), start)
+	i.Answered("other", call(77, 1, 90), start)
 	_, answers, isolations := i.Report(start)
 	require.ElementsMatch(t, []attributor.Answer{{Key: key(1), At: start}, {Key: key(2), At: start}}, answers)
 	require.Equal(t, []attributor.Isolation{{Key: key(2), Until: start.Add(time.Minute)}}, isolations)
@@ -77,12 +108,32 @@
 	i := isolator.New()
 	isolations := []attributor.Isolation{{Key: key(2), Until: start.Add(time.Minute)}}
 	i.Apply(nil, isolations, true, start)
-	require.True(t, i.IsIsolated("desk", prompt(1, 2, 90), start))
-	require.False(t, i.IsIsolated("other", prompt(1, 2, 90), start), "another service has other endpoints")
-	require.False(t, i.IsIsolated("desk", prompt(1, 3, 2), start), "the last block is not shared")
+	require.True(t, i.IsIsolated("desk", call(77, 1, 2, 90), start))
+	require.False(t, i.IsIsolated("other", call(77, 1, 2, 90), start), "another service has other endpoints")
+	require.False(t, i.IsIsolated("desk", call(77, 1, 3, 2), start), "the last block is not shared")
 	i.Apply(nil, nil, false, start)
-	require.True(t, i.IsIsolated("desk", prompt(2, 90), start), "a new leader may not know it yet")
-	require.False(t, i.IsIsolated("desk", prompt(2, 90), start.Add(time.Hour)), "its time is over")
+	require.True(t, i.IsIsolated("desk", call(77, 2, 90), start), "a new leader may not know it yet")
+	require.False(t, i.IsIsolated("desk", call(77, 2, 90), start.Add(time.Hour)), "its time is over")
 	i.Apply(nil, nil, true, start)
-	require.False(t, i.IsIsolated("desk", prompt(2, 90), start), "the leader ended it")
+	require.False(t, i.IsIsolated("desk", call(77, 2, 90), start), "the leader ended it")
+}
+
+func TestIsolatedRequestIsRefusedByEveryService(t *testing.T) {
+	i := isolator.New()
+	i.Apply(nil, []attributor.Isolation{{Key: attributor.RequestKey(77), Until: start.Add(time.Minute)}}, true, start)
+	for _, service := range []string{"desk", "other"} {
+		require.True(t, i.IsIsolated(service, call(77, 1, 2), start))
+		require.False(t, i.IsIsolated(service, call(78, 1, 2), start), "another request with the same prompt")
+	}
+	i.Answered("desk", call(77), start)
+	_, answers, _ := i.Report(start)
+	require.Equal(t, []attributor.Answer{{Key: attributor.RequestKey(77), At: start}}, answers)
+}
+
+// The fingerprint of a request takes time in proportion to its body.
+func TestFingerprintIsComputedOnlyIfSomethingIsSuspected(t *testing.T) {
+	i := isolator.New()
+	c := isolator.Call{Fingerprint: func() uint64 { panic("not needed") }}
+	i.Answered("desk", c, start)
+	require.False(t, i.IsIsolated("desk", c, start))
 }
