Report crashes that follow a lost answer

An entry checked an endpoint at most once a second: when a call broke off since its answer was lost, the check found the endpoint reachable, and a crash of the same endpoint within the next second was neither checked nor reported. Beside lost and spoilt answers, requests that crash endpoints were so counted late.

A check that succeeds now ends the record of the calls that broke off, and is repeated if others broke off while it ran.

Failed before the change: TestCrashSoonAfterALostAnswerIsReported ("Should be true": no check of the second call) and TestCallThatBreaksOffDuringACheckIsCheckedAgain (the same).

--- a/internal/node/assembler/crashes.go
+++ b/internal/node/assembler/crashes.go
@@ -17,6 +17,8 @@
 	// maxCheckConnections is the number of connections to an endpoint from which on no check
 	// opens another one.
 	maxCheckConnections = 64
+	// maxCrashChecks bounds the checks that follow each other since further calls broke off meanwhile.
+	maxCrashChecks = 3
 )
 
 // attemptEnded passes the result of an attempt to the comparison of versions and to the
@@ -45,12 +47,31 @@
 
 func (c *crashCheck) run() {
 	defer c.group.Done()
+	for range maxCrashChecks {
+		checkedAt := c.clusterTime()
+		err := c.connect()
+		if err != nil {
+			c.report(err)
+			return
+		}
+		if !c.isolator.Reachable(c.endpoint.ID, checkedAt) {
+			return
+		}
+	}
+}
+
+func (c *crashCheck) report(err error) {
+	c.isolator.Unreachable(c.endpoint.ID, c.clusterTime())
+	c.node.log.Info("endpoint ended while it ran calls; reporting the calls and the blocks of their prompts", "endpoint", c.endpoint.ID, "err", err)
+}
+
+// connect returns an error if no connection to the endpoint can be opened.
+func (c *crashCheck) connect() error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	err := c.pool.Check(ctx, c.endpoint.Address, maxCheckConnections)
-	if err == nil || errors.Is(err, pooler.ErrFull) {
-		return
+	if errors.Is(err, pooler.ErrFull) {
+		return nil
 	}
-	c.isolator.Unreachable(c.endpoint.ID, c.clusterTime())
-	c.node.log.Info("endpoint ended while it ran calls; reporting the calls and the blocks of their prompts", "endpoint", c.endpoint.ID, "err", err)
+	return err
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -45,6 +45,7 @@
 // breakage is the calls that broke off at an endpoint.
 type breakage struct {
 	at        time.Time
+	lastAt    time.Time // when the last of the calls broke off
 	exposures map[attributor.Key]attributor.Exposure
 	isCrash   bool // the endpoint can't be reached
 }
@@ -74,6 +75,7 @@
 		i.breaks[e.ID] = b
 		check = true
 	}
+	b.lastAt = now
 	b.add(attributor.Exposure{Key: request, Depth: attributor.RequestDepth, StartedAt: startedAt})
 	for depth, block := range sharedBlocks(call.Blocks) {
 		b.add(attributor.Exposure{Key: attributor.Key{Service: e.Service, Block: block.ID}, Depth: depth, StartedAt: startedAt})
@@ -94,6 +96,23 @@
 	b.exposures[e.Key] = e
 }
 
+// Reachable records that a connection to an endpoint was opened, by a check that began at checkedAt: the calls that
+// broke off before are no sign of a crash. It reports whether the caller has to check again, since others broke off
+// meanwhile.
+func (i *Isolator) Reachable(endpoint string, checkedAt time.Time) (again bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	b := i.breaks[endpoint]
+	if b == nil || b.isCrash {
+		return false
+	}
+	if b.lastAt.After(checkedAt) {
+		return true
+	}
+	delete(i.breaks, endpoint)
+	return false
+}
+
 // Unreachable records that no connection to an endpoint could be opened.
 func (i *Isolator) Unreachable(endpoint string, now time.Time) {
 	i.mu.Lock()
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -82,6 +82,32 @@
 	require.Contains(t, crashes[0].Exposures, attributor.Exposure{Key: attributor.RequestKey(77), Depth: attributor.RequestDepth, StartedAt: start})
 }
 
+// An answer was lost and the endpoint could be reached; its crash within the next second was then not checked.
+func TestCrashSoonAfterALostAnswerIsReported(t *testing.T) {
+	i := isolator.New()
+	require.True(t, i.Broken(endpoint, call(70), start, start))
+	require.False(t, i.Reachable("e1", start))
+	crashAt := start.Add(500 * time.Millisecond)
+	require.True(t, i.Broken(endpoint, call(71), start, crashAt))
+	i.Unreachable("e1", crashAt)
+	crashes, _, _ := i.Report(crashAt)
+	require.Len(t, crashes, 1)
+	require.Equal(t, crashAt, crashes[0].At)
+	require.Equal(t, []attributor.Exposure{{Key: attributor.RequestKey(71), Depth: attributor.RequestDepth, StartedAt: start}}, crashes[0].Exposures)
+}
+
+// The endpoint crashed between the connection of a check and its result.
+func TestCallThatBreaksOffDuringACheckIsCheckedAgain(t *testing.T) {
+	i := isolator.New()
+	require.True(t, i.Broken(endpoint, call(70), start, start))
+	require.False(t, i.Broken(endpoint, call(71), start, start.Add(2*time.Millisecond)))
+	require.True(t, i.Reachable("e1", start.Add(time.Millisecond)))
+	i.Unreachable("e1", start.Add(4*time.Millisecond))
+	crashes, _, _ := i.Report(start.Add(5 * time.Millisecond))
+	require.Len(t, crashes, 1)
+	require.Len(t, crashes[0].Exposures, 2)
+}
+
 func TestUnreachableLongAfterABreakIsNoCrash(t *testing.T) {
 	i := isolator.New()
 	i.Broken(endpoint, call(77, 1, 2), start, start)
