Count each crash against a request that was never answered

For a request without an answer each crash counts. For others the old rule stays, and crashes before the answer count no more; so far an answer between the first and the second crash was not known to the leader.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -66,6 +66,8 @@
 	Depth int `msgpack:"d"`
 	// StartedAt is when the last of the calls with the block was sent.
 	StartedAt time.Time `msgpack:"t"`
+	// AnsweredAt is when the entry last answered the same request, zero if it does not know of an answer.
+	AnsweredAt time.Time `msgpack:"n,omitempty"`
 }
 
 // Crash is what one entry knows of the crash of an endpoint.
@@ -75,7 +77,7 @@
 	Exposures []Exposure `msgpack:"x"`
 }
 
-// Suspect is a block that may have crashed endpoints since a time.
+// Suspect is a request or block that may have crashed endpoints since a time.
 type Suspect struct {
 	Key   Key       `msgpack:"k"`
 	Since time.Time `msgpack:"t"`
@@ -145,9 +147,14 @@
 		return
 	}
 	for _, e := range reported.Exposures {
-		if old, ok := known.exposures[e.Key]; !ok || e.StartedAt.After(old.StartedAt) {
-			known.exposures[e.Key] = e
+		old, ok := known.exposures[e.Key]
+		if ok && old.StartedAt.After(e.StartedAt) {
+			e.StartedAt = old.StartedAt
 		}
+		if ok && old.AnsweredAt.After(e.AnsweredAt) {
+			e.AnsweredAt = old.AnsweredAt
+		}
+		known.exposures[e.Key] = e
 	}
 }
 
@@ -195,7 +202,8 @@
 
 // count counts a crash against the blocks in it, unless an isolated block explains it. Calls that were sent before
 // the last crash that counted against a block are no new evidence: a common block is in calls at many endpoints
-// that crash together.
+// that crash together. That holds for requests which have been answered before, too; one that has not may itself be
+// at many endpoints at once.
 func (c *Core) count(k *crash, now time.Time) {
 	for key := range k.exposures {
 		if i := c.isolations[key]; i != nil && now.Before(i.until) {
@@ -224,11 +232,15 @@
 
 // count counts a crash, which has a number, against the suspect.
 func (s *suspect) count(k *crash, e Exposure, number int, now time.Time) {
+	if e.AnsweredAt.After(s.since) {
+		*s = suspect{since: k.at}
+	}
 	s.depth = max(s.depth, e.Depth)
 	if len(s.seenIn) < maxSeen {
 		s.seenIn = append(s.seenIn, number)
 	}
-	if !e.StartedAt.After(s.lastCrash) {
+	isNew := e.StartedAt.After(s.lastCrash) || e.Key.IsRequest() && e.AnsweredAt.IsZero()
+	if !isNew {
 		return
 	}
 	s.crashes, s.lastCrash = s.crashes+1, k.at
@@ -265,7 +277,7 @@
 	return c.isolate(found, now), true
 }
 
-// explains reports whether a block was in all crashes that another one was in, and either in more of them or, as the
+// explains reports whether a block or request was in all crashes that another one was in, and either in more of them or, as the
 // later one in the prompts, in fewer calls.
 func (s *suspect) explains(other *suspect) bool {
 	if len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
@@ -372,7 +384,8 @@
 	})
 	var out []Suspect
 	for _, k := range keys[:min(len(keys), maxSuspects)] {
-		out = append(out, Suspect{Key: k, Since: c.suspects[k].since})
+		s := c.suspects[k]
+		out = append(out, Suspect{Key: k, Since: s.since})
 	}
 	return out
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -29,7 +29,8 @@
 type Isolator struct {
 	mu         sync.Mutex
 	breaks     map[string]*breakage // by endpoint
-	suspects   map[attributor.Key]time.Time
+	suspects   map[attributor.Key]attributor.Suspect
+	requests   memory // requests that were answered
 	answered   map[attributor.Key]time.Time
 	isolations map[attributor.Key]time.Time // until
 }
@@ -53,7 +54,7 @@
 // New returns an isolator without evidence.
 func New() *Isolator {
 	return &Isolator{
-		breaks: make(map[string]*breakage), suspects: make(map[attributor.Key]time.Time),
+		breaks: make(map[string]*breakage), suspects: make(map[attributor.Key]attributor.Suspect),
 		answered: make(map[attributor.Key]time.Time), isolations: make(map[attributor.Key]time.Time),
 	}
 }
@@ -76,7 +77,7 @@
 		check = true
 	}
 	b.lastAt = now
-	b.add(attributor.Exposure{Key: request, Depth: attributor.RequestDepth, StartedAt: startedAt})
+	b.add(attributor.Exposure{Key: request, Depth: attributor.RequestDepth, StartedAt: startedAt, AnsweredAt: i.requests.last(request, now)})
 	for depth, block := range sharedBlocks(call.Blocks) {
 		b.add(attributor.Exposure{Key: attributor.Key{Service: e.Service, Block: block.ID}, Depth: depth, StartedAt: startedAt})
 	}
@@ -124,12 +125,10 @@
 
 // Answered records that a call was answered completely.
 func (i *Isolator) Answered(service string, call Call, now time.Time) {
-	if !i.isCollecting() {
-		return
-	}
 	keys := keysOf(service, call)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.requests.add(keys[0], now)
 	for _, key := range keys {
 		_, isSuspect := i.suspects[key]
 		if _, isIsolated := i.isolations[key]; isSuspect || isIsolated {
@@ -138,14 +137,7 @@
 	}
 }
 
-// isCollecting reports whether anything is suspected or isolated.
-func (i *Isolator) isCollecting() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.suspects) > 0 || len(i.isolations) > 0
-}
-
-// keysOf returns the keys of a call's request and of the shared blocks of its prompt.
+// keysOf returns the keys of a call's request, which comes first, and of the shared blocks of its prompt.
 func keysOf(service string, call Call) []attributor.Key {
 	out := []attributor.Key{attributor.RequestKey(call.Fingerprint())}
 	for _, block := range sharedBlocks(call.Blocks) {
@@ -213,7 +205,7 @@
 	defer i.mu.Unlock()
 	clear(i.suspects)
 	for _, s := range suspects {
-		i.suspects[s.Key] = s.Since
+		i.suspects[s.Key] = s
 	}
 	if isComplete {
 		clear(i.isolations)
