Tell a new leader which requests are suspected

What a leader suspected was lost with it: each change of the leader allowed a request that crashes endpoints three more crashes before it was refused.

Entries keep the suspects that the last leader sent and report the requests among them, 64 at most, for the 3 s in which a new leader learns what earlier ones knew. It adopts each of them once, and not if the request was answered since. Crashes that the earlier leader has counted do not count again. Meanwhile a crash settles from its first review on, since reports about older crashes come again and not all at once, and no block is isolated.

Seen failing without the adoption: TestSuspectedRequestsSurviveTheLeader (nothing isolated after the third crash). The simulation TestOnlyTheDeadlyRequestIsIsolated changes leaders now; with counting as before it isolated sound requests, and a common block, after all endpoints had ended.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -209,6 +209,7 @@
 	r.Demand, r.Unspent, r.Sequence, r.Pending = quotas.Demand, quotas.Unspent, quotas.Sequence, quotas.Pending
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
+	r.Suspects = e.isolator.Suspects()
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received = e.listID, e.received
--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -81,6 +81,9 @@
 type Suspect struct {
 	Key   Key       `msgpack:"k"`
 	Since time.Time `msgpack:"t"`
+	// Crashes is how often it did so without an answer in between, and LastCrash is the last time.
+	Crashes   int       `msgpack:"c"`
+	LastCrash time.Time `msgpack:"l"`
 }
 
 // Answer tells that a call with a block was answered completely at a time.
@@ -102,12 +105,17 @@
 	counted    int               // number of crashes counted
 	suspects   map[Key]*suspect
 	isolations map[Key]*isolation
+	answers    map[Key]time.Time // last answers of calls that were suspected or isolated
+	adopted    map[Key]bool      // suspects of earlier leaders that were adopted
+	isAdopting bool
 }
 
 type crash struct {
 	at        time.Time
 	exposures map[Key]Exposure
 	isCounted bool
+	// reviewedAt is the first review of the crash by a leader that adopts what earlier leaders knew.
+	reviewedAt time.Time
 }
 
 type suspect struct {
@@ -116,7 +124,10 @@
 	crashes     int       // crashes in a row: each under a call that was sent after the crash before
 	suspectedAt time.Time // when crashes reached suspicionThreshold
 	depth       int
-	seenIn      []int // numbers of the crashes that the block was in, at most maxSeen
+	wasAnswered bool // some entry has answered the request
+	// adoptedUntil is until when an earlier leader has counted the crashes. Entries report the last ones again.
+	adoptedUntil time.Time
+	seenIn       []int // numbers of the crashes that the block was in, at most maxSeen
 }
 
 type isolation struct {
@@ -126,7 +137,7 @@
 
 // New returns a core that knows of no crashes.
 func New() *Core {
-	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation)}
+	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation), answers: make(map[Key]time.Time), adopted: make(map[Key]bool)}
 }
 
 // Add adds the report of an entry about a crash. Reports may be repeated.
@@ -160,6 +171,9 @@
 
 // Answer records that a call was answered. Its block is then neither suspected nor isolated.
 func (c *Core) Answer(a Answer) {
+	if a.At.After(c.answers[a.Key]) {
+		c.answers[a.Key] = a.At
+	}
 	if s := c.suspects[a.Key]; s != nil && a.At.After(s.since) {
 		delete(c.suspects, a.Key)
 	}
@@ -177,6 +191,32 @@
 	}
 }
 
+// SetAdopting tells whether entries may still report what earlier leaders suspected and isolated. No block is isolated
+// meanwhile: a request that explains the crashes may not be known yet.
+func (c *Core) SetAdopting(isAdopting bool) { c.isAdopting = isAdopting }
+
+// AdoptSuspects adds the requests that earlier leaders suspected, as the entries know them, each of them once. Blocks are
+// not adopted: which of them explains the crashes cannot be told without the calls that were in these.
+func (c *Core) AdoptSuspects(suspects []Suspect, now time.Time) {
+	for _, adopted := range suspects {
+		key := adopted.Key
+		if !key.IsRequest() || c.adopted[key] || c.isolations[key] != nil || c.answers[key].After(adopted.Since) || len(c.adopted) >= maxTracked {
+			continue
+		}
+		c.adopted[key] = true
+		s := c.suspects[key]
+		if s == nil {
+			if len(c.suspects) >= maxTracked {
+				c.evict()
+			}
+			s = &suspect{lastCrash: adopted.LastCrash, depth: RequestDepth}
+			c.suspects[key] = s
+		}
+		s.since, s.adoptedUntil = adopted.Since, adopted.LastCrash.Add(sameCrashTime)
+		s.crashes, s.suspectedAt = max(s.crashes, adopted.Crashes), now
+	}
+}
+
 // Review counts the crashes that all entries have had the time to report, given the interval between reports. If a
 // block has to be isolated from now on, it returns that block.
 func (c *Core) Review(now time.Time, reportInterval time.Duration) (Isolation, bool) {
@@ -192,7 +232,15 @@
 func (c *Core) settled(now time.Time, settleTime time.Duration) []*crash {
 	var out []*crash
 	for _, k := range c.crashes {
-		if !k.isCounted && now.Sub(k.at) >= settleTime {
+		from := k.at
+		if c.isAdopting {
+			// The crash may be older than the leader, and the first report about it is not the last one.
+			if k.reviewedAt.IsZero() {
+				k.reviewedAt = now
+			}
+			from = k.reviewedAt
+		}
+		if !k.isCounted && now.Sub(from) >= settleTime {
 			out = append(out, k)
 		}
 	}
@@ -224,7 +272,7 @@
 		if len(c.suspects) >= maxTracked {
 			c.evict()
 		}
-		s := &suspect{since: k.at}
+		s := &suspect{since: k.at, wasAnswered: !c.answers[e.Key].IsZero()}
 		c.suspects[e.Key] = s
 		s.count(k, e, c.counted, now)
 	}
@@ -235,12 +283,13 @@
 	if e.AnsweredAt.After(s.since) {
 		*s = suspect{since: k.at}
 	}
+	s.wasAnswered = s.wasAnswered || !e.AnsweredAt.IsZero()
 	s.depth = max(s.depth, e.Depth)
 	if len(s.seenIn) < maxSeen {
 		s.seenIn = append(s.seenIn, number)
 	}
-	isNew := e.StartedAt.After(s.lastCrash) || e.Key.IsRequest() && e.AnsweredAt.IsZero()
-	if !isNew {
+	isNew := e.StartedAt.After(s.lastCrash) || e.Key.IsRequest() && !s.wasAnswered
+	if !isNew || k.at.Before(s.adoptedUntil) {
 		return
 	}
 	s.crashes, s.lastCrash = s.crashes+1, k.at
@@ -271,7 +320,7 @@
 			best, found = s, key
 		}
 	}
-	if best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
+	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
 		return Isolation{}, false
 	}
 	return c.isolate(found, now), true
@@ -280,7 +329,7 @@
 // explains reports whether a block or request was in all crashes that another one was in, and either in more of them or, as the
 // later one in the prompts, in fewer calls.
 func (s *suspect) explains(other *suspect) bool {
-	if len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
+	if len(other.seenIn) == 0 || len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
 		return false
 	}
 	for _, number := range other.seenIn {
@@ -355,6 +404,11 @@
 			delete(c.crashes, endpoint)
 		}
 	}
+	for key, at := range c.answers {
+		if now.Sub(at) > suspectTTL {
+			delete(c.answers, key)
+		}
+	}
 	for key, i := range c.isolations {
 		switch {
 		case now.Before(i.until):
@@ -385,7 +439,7 @@
 	var out []Suspect
 	for _, k := range keys[:min(len(keys), maxSuspects)] {
 		s := c.suspects[k]
-		out = append(out, Suspect{Key: k, Since: s.since})
+		out = append(out, Suspect{Key: k, Since: s.since, Crashes: s.crashes, LastCrash: s.lastCrash})
 	}
 	return out
 }
--- a/internal/process/attributor/request_test.go
+++ b/internal/process/attributor/request_test.go
@@ -165,6 +165,41 @@
 	}
 }
 
+// What a leader suspected was lost with it: each new leader began to count again.
+func TestSuspectedRequestsSurviveTheLeader(t *testing.T) {
+	s := newScenario()
+	crash := func(endpoint string) { s.core.Add(withRequests(crashOf(endpoint, s.now, 1), 900)) }
+	crash("e1")
+	s.wait(time.Second)
+	crash("e2")
+	s.wait(time.Second)
+	suspects := s.core.Suspects()
+	s.core = attributor.New()
+	s.core.Add(withRequests(crashOf("e2", s.now.Add(-time.Second), 1), 900)) // reported again
+	for range 3 {
+		s.core.AdoptSuspects(suspects, s.now)
+		s.wait(time.Second)
+	}
+	require.Empty(t, s.isolated(), "two crashes")
+	crash("e3")
+	s.wait(2 * time.Second)
+	require.Equal(t, []attributor.Key{attributor.RequestKey(900)}, s.isolated())
+	s.core.AdoptSuspects(suspects, s.now)
+	s.wait(time.Second)
+	require.Len(t, s.core.Isolations(s.now), 1)
+	require.LessOrEqual(t, s.core.Isolations(s.now)[0].Until.Sub(s.now), 5*time.Minute, "the old reports isolate it once")
+}
+
+func TestAnsweredRequestsAreNotAdopted(t *testing.T) {
+	s := newScenario()
+	suspects := []attributor.Suspect{{Key: attributor.RequestKey(7), Since: s.now.Add(-time.Second), Crashes: 3, LastCrash: s.now}}
+	s.core.AdoptSuspects(suspects, s.now)
+	s.core.Answer(attributor.Answer{Key: attributor.RequestKey(7), At: s.now})
+	s.core.AdoptSuspects(suspects, s.now)
+	s.wait(5 * time.Second)
+	require.Empty(t, s.isolated())
+}
+
 // Requests that were in one crash only used up the room for suspects, so that no later one was tracked.
 func TestRequestIsTrackedAfterManyOthers(t *testing.T) {
 	s := newScenario()
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -144,8 +144,10 @@
 func (c *Core) attribute(r *Report, d *Directive, now time.Time) {
 	clusterTime := now.Add(c.clusterTimeOffset)
 	d.HasIsolations = c.Age(now) >= nodeTimeout
+	c.attributor.SetAdopting(!d.HasIsolations)
 	if !d.HasIsolations {
 		c.attributor.Adopt(r.Isolations, clusterTime)
+		c.attributor.AdoptSuspects(r.Suspects, clusterTime)
 	}
 	for i := range r.Crashes {
 		c.attributor.Add(&r.Crashes[i])
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -135,6 +135,8 @@
 	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
 	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
 	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
+	// Suspects are the requests that an earlier leader suspected, while the leader does not know them.
+	Suspects []attributor.Suspect `msgpack:"sp,omitempty"`
 	// MovesID identifies the moves of services that the node knows, and Counts holds its
 	// counters of the calls of those services, encoded by package judge.
 	MovesID uint64 `msgpack:"m,omitempty"`
--- a/internal/request/isolator/fleet_test.go
+++ b/internal/request/isolator/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,8 +125,10 @@
 			continue
 		}
 		crashes, answers, isolations := e.Report(f.now)
+		f.leader.SetAdopting(!isComplete)
 		if !isComplete {
 			f.leader.Adopt(isolations, f.now)
+			f.leader.AdoptSuspects(e.Suspects(), f.now)
 		}
 		for i := range crashes {
 			f.leader.Add(&crashes[i])
@@ -141,17 +144,21 @@
 }
 
 // A deadly request among sound ones, some of them identical to each other, with endpoints that are lost for other
-// reasons, and reports that are lost: it reaches at most three endpoints later than 3 s after its
-// third crash, and no sound request is ever isolated.
+// reasons, reports that are lost, and leaders that end: it reaches at most three endpoints later than 3 s after its
+// third crash and the last change of the leader, and no sound request is ever isolated.
 func TestOnlyTheDeadlyRequestIsIsolated(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.Uint64().Draw(t, "seed"))
 		interval := time.Duration(rapid.IntRange(2, 80).Draw(t, "interval")) * 100 * time.Millisecond
 		loss := rapid.Float64Range(0, 0.2).Draw(t, "loss")
 		otherCrashes := rapid.Float64Range(0, 0.01).Draw(t, "other crashes a step")
+		changes := rapid.SliceOfN(rapid.IntRange(40, 1199), 0, 3).Draw(t, "steps at which the leader changes")
 		isRepeated := rapid.Bool().Draw(t, "repeated at once")
 		next := f.now
 		for number := range 1200 {
+			if slices.Contains(changes, number) {
+				f.leader, f.changedAt = attributor.New(), f.now
+			}
 			for range 4 {
 				f.unique++
 				f.send(f.unique)
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -4,6 +4,7 @@
 package isolator
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	mu         sync.Mutex
 	breaks     map[string]*breakage // by endpoint
 	suspects   map[attributor.Key]attributor.Suspect
-	requests   memory // requests that were answered
+	inherited  map[attributor.Key]attributor.Suspect // of earlier leaders, while the leader does not know them
+	requests   memory                                // requests that were answered
 	answered   map[attributor.Key]time.Time
 	isolations map[attributor.Key]time.Time // until
 }
@@ -131,6 +133,9 @@
 	i.requests.add(keys[0], now)
 	for _, key := range keys {
 		_, isSuspect := i.suspects[key]
+		if _, ok := i.inherited[key]; ok {
+			isSuspect = true
+		}
 		if _, isIsolated := i.isolations[key]; isSuspect || isIsolated {
 			i.answered[key] = now
 		}
@@ -199,10 +204,30 @@
 	return crashes, answers, isolations
 }
 
-// Apply applies what the leader decided. A leader that does not know all isolations yet only adds to them.
+// Suspects returns the requests that earlier leaders suspected, while the leader does not know them.
+func (i *Isolator) Suspects() []attributor.Suspect {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []attributor.Suspect
+	for _, s := range i.inherited {
+		if s.Key.IsRequest() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Apply applies what the leader decided. A leader that does not know all suspects and isolations yet only adds to
+// them.
 func (i *Isolator) Apply(suspects []attributor.Suspect, isolations []attributor.Isolation, isComplete bool, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	switch {
+	case isComplete:
+		i.inherited = nil
+	case i.inherited == nil:
+		i.inherited = maps.Clone(i.suspects)
+	}
 	clear(i.suspects)
 	for _, s := range suspects {
 		i.suspects[s.Key] = s
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -144,6 +144,21 @@
 	require.False(t, i.IsIsolated("desk", call(77, 2, 90), start), "the leader ended it")
 }
 
+// A new leader knew nothing of what the one before it suspected.
+func TestSuspectedRequestsAreReportedToANewLeader(t *testing.T) {
+	i := isolator.New()
+	suspect := attributor.Suspect{Key: attributor.RequestKey(77), Since: start, Crashes: 2, LastCrash: start}
+	i.Apply([]attributor.Suspect{suspect, {Key: key(1), Since: start, Crashes: 2}}, nil, true, start)
+	require.Empty(t, i.Suspects(), "the leader knows them")
+	i.Apply(nil, nil, false, start)
+	require.Equal(t, []attributor.Suspect{suspect}, i.Suspects())
+	i.Answered("desk", call(77), start)
+	_, answers, _ := i.Report(start)
+	require.Len(t, answers, 1, "answers of calls that it suspected are reported too")
+	i.Apply(nil, nil, true, start)
+	require.Empty(t, i.Suspects())
+}
+
 func TestIsolatedRequestIsRefusedByEveryService(t *testing.T) {
 	i := isolator.New()
 	i.Apply(nil, []attributor.Isolation{{Key: attributor.RequestKey(77), Until: start.Add(time.Minute)}}, true, start)
