Isolate a block before the many requests that have it

A deadly block is in many requests, each of which crashes up to four endpoints by repetitions.

A block that explains the crashes of a request goes first if it has evidence enough beside them, that is three more crashes, which no other single request explains.

TestBlockGoesBeforeItsRequestsWhenSeveralCrashEndpoints failed before the change: the last request was isolated in place of the block.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -300,7 +300,7 @@
 
 // decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
 // It waits until entries have had the time to report that calls with it were answered. A request goes before the
-// blocks of its prompt: other requests have these too.
+// blocks of its prompt, which other requests have too, unless the block has evidence enough beside that request.
 func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
 	var best *suspect
 	var found Key
@@ -316,7 +316,7 @@
 		return Isolation{}, false
 	}
 	for key, s := range c.suspects {
-		if s.explains(best) && (key.IsRequest() || !found.IsRequest()) {
+		if s.explains(best) && (key.IsRequest() || !found.IsRequest() || c.hasEvidenceBeside(s, best)) {
 			best, found = s, key
 		}
 	}
@@ -326,6 +326,31 @@
 	return c.isolate(found, now), true
 }
 
+// hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others.
+func (c *Core) hasEvidenceBeside(block, request *suspect) bool {
+	beside := without(block.seenIn, request.seenIn)
+	if block.crashes < isolationThreshold || len(beside) < isolationThreshold {
+		return false
+	}
+	for key, s := range c.suspects {
+		if key.IsRequest() && len(without(beside, s.seenIn)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// without returns the sorted numbers that are not in excluded, which is sorted.
+func without(numbers, excluded []int) []int {
+	var out []int
+	for _, number := range numbers {
+		if _, ok := slices.BinarySearch(excluded, number); !ok {
+			out = append(out, number)
+		}
+	}
+	return out
+}
+
 // explains reports whether a block or request was in all crashes that another one was in, and either in more of them or, as the
 // later one in the prompts, in fewer calls.
 func (s *suspect) explains(other *suspect) bool {
--- a/internal/process/attributor/request_test.go
+++ b/internal/process/attributor/request_test.go
@@ -94,6 +94,17 @@
 	require.ElementsMatch(t, []attributor.Key{attributor.RequestKey(900), key(deadly)}, s.isolated())
 }
 
+// Each request with a deadly block was isolated in turn, before the block was.
+func TestBlockGoesBeforeItsRequestsWhenSeveralCrashEndpoints(t *testing.T) {
+	const deadly = 3
+	s := newScenario()
+	for number, fingerprint := range []uint64{900, 901, 901, 902, 902, 902} {
+		s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now.Add(time.Duration(number)*200*time.Millisecond), deadly), fingerprint))
+	}
+	s.wait(3 * time.Second)
+	require.Equal(t, []attributor.Key{key(deadly)}, s.isolated())
+}
+
 func TestTwoRequestsThatCrashEndpointsAreIsolated(t *testing.T) {
 	s := newScenario()
 	for i := range 3 {
