--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -68,7 +68,7 @@
 		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: f.reportAnswered, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
-		IsIsolated:     func(string, []placer.PromptBlock) bool { return f.isIsolated.Load() },
+		IsIsolated:     func(string, []placer.PromptBlock, func() uint64) bool { return f.isIsolated.Load() },
 		Version:        f.chooseVersion,
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
