Test that connections with TLS are drained

The product's servers wrap TLS below the screener, so that the deadlines of a drain reach TLS connections in the middle of their records. No fault was found.

--- a/internal/connection/screener/drain_test.go
+++ b/internal/connection/screener/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,6 +37,12 @@
 }
 
 func newDrained(t *testing.T) *drained {
+	t.Helper()
+	return newDrainedOver(t, func(l net.Listener) net.Listener { return l })
+}
+
+// newDrainedOver starts a server on a listener that wrap returns.
+func newDrainedOver(t *testing.T, wrap func(net.Listener) net.Listener) *drained {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -43,7 +51,7 @@
 		screener: screener.New(func() screener.Limits { return screener.Limits{} }, time.Now),
 	}
 	d.server = &http.Server{Handler: screener.Guard(d), ConnContext: screener.ConnContext, ConnState: screener.ConnState}
-	wrapped := d.screener.Wrap(&recordingListener{l, d})
+	wrapped := d.screener.Wrap(wrap(&recordingListener{l, d}))
 	go func() {
 		defer close(d.served)
 		_ = d.server.Serve(wrapped)
@@ -277,3 +285,32 @@
 	close(d.releasing)
 	require.NoError(t, d.drain())
 }
+
+// A drain of connections with TLS answers what was received and closes idle ones too.
+func TestDrainOverTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	certified.Close()
+	d := newDrainedOver(t, func(l net.Listener) net.Listener {
+		return tls.NewListener(l, &tls.Config{Certificates: certified.TLS.Certificates, MinVersion: tls.VersionTLS12})
+	})
+	trusted := certified.Client().Transport.(*http.Transport).TLSClientConfig
+	dial := func() *client {
+		c := d.dial()
+		config := trusted.Clone()
+		config.ServerName = "example.com"
+		secure := tls.Client(c.Conn, config)
+		return &client{t, secure, bufio.NewReader(secure)}
+	}
+	c, idle := dial(), dial()
+	for _, kept := range []*client{c, idle} {
+		kept.send(get)
+		kept.requireAnswer("answer ")
+	}
+	c.send(post[:20])
+	result := d.startDrain()
+	idle.requireClosed()
+	c.send(post[20:])
+	c.requireAnswer("answer hello")
+	c.requireClosed()
+	require.NoError(t, <-result)
+}
