Test that the deadline for a body doesn't cancel its call

One of the events that could cancel a call's context. No fault was found: the HTTP server clears the deadline when it begins to read in the background.

--- a/internal/connection/server/stop_test.go
+++ b/internal/connection/server/stop_test.go
@@ -92,3 +92,32 @@
 	require.NoError(t, err)
 	require.Contains(t, string(body), "the node is stopping")
 }
+
+// The deadline for a body, if it were left on the connection, would cancel a call that takes longer.
+func TestDeadlineForBodyDoesNotCancelTheCall(t *testing.T) {
+	canceled := make(chan error, 1)
+	srv, address := startWith(t, func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result {
+		time.Sleep(2500 * time.Millisecond) // beyond the deadline
+		canceled <- ctx.Err()
+		return answerRoute(ctx, w, call)
+	}, io.Discard, "2s")
+	defer srv.Stop(context.Background())
+	head := "POST /v1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer masons-demo\r\n"
+	for name, rest := range map[string]string{
+		"length": "Content-Length: 2\r\n\r\nhi",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, head+rest)
+			require.NoError(t, err)
+			require.NoError(t, <-canceled)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		})
+	}
+}
