Let a call leave a long silent endpoint after its last attempt

The log names the call: attempts=4, endpoint e1, the frozen one, took=59.99s. Cause: silences that end by themselves used up the attempts while the machine was busy, and no give-up is permitted after the last one. Now an endpoint that has been silent for 5 s may be left all the same, if the retry budget allows it; one more failure is final.

TestCallLeavesALongSilentEndpointAfterItsLastAttempt failed before in the case of a long silence (expected true, actual false).

--- a/internal/request/handler/move.go
+++ b/internal/request/handler/move.go
@@ -98,7 +98,7 @@
 			g.lastProgress = count
 			g.retry.ResetAttempts()
 		}
-		if !g.retry.GiveUp(now, a.endpoint.ID(), a.endpoint.Domain(), choice.First()) {
+		if !g.retry.GiveUp(now, a.endpoint.ID(), a.endpoint.Domain(), choice.First(), a.silence(now)) {
 			return step{}, false
 		}
 	}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -168,14 +168,22 @@
 	return Outcome{retry: true}
 }
 
+// longSilence is how long an endpoint is silent until a call may leave it although the call
+// has used up its attempts.
+const longSilence = 5 * time.Second
+
 // GiveUp decides whether a call may leave an endpoint that has not failed, but may not
 // answer. If so, it records the attempt as Lost like Fail; otherwise it records nothing,
-// since the endpoint may still answer.
-func (r *Retrier) GiveUp(now time.Time, endpoint, domain string, expected time.Duration) bool {
-	if !r.repeatable || r.attempts+1 >= MaxAttempts || !r.deadline.IsZero() && now.Add(expected).After(r.deadline) || !r.budget.take() {
+// since the endpoint may still answer. silence is by how much its answer is overdue: a call
+// that could never leave its last endpoint would wait there until its deadline.
+func (r *Retrier) GiveUp(now time.Time, endpoint, domain string, expected, silence time.Duration) bool {
+	isLast := r.attempts+1 >= MaxAttempts
+	if !r.repeatable || isLast && silence < longSilence || !r.deadline.IsZero() && now.Add(expected).After(r.deadline) || !r.budget.take() {
 		return false
 	}
-	r.attempts++
+	if !isLast {
+		r.attempts++
+	}
 	if !slices.Contains(r.tried, endpoint) {
 		r.tried = append(r.tried, endpoint)
 	}
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -123,7 +123,7 @@
 		twin, twinBudget := begin()
 		attempts, status, tokens := r.Attempts(), r.RunStatus(), budget.Available()
 		want := twin.Fail(epoch, "silent", "adjud", retrier.Lost, time.Second).Retry()
-		require.Equal(t, want, r.GiveUp(epoch, "silent", "adjud", time.Second))
+		require.Equal(t, want, r.GiveUp(epoch, "silent", "adjud", time.Second, time.Second))
 		if want {
 			require.Equal(t, twin, r)
 			require.Equal(t, twinBudget.Available(), budget.Available())
@@ -135,3 +135,26 @@
 		require.NotContains(t, r.Tried(), "silent")
 	})
 }
+
+// A call that had used up its attempts stayed at a frozen endpoint until its deadline.
+func TestCallLeavesALongSilentEndpointAfterItsLastAttempt(t *testing.T) {
+	cases := map[string]struct {
+		silence time.Duration
+		reserve float64
+		want    bool
+	}{
+		"a short silence":          {time.Second, 10, false},
+		"a long silence":           {10 * time.Second, 10, true},
+		"a long one, budget spent": {10 * time.Second, 0, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := retrier.New(retrier.NewBudget(0.1, tc.reserve), true, time.Time{})
+			for i := range retrier.MaxAttempts - 1 {
+				require.True(t, r.Fail(epoch, fmt.Sprint(i), "focsani", retrier.NotRun, 0).Retry() || tc.reserve == 0)
+			}
+			require.Equal(t, tc.want, r.GiveUp(epoch, "silent", "adjud", time.Second, tc.silence))
+			require.Equal(t, retrier.TooMany, r.Fail(epoch, "next", "adjud", retrier.NotRun, 0).Reason(), "a failure is final")
+		})
+	}
+}
