Keep in a choice the endpoint as it was listed

What callers saw: nothing known; a call could be encoded for an endpoint of which half was changed by a new list.

Cause: Choice.Endpoint read the placer's own endpoint without its lock, while SetEndpoints wrote to it.

Change: a choice holds a copy that is made under the lock.

Evidence: TestChoiceKeepsItsEndpoint failed before under -race with "DATA RACE" and "Should be false: as it was listed when it was chosen".

--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -82,6 +82,7 @@
 // Choice is the endpoint chosen for a call, together with the load recorded there.
 type Choice struct {
 	endpoint       *endpoint
+	listed         Endpoint      // as it was listed when it was chosen
 	predicted      time.Duration // time to the first event
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
 	kvTokens       int           // KV cache tokens reserved for this call
@@ -91,7 +92,7 @@
 }
 
 // Endpoint returns the chosen endpoint.
-func (c *Choice) Endpoint() Endpoint { return c.endpoint.Endpoint }
+func (c *Choice) Endpoint() Endpoint { return c.listed }
 
 // Predicted returns the expected time to the first event.
 func (c *Choice) Predicted() time.Duration { return c.predicted }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -314,7 +314,7 @@
 
 func (p *Placer) begin(e *endpoint, req *Request, first float64) *Choice {
 	c := &Choice{
-		endpoint: e, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
+		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
 		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
