Heed at once what endpoints say of themselves: that they leave, or want a pause

What callers saw: an endpoint that had said in its answers that it leaves got calls until the list showed it, and one that asked for a pause got the next calls after 75 ms; with all endpoints paused callers were told to come back after 80 ms.

Cause: the adapter read neither header.

Change: each head of an answer is read before it is decided whether the answer is used. A mark belongs to an ID at an address and is kept apart from the list. A call is checked again right before it is sent. The last endpoint of its service serves for four fifths of the time to drain. A pause ends by the clock that counts suspension, at a random time up to a quarter later, with one call first. With all endpoints paused the retry delay is not shorter than the rest of the pause. Two gauges, one log line at the begin and the end.

Evidence, with the new tests: with recordNotice doing nothing, the eleven cases of TestLeavingEndpointGetsNoNewCalls, TestLeavingIsLearntFromTheAnswerOfACallerThatLeft, TestStreamGoesOnAtLeavingEndpoint, TestLeavingMarkEndsWithTheEndpoint, TestLastEndpointServesWhileItDrains, TestWokenNodeSendsNothingToLeavingEndpoint, TestPausedEndpointGetsNothing, TestAllEndpointsPaused ("81.7ms" is not greater than or equal to "9s"), TestEndlessPause and TestBurstAtAPause ("3" is not less than or equal to "2") failed, and TestCutOffEntryHeedsItsEndpoints counted 174 calls after the mark and 44 in the pause in place of 1. With MaySend always true the woken node, TestCallsChosenBeforeAPauseAreNotSent and TestNothingIsSentInBreach ("sent to 0 in its pause") failed.

The fixtures of the tests of forwarder and assembler learnt the two headers; no check in them was changed.

--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -68,6 +68,13 @@
 	return n.log.Write(b)
 }
 
+// text returns the log.
+func (n *testNode) text() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.log.String()
+}
+
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, folder: t.TempDir(), usageByWindow: make(map[int64]map[string]int), sizes: make(map[string]int)}
@@ -166,7 +173,10 @@
 			return http.Header{"Call": {c.ID}, "Owner": {o.Customer}, "Prompt": c.Header["Prompt"]}
 		},
 		Decode: func(r *http.Response) forwarder.Reply {
-			return forwarder.Reply{ID: r.Header.Get("Call"), IsSealed: true}
+			pause, _ := time.ParseDuration(r.Header.Get("Pause")) // none if it is not stated
+			return forwarder.Reply{
+				ID: r.Header.Get("Call"), IsSealed: true, IsLeaving: r.Header.Get("Leaving") != "", Pause: pause, IsNotRun: pause > 0,
+			}
 		},
 		Refuse: func(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
 			http.Error(w, string(refusal), http.StatusTeapot)
--- a/internal/node/assembler/crashes.go
+++ b/internal/node/assembler/crashes.go
@@ -44,6 +44,9 @@
 
 func (c *crashCheck) run() {
 	defer c.group.Done()
+	if c.placer.WantsNothing(c.endpoint.ID, c.node.bootClock.Now()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	err := c.pool.Check(ctx, c.endpoint.Address, maxCheckConnections)
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -72,6 +72,8 @@
 		isolator: isolator.New(),
 	}
 	n.entry = e
+	e.placer.SetDrain(b.Drain())
+	n.registry.MustRegister(&notices{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -84,7 +86,7 @@
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
@@ -160,7 +162,8 @@
 func (s *sweeper) run() {
 	defer s.group.Done()
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
-		s.pool.Sweep(s.placer.IsKnown)
+		s.pool.Sweep(s.placer.IsWanted)
+		(&notices{s.entry}).expire()
 		s.recorder.flush()
 		s.versions.check()
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -99,6 +99,11 @@
 		conn.Release()
 		return stepUnsent
 	}
+	if !x.f.config.Placer.MaySend(a.choice, x.f.config.BootClock.Now()) {
+		conn.Release()
+		x.result.Detail = "the endpoint wants no calls any more"
+		return stepUnsent
+	}
 	conn.SetReadDeadline(a.responseDeadline())
 	a.sentAt, a.isStarted = x.f.config.Clock.Now(), true
 	x.f.config.AttemptStarted(x.route.Name, a.choice.Endpoint())
@@ -107,6 +112,7 @@
 		return a.requestFailed(err)
 	}
 	a.reply = x.f.config.Decode(a.response)
+	a.recordNotice()
 	return a.readAnswer()
 }
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -69,6 +69,10 @@
 	IsSealed bool
 	// IsClosing reports that the endpoint closes the connection after the answer.
 	IsClosing bool
+	// IsLeaving reports that the endpoint says that it is leaving.
+	IsLeaving bool
+	// Pause is how long the endpoint wants no calls from this node; 0 if it does not say.
+	Pause time.Duration
 }
 
 // Refusal is the reason why the system itself ended a call.
--- a/internal/request/forwarder/endpoint_test.go
+++ b/internal/request/forwarder/endpoint_test.go
@@ -22,6 +22,9 @@
 	headerSeal   = "Seal"
 	headerAfter  = "After"
 	headerOwner  = "Owner"
+
+	headerLeaving = "Leaving"
+	headerPause   = "Pause"
 )
 
 // answerFunc answers one request with raw bytes. It returns false to close the
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -43,9 +43,12 @@
 
 // Config configures a Forwarder.
 type Config struct {
-	Clock  clock.Clock
-	Log    *log.Logger
-	Domain string
+	Clock clock.Clock
+	// BootClock also counts the time during which the machine was suspended. Pauses end by
+	// it: they last for a time that passes at the endpoint.
+	BootClock clock.Clock
+	Log       *log.Logger
+	Domain    string
 	// IsConfirmed reports whether the rules of this node were confirmed recently, and
 	// no newer rules are known for long. Without it no call is served.
 	IsConfirmed func() bool
@@ -280,7 +283,7 @@
 	req := &placer.Request{
 		Service: x.service.Name, Domain: x.f.config.Domain, Blocks: x.call.Blocks, Prompt: x.call.Prompt,
 		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
-		Exclude: x.tried, Now: now, Random: rand.Float64(),
+		Exclude: x.tried, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
 	}
 	if x.service.Model != nil {
 		req.KVSize = x.service.Model.KVSize
@@ -437,7 +440,7 @@
 		x.refuse(Unknown, 0)
 	default:
 		x.f.refused.add(x.service.Name)
-		x.refuse(Busy, x.f.retryAfter(max(wait, minRetryAfter)))
+		x.refuse(Busy, x.busyRetryAfter(wait))
 	}
 }
 
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -43,13 +43,20 @@
 	endpoints  []placer.Endpoint
 	changed    chan struct{}
 	waits      int
+	boot       *clock.Manual // ends pauses
+	pool       *pooler.Pool
+	placing    func() // called before an endpoint is chosen
+	sending    func() // called before a call is sent, and when it arrives
 }
 
-const allowance = 10 // the customer's allowance
+const (
+	allowance = 10              // the customer's allowance
+	drain     = 3 * time.Second // the time to drain
+)
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
-	f := &fixture{quotas: apportioner.New(), confirmed: true}
+	f := &fixture{quotas: apportioner.New(), confirmed: true, boot: clock.NewManual(time.Unix(1000, 0))}
 	p := placer.New()
 	var list []placer.Endpoint
 	for i, e := range endpoints {
@@ -57,14 +64,19 @@
 			ID: strconv.Itoa(i), Service: "desk", Slots: 6, Address: e.listener.Addr().(*net.TCPAddr).AddrPort(),
 		})
 	}
+	p.SetDrain(drain)
 	p.SetEndpoints(list)
 	f.placer, f.endpoints = p, list
 	pool := pooler.New(clock.System{})
+	f.pool = pool
 	f.forwarder = forwarder.New(forwarder.Config{
-		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
+		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: func() <-chan struct{} { return nil }, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
-		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
-		IsIsolated:     func(string, []placer.PromptBlock) bool { return f.isIsolated.Load() },
+		CallEnded: func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
+		IsIsolated: func(string, []placer.PromptBlock) bool {
+			f.hook(&f.placing)
+			return f.isIsolated.Load()
+		},
 		Version:        func(string, bool, float64) forwarder.Version { return f.version },
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
@@ -107,7 +119,18 @@
 	}
 }
 
+// hook calls a function of the test without the lock.
+func (f *fixture) hook(do *func()) {
+	f.mu.Lock()
+	called := *do
+	f.mu.Unlock()
+	if called != nil {
+		called()
+	}
+}
+
 func (f *fixture) isConfirmed() bool {
+	f.hook(&f.sending)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.confirmed
@@ -156,12 +179,23 @@
 
 func decode(r *http.Response) forwarder.Reply {
 	return forwarder.Reply{
-		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "", IsClosing: r.Close,
+		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "",
+		IsMisdirected: r.StatusCode == http.StatusMisdirectedRequest, IsClosing: r.Close,
+		IsLeaving: r.Header.Get(headerLeaving) != "", Pause: pauseOf(r),
+	}
+}
+
+func pauseOf(r *http.Response) time.Duration {
+	d, err := time.ParseDuration(r.Header.Get(headerPause))
+	if err != nil {
+		return 0
 	}
+	return d
 }
 
-func refuse(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
+func refuse(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, after time.Duration) {
 	w.Header().Set("Refusal", string(refusal))
+	w.Header().Set("After", after.String())
 	w.WriteHeader(http.StatusTeapot)
 }
 
@@ -171,6 +205,7 @@
 	refusal string
 	body    string
 	err     error
+	after   time.Duration // when the caller may try again, if it was refused
 }
 
 func (f *fixture) call(t *testing.T, path, key, body string) reply {
@@ -191,5 +226,6 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header.Get("Refusal"), string(text), err}
+	after, _ := time.ParseDuration(response.Header.Get("After")) // none unless refused
+	return reply{response.StatusCode, response.Header.Get("Refusal"), string(text), err, after}
 }
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -50,7 +50,10 @@
 	choice, refused, wait := x.f.config.Placer.Place(req)
 	if choice == nil && v.Wanted != "" {
 		req.Version = ""
-		return x.f.config.Placer.Place(req)
+		choice, refused, wait = x.f.config.Placer.Place(req)
+	}
+	if choice == nil && (refused == placer.RefusedEmpty || refused == placer.RefusedPaused) {
+		return x.placeLastResort(req, refused, wait)
 	}
 	return choice, refused, wait
 }
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -60,6 +60,11 @@
 	Version  string
 	Unwanted string
 	Now      time.Time
+	// Boot is the time of a clock that also counts suspension, by which pauses end.
+	Boot time.Time
+	// IsLastResort allows endpoints that have said not long ago that they leave. It is set
+	// once no other endpoint was found.
+	IsLastResort bool
 	// Random is a random number in [0, 1) that breaks ties.
 	Random float64
 }
@@ -73,6 +78,8 @@
 	RefusedNone Refusal = ""
 	// RefusedEmpty means that the service has no eligible endpoint.
 	RefusedEmpty Refusal = "no endpoint"
+	// RefusedPaused means that all endpoints of the service asked for a pause.
+	RefusedPaused Refusal = "endpoints paused"
 	// RefusedFull means that all eligible endpoints are full.
 	RefusedFull Refusal = "endpoints full"
 	// RefusedLate means that no endpoint is expected to begin its answer in time.
@@ -89,6 +96,8 @@
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
+	isLastResort   bool // a leaving endpoint was allowed
+	returning      *returning
 }
 
 // Endpoint returns the chosen endpoint.
--- /dev/null
+++ b/internal/request/placer/bench_test.go
@@ -0,0 +1,25 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"hyssoprudder/internal/request/placer"
+)
+
+// BenchmarkPlace measures the choice of an endpoint for a call with a prompt, and the
+// end of that call.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{10, 100, 810} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := placer.New()
+			p.SetEndpoints(newEndpoints(n, 64))
+			session := uint64(0)
+			for b.Loop() {
+				session++
+				c, _, _ := p.Place(newRequest(start, session%1000))
+				p.End(c, placer.Answered, start)
+			}
+		})
+	}
+}
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -38,12 +38,12 @@
 }
 
 // rank finds the two eligible endpoints with the highest scores.
-func (a *affinity) rank(list []*endpoint, req *Request) {
+func (a *affinity) rank(p *Placer, list []*endpoint, req *Request) {
 	if a.sharedTokens == 0 {
 		return
 	}
 	for _, e := range list {
-		if !e.isEligible(req) {
+		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
 		switch s := a.score(e); {
@@ -63,7 +63,7 @@
 // affinity endpoints of the prompt and a random sample.
 func (p *Placer) candidates(req *Request, aff *affinity) []*endpoint {
 	list := p.services[req.Service]
-	aff.rank(list, req)
+	aff.rank(p, list, req)
 	if len(list) <= sampleThreshold {
 		return list
 	}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -65,6 +65,7 @@
 // endpoint is the state of an endpoint as seen by this node.
 type endpoint struct {
 	Endpoint
+	notice       *notice // nil if the endpoint has said nothing of itself
 	hash         uint64
 	ownLoad      Load
 	peerLoad     Load
@@ -83,12 +84,14 @@
 	services     map[string][]*endpoint
 	byID         map[string]*endpoint
 	positions    []*endpoint // by position in the endpoint list; nil if empty
+	notices      map[noticeKey]*notice
+	drain        time.Duration
 	peersUpdated time.Time
 }
 
 // New returns a placer without endpoints.
 func New() *Placer {
-	return &Placer{services: make(map[string][]*endpoint), byID: make(map[string]*endpoint)}
+	return &Placer{services: make(map[string][]*endpoint), byID: make(map[string]*endpoint), notices: make(map[noticeKey]*notice)}
 }
 
 // SetEndpoints replaces the endpoint list. Positions without an ID are empty. The
@@ -114,6 +117,7 @@
 			}
 		}
 		e.Endpoint = listed
+		e.notice = p.notices[listed.noticeKey()]
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
@@ -165,7 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.services[service] {
-		if !e.Leaving {
+		if !e.isLeaving() {
 			return true
 		}
 	}
@@ -177,7 +181,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.byID[id]
-	return e == nil || e.Leaving
+	return e == nil || e.isLeaving()
 }
 
 // IsKnown reports whether a listed endpoint has the address.
@@ -204,7 +208,7 @@
 	soonest := math.Inf(1)
 	aff := newAffinity(req)
 	for _, e := range p.candidates(req, aff) {
-		if !e.isEligible(req) {
+		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
 		if p.isFull(e, req) {
@@ -221,6 +225,12 @@
 		}
 	}
 	if best == nil {
+		if refusal == RefusedEmpty {
+			if wait, isPaused := p.pausedFor(req.Service, req.Boot); isPaused {
+				return nil, RefusedPaused, wait
+			}
+			return nil, RefusedEmpty, 0
+		}
 		if refusal != RefusedLate {
 			return nil, refusal, 0
 		}
@@ -318,6 +328,8 @@
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
 		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
+	c.beginReturn(e.notice)
+	c.isLastResort = req.IsLastResort
 	e.ownLoad.InFlight++
 	e.ownLoad.Waiting++
 	e.ownLoad.PendingPrefill += c.pendingPrefill
@@ -364,6 +376,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordFirst(c, now)
+	c.endReturn(true)
 }
 
 func (p *Placer) recordFirst(c *Choice, now time.Time) {
@@ -406,6 +419,7 @@
 	e := c.endpoint
 	c.isOnlyWaiter = c.isOnlyWaiter && outcome == Answered
 	p.recordFirst(c, now)
+	c.endReturn(outcome == Answered)
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
 	switch outcome {
