Check in placing only endpoints that may be preferred

Ranking the affinity endpoints checked each endpoint of a service, although only those whose score is among the two highest matter. Comparing the score first gives the same endpoints.

--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -43,10 +43,12 @@
 		return
 	}
 	for _, e := range list {
-		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
+		s := a.score(e)
+		// The score is cheaper than the check, and rules out most endpoints.
+		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
-		switch s := a.score(e); {
+		switch {
 		case a.best[0] == nil || s > a.scores[0]:
 			a.best[1], a.scores[1] = a.best[0], a.scores[0]
 			a.best[0], a.scores[0] = e, s
