Tell other entries and the sizer what endpoints say of themselves

What callers saw: each entry had to learn from its own calls that an endpoint leaves, and a service whose endpoints want no calls got no others until calls were refused; the provider, which counts such endpoints, would have stopped one in their place.

The leader shows the marks in its list, which the entries have anyway. The sizer doesn't count marked endpoints, and raises an order for those that the provider still lists 3 s later, or that asked half of the entries for a pause that outlasts the start of an instance.

The assembler's fixture now has the duty of sizes, which its other tests don't use.

--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -182,7 +182,7 @@
 			http.Error(w, string(refusal), http.StatusTeapot)
 		},
 		List:      d.list,
-		SendUsage: d.receiveUsage, HasUsage: true,
+		SendUsage: d.receiveUsage, HasUsage: true, HasSize: true,
 		SendSize: func(_ context.Context, _ submitter.Holder, o submitter.SizeOrder) submitter.Outcome {
 			d.mu.Lock()
 			defer d.mu.Unlock()
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -216,6 +216,7 @@
 	e.mu.Lock()
 	r.ListID, r.Received = e.listID, e.received
 	e.mu.Unlock()
+	r.Notices = (&notices{e}).report()
 	for position, l := range e.placer.Loads() {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
@@ -262,6 +263,7 @@
 	}
 	e.listID, e.endpoints, e.received = d.ListID, endpoints, d.Received
 	e.placer.SetEndpoints(endpointsOf(endpoints))
+	(&notices{e}).hear(endpoints)
 	return true
 }
 
--- a/internal/node/assembler/notices_test.go
+++ b/internal/node/assembler/notices_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hyssoprudder/internal/process/registrar"
 	"hyssoprudder/internal/request/forwarder"
 )
 
@@ -68,3 +70,50 @@
 		})
 	}
 }
+
+// What an endpoint said to one entry is heard by another that has not called it.
+func TestOtherEntriesHearThatAnEndpointLeaves(t *testing.T) {
+	d := newDeployment(t)
+	other := d.start(8, "entry", false)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = other.node.Stop(ctx)
+	})
+	leaving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Leaving", "1")
+		_, _ = io.WriteString(w, "one")
+	}))
+	t.Cleanup(leaving.Close)
+	d.setListed(endpointOf("e1", "", leaving))
+	d.put(d.keepers[0], ruleset(5, "k1"))
+	d.requireEventually("k1", "one")
+	require.Eventually(t, func() bool { return strings.Contains(other.text(), "endpoint leaving") }, waitTimeout, 10*time.Millisecond)
+	require.Contains(t, other.text(), "source=leader")
+	require.Contains(t, d.entry.text(), "source=answer")
+	require.Equal(t, 1, strings.Count(d.entry.text(), "endpoint leaving"), "logged once, though it is also heard of")
+}
+
+// A service whose only endpoint wants no calls for a long time gets another one.
+func TestPausedEndpointIsReplaced(t *testing.T) {
+	d := newDeployment(t)
+	paused := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Pause", "1h")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(paused.Close)
+	d.setListed(endpointOf("e1", "", paused))
+	r := ruleset(5, "k1")
+	r.Services[0].Capacity = &registrar.Capacity{Min: 1, Max: 4, StartupTime: time.Second, Prices: map[string]float64{"one": 1}}
+	d.put(d.keepers[0], r)
+	require.Eventually(t, func() bool {
+		return d.call("k1") == string(forwarder.Busy) && strings.Contains(d.entry.text(), "asks for a pause")
+	}, waitTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.sizes["one"] == 2
+	}, waitTimeout, 10*time.Millisecond, "one that serves, and the paused one")
+}
--- /dev/null
+++ b/internal/process/coordinator/notices_test.go
@@ -0,0 +1,107 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/process/coordinator"
+)
+
+func at(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+}
+
+// What an endpoint said to one node reaches the others with the list, whatever the
+// provider's list shows, until the endpoint is no longer listed.
+func TestOthersHearThatAnEndpointLeaves(t *testing.T) {
+	c := coordinator.NewCore(3, start, allowanceLifetime, window)
+	listed := []coordinator.Endpoint{{ID: "e0", Address: at(0)}, {ID: "e1", Address: at(1)}}
+	c.SetEndpoints(listed, start)
+	now := start.Add(time.Minute)
+	other := report("b", now)
+	d := c.HandleReport(other, now)
+	list := apply(t, &d, nil)
+	other.ListID, other.Received = d.ListID, d.Received
+
+	said := report("a", now)
+	said.Notices = []coordinator.Notice{{ID: "e1", Address: at(1), IsLeaving: true}, {ID: "e0", Address: at(9), IsLeaving: true}, {ID: "gone", IsLeaving: true}}
+	c.HandleReport(said, now)
+	d = c.HandleReport(other, now)
+	require.Len(t, d.Changes, 1)
+	list = apply(t, &d, list)
+	other.ListID, other.Received = d.ListID, d.Received
+	require.False(t, list[0].SaidLeaving, "said by the one that had this ID at another address")
+	require.True(t, list[1].SaidLeaving)
+
+	c.HandleReport(said, now.Add(time.Second))
+	require.False(t, c.SetEndpoints(listed, now.Add(time.Second)), "known already")
+	require.Equal(t, 2*time.Second, c.LeavingFor(&listed[1], now.Add(2*time.Second)))
+	require.Zero(t, c.LeavingFor(&listed[0], now.Add(2*time.Second)))
+
+	reborn := []coordinator.Endpoint{listed[0], {ID: "e1", Address: at(2)}}
+	c.SetEndpoints(reborn, now)
+	d = c.HandleReport(other, now)
+	list = apply(t, &d, list)
+	require.False(t, list[1].SaidLeaving, "started again")
+	c.SetEndpoints(listed, now)
+	d = c.HandleReport(other, now)
+	require.False(t, apply(t, &d, list)[1].SaidLeaving, "a node that still knows it reports it")
+	c.HandleReport(said, now)
+	d = c.HandleReport(other, now)
+	require.True(t, apply(t, &d, list)[1].SaidLeaving)
+}
+
+// The notices of a report are bounded, whatever a node sends.
+func TestNoticesAreBounded(t *testing.T) {
+	c := coordinator.NewCore(3, start, allowanceLifetime, window)
+	var listed []coordinator.Endpoint
+	r := report("a", start)
+	for i := range 100 {
+		listed = append(listed, coordinator.Endpoint{ID: fmt.Sprint("e", i), Address: at(byte(i))})
+		r.Notices = append(r.Notices, coordinator.Notice{ID: listed[i].ID, Address: listed[i].Address, IsLeaving: true, Pause: time.Hour})
+	}
+	c.SetEndpoints(listed, start)
+	c.HandleReport(r, start)
+	list, _ := c.Endpoints()
+	marked := 0
+	for _, e := range list {
+		if e.SaidLeaving {
+			marked++
+		}
+	}
+	require.Equal(t, coordinator.MaxNotices, marked)
+	require.Len(t, c.PausedLonger(time.Second, start), coordinator.MaxNotices)
+}
+
+// An endpoint counts as paused if half of the entries were asked for a pause that lasts
+// long enough.
+func TestPauseThatMostEntriesWereAskedFor(t *testing.T) {
+	cases := map[string]struct {
+		rests []time.Duration // by entry
+		after time.Duration   // age of the reports
+		want  bool
+	}{
+		"all":              {[]time.Duration{9 * time.Second, 9 * time.Second}, 0, true},
+		"half":             {[]time.Duration{9 * time.Second, 0}, 0, true},
+		"one of three":     {[]time.Duration{9 * time.Second, 0, 0}, 0, false},
+		"too short":        {[]time.Duration{3 * time.Second, 3 * time.Second}, 0, false},
+		"too short now":    {[]time.Duration{5 * time.Second, 5 * time.Second}, 2 * time.Second, false},
+		"entries are gone": {[]time.Duration{time.Hour, time.Hour}, time.Minute, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := coordinator.NewCore(3, start, allowanceLifetime, window)
+			c.SetEndpoints([]coordinator.Endpoint{{ID: "e0", Address: at(0)}}, start)
+			for i, rest := range tc.rests {
+				r := report(fmt.Sprint(i), start)
+				r.Notices = []coordinator.Notice{{ID: "e0", Address: at(0), Pause: rest}}
+				c.HandleReport(r, start)
+			}
+			require.Equal(t, tc.want, c.PausedLonger(4*time.Second, start.Add(tc.after))[0])
+		})
+	}
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -54,6 +54,9 @@
 	Slots       int            `msgpack:"n"`
 	Leaving     bool           `msgpack:"l,omitempty"`
 	Reclaimable bool           `msgpack:"r,omitempty"`
+	// SaidLeaving is true if the endpoint said to a node that it leaves, which the provider's
+	// list may not show yet.
+	SaidLeaving bool `msgpack:"sl,omitempty"`
 }
 
 // Change sets the endpoint at a position of the list. The position becomes empty if the
@@ -135,6 +138,8 @@
 	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
 	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
 	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
+	// Notices are what listed endpoints said of themselves: at most MaxNotices.
+	Notices []Notice `msgpack:"no,omitempty"`
 	// MovesID identifies the moves of services that the node knows, and Counts holds its
 	// counters of the calls of those services, encoded by package judge.
 	MovesID uint64 `msgpack:"m,omitempty"`
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -72,6 +72,9 @@
 type Observation struct {
 	// Serving is the number of instances that accept work, by group.
 	Serving map[Group]int
+	// Unusable is the number of further instances, by group, that the provider still counts
+	// but that take no calls: they said that they leave, or asked for a long pause.
+	Unusable map[Group]int
 	// Waiting is the number of calls that have not returned a token yet, InFlight the number of
 	// all calls in flight, and KVTokens the tokens that these take in KV caches.
 	Waiting  int
@@ -90,9 +93,9 @@
 	busy         float64 // smoothed number of busy instances
 	hasTraffic   bool    // calls have been observed
 	lowSince     time.Time
-	size         int // instances needed at targetUtilization
-	minNeeded    int // instances needed at maxUtilization
-	ordered      map[Group]order
+	size         int             // instances needed at targetUtilization
+	minNeeded    int             // instances needed at maxUtilization
+	ordered      map[Group]order // without replacements
 	exhausted    map[Group]time.Time
 	surplusSince time.Time // since when fewer on-demand instances suffice
 	reclaimedAt  time.Time // when reclaimable instances were last lost or unavailable
@@ -100,8 +103,9 @@
 }
 
 type order struct {
-	count int
-	at    time.Time
+	count        int
+	replacements int
+	at           time.Time
 }
 
 // New returns a sizer that has not ordered anything.
@@ -116,6 +120,8 @@
 type Order struct {
 	Group Group
 	Count int
+
+	replacements int // included in Count
 }
 
 // Decide returns the orders to send now, those that add instances first. An order is returned
@@ -132,8 +138,9 @@
 			continue
 		}
 		last, known := s.ordered[g]
-		if known && want[g] != last.count || !known && want[g] != obs.Serving[g] || s.isOverdue(g, m, obs, now) {
-			out = append(out, Order{Group: g, Count: want[g]})
+		n := replacements(g, m, obs, want)
+		if known && want[g] != last.count || !known && want[g] != obs.Serving[g] || n != last.replacements || s.isOverdue(g, m, obs, now) {
+			out = append(out, Order{Group: g, Count: want[g] + n, replacements: n})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Order) int {
@@ -157,7 +164,16 @@
 }
 
 // growth returns a positive number for an order that adds instances.
-func growth(o Order, obs *Observation) int { return cmp.Compare(o.Count, obs.Serving[o.Group]) }
+func growth(o Order, obs *Observation) int {
+	return cmp.Compare(o.Count, obs.Serving[o.Group]+obs.Unusable[o.Group])
+}
+
+// replacements returns by how many instances a group's order is raised because the provider
+// counts as many that take no calls. Otherwise it would stop others in their place.
+func replacements(g Group, m *Market, obs *Observation, want map[Group]int) int {
+	other := Group{g.Domain, !g.Reclaimable}
+	return max(0, min(obs.Unusable[g], m.Max-want[g]-want[other]-obs.Unusable[other]))
+}
 
 // isOverdue reports whether ordered instances have not arrived in time.
 func (s *Sizer) isOverdue(g Group, m *Market, obs *Observation, now time.Time) bool {
@@ -169,7 +185,7 @@
 
 // Accepted records that the provider accepted an order.
 func (s *Sizer) Accepted(o Order, now time.Time) {
-	s.ordered[o.Group] = order{count: o.Count, at: now}
+	s.ordered[o.Group] = order{count: o.Count - o.replacements, replacements: o.replacements, at: now}
 	delete(s.exhausted, o.Group)
 }
 
--- a/internal/process/submitter/size.go
+++ b/internal/process/submitter/size.go
@@ -11,6 +11,10 @@
 	"hyssoprudder/internal/process/sizer"
 )
 
+// leavingLag is how long the provider may take to list an endpoint as leaving that said so
+// itself. Afterwards the provider is taken to count it as serving.
+const leavingLag = 3 * time.Second
+
 // sizeManager orders the sizes of services.
 type sizeManager struct {
 	*Submitter
@@ -96,7 +100,7 @@
 
 // observe returns the state of a service as the nodes report it.
 func (s *sizeManager) observe(name string, service *registrar.Service, state *serviceState) (*sizer.Observation, bool) {
-	obs := &sizer.Observation{Serving: make(map[sizer.Group]int)}
+	obs := &sizer.Observation{Serving: make(map[sizer.Group]int), Unusable: make(map[sizer.Group]int)}
 	if service.Model != nil {
 		obs.Slots, obs.KVSize = service.Model.Slots, service.Model.KVSize
 	}
@@ -106,9 +110,17 @@
 		if list, known = core.Endpoints(); !known {
 			return
 		}
-		for _, e := range list {
-			if e.Service == name && !e.Leaving && s.config.IsCounted(e) {
-				obs.Serving[sizer.Group{Domain: e.Domain, Reclaimable: e.Reclaimable}]++
+		paused := core.PausedLonger(service.Capacity.StartupTime, now)
+		for position, e := range list {
+			if e.Service != name || e.Leaving || !s.config.IsCounted(e) {
+				continue
+			}
+			g := sizer.Group{Domain: e.Domain, Reclaimable: e.Reclaimable}
+			switch {
+			case paused[position], core.LeavingFor(&e, now) > leavingLag:
+				obs.Unusable[g]++
+			case !e.SaidLeaving:
+				obs.Serving[g]++
 			}
 		}
 		for _, l := range core.TotalLoads(now) {
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -15,6 +15,7 @@
 	Slots       int
 	Leaving     bool
 	Reclaimable bool
+	SaidLeaving bool // the endpoint said to some node that it leaves
 }
 
 // PromptBlock is a hashed block of a prompt. Prompts that begin with the same blocks
