Ask endpoints that left whether they were started again

What callers saw: an endpoint that is started again under its ID and at its address would never have got calls from entries that knew its mark, as the list can't tell the two lives apart, and answers without the mark prove nothing.

Change: an endpoint that is still listed as serving 2 s after the time to drain is asked when it was started, by one request that is no call and with doubling intervals up to a minute. A start more than 2 s after the mark lifts it. Reports and the list carry the start, so that all entries and the leader take the mark back, and do not take it up again from reports of the earlier life. The marks in both are now times in place of a flag.

Evidence: with no endpoint asked TestEndpointThatIsBornAgainServes failed after 66.79 s ("Condition never satisfied: one for k1").

--- a/cmd/hyssoprudder-managed/main.go
+++ b/cmd/hyssoprudder-managed/main.go
@@ -92,6 +92,7 @@
 			})
 		},
 		Encode: platform.Encode, Decode: platform.Decode, Refuse: platform.Refuse,
+		Born: platform.NewEngineClient().Born,
 		List: provider.List, SendUsage: provider.SendUsage, SendSize: provider.SendSize,
 		HasUsage: s.Provider().Has(platform.DutyUsage), HasSize: s.Provider().Has(platform.DutyScaling),
 	}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -60,6 +60,9 @@
 	Encode func(call *forwarder.Call, metadata *forwarder.AttemptMetadata) http.Header
 	Decode func(response *http.Response) forwarder.Reply
 	Refuse func(w http.ResponseWriter, call *forwarder.Call, refusal forwarder.Refusal, retryAfter time.Duration)
+	// Born returns when the endpoint at an address was started, in milliseconds since 1970, as
+	// it says itself. It may be nil if endpoints don't say that.
+	Born func(ctx context.Context, address netip.AddrPort) (int64, error)
 	// List, SendUsage and SendSize are described in submitter.Config.
 	List      func(ctx context.Context) ([]coordinator.Endpoint, error)
 	SendUsage func(ctx context.Context, h submitter.Holder, window int64, counts map[string]int) submitter.Outcome
--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,6 +49,8 @@
 	fences        []uint64
 	sizes         map[string]int
 	listed        []coordinator.Endpoint // nil: only server
+	born          int64                  // when endpoints were started; 0 if they don't say
+	isBornKnownBy int                    // the only node whose questions are answered; 0 for all
 }
 
 // testNode is a node with its log and the functions that it passed to its adapter.
@@ -181,6 +184,7 @@
 		Refuse: func(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
 			http.Error(w, string(refusal), http.StatusTeapot)
 		},
+		Born:      n.askBorn,
 		List:      d.list,
 		SendUsage: d.receiveUsage, HasUsage: true, HasSize: true,
 		SendSize: func(_ context.Context, _ submitter.Holder, o submitter.SizeOrder) submitter.Outcome {
@@ -192,6 +196,24 @@
 	}
 }
 
+var errNoBirth = errors.New("the endpoint does not say when it was started")
+
+func (n *testNode) askBorn(context.Context, netip.AddrPort) (int64, error) {
+	d := n.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.born == 0 || d.isBornKnownBy != 0 && d.isBornKnownBy != n.number {
+		return 0, errNoBirth
+	}
+	return d.born, nil
+}
+
+func (d *deployment) setBorn(at time.Time, knownBy int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.born, d.isBornKnownBy = at.UnixMilli(), knownBy
+}
+
 func (n *testNode) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.serve(r.Context(), w, &forwarder.Call{
 		ID: "c1", Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header, Arrived: time.Now(),
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -49,6 +49,7 @@
 	versions       *versions
 	retriever      *retriever.Retriever
 	isolator       *isolator.Isolator
+	lives          *lives
 	callers        *http.Server
 	callerListener net.Listener
 	ready          *listener.Listener
@@ -73,6 +74,7 @@
 	}
 	n.entry = e
 	e.placer.SetDrain(b.Drain())
+	e.lives = newLives(e)
 	n.registry.MustRegister(&notices{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
@@ -164,6 +166,7 @@
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
 		s.pool.Sweep(s.placer.IsWanted)
 		(&notices{s.entry}).expire()
+		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
 	}
@@ -234,8 +237,13 @@
 	e.mu.Lock()
 	e.freshness.Name(d.RulesetNumber, inForce, e.node.bootClock.Now())
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
+	known := e.listID
 	isCurrent := e.applyList(d)
+	isChanged, endpoints := e.listID != known, e.endpoints
 	e.mu.Unlock()
+	if isChanged {
+		(&notices{e}).hear(endpoints)
+	}
 	if isCurrent {
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
@@ -263,7 +271,6 @@
 	}
 	e.listID, e.endpoints, e.received = d.ListID, endpoints, d.Received
 	e.placer.SetEndpoints(endpointsOf(endpoints))
-	(&notices{e}).hear(endpoints)
 	return true
 }
 
--- a/internal/node/assembler/notices.go
+++ b/internal/node/assembler/notices.go
@@ -70,17 +70,26 @@
 	}
 	var out []coordinator.Notice
 	for _, e := range all {
-		notice := coordinator.Notice{ID: e.ID, Address: e.Address, IsLeaving: !e.LeavingSince.IsZero()}
+		notice := coordinator.Notice{ID: e.ID, Address: e.Address, Born: e.Born}
+		if !e.LeavingSince.IsZero() {
+			notice.LeavingSince = n.leavingSince(&e)
+		}
 		if rest := e.PausedUntil.Sub(now); rest >= minReportedPause {
 			notice.Pause = rest
 		}
-		if (notice.IsLeaving || notice.Pause > 0) && len(out) < coordinator.MaxNotices {
+		if (notice.LeavingSince > 0 || notice.Born > 0 || notice.Pause > 0) && len(out) < coordinator.MaxNotices {
 			out = append(out, notice)
 		}
 	}
 	return out
 }
 
+// leavingSince returns the cluster time at which an endpoint was first known to leave, in
+// milliseconds since 1970.
+func (n *notices) leavingSince(e *placer.Notice) int64 {
+	return n.clusterTime().Add(e.LeavingSince.Sub(n.node.bootClock.Now())).UnixMilli()
+}
+
 func newest(n *placer.Notice) time.Time {
 	if n.LeavingSince.After(n.PausedSince) {
 		return n.LeavingSince
@@ -90,10 +99,41 @@
 
 // hear records what endpoints said to other nodes, as the leader's list shows it.
 func (n *notices) hear(list []coordinator.Endpoint) {
+	var known map[string]placer.Notice
 	for _, listed := range list {
+		if listed.LeavingSince == 0 && listed.Born == 0 {
+			continue
+		}
+		if known == nil {
+			known = n.byID()
+		}
 		e := placer.Endpoint(listed)
-		if e.SaidLeaving && n.placer.MarkLeaving(&e, n.node.bootClock.Now()) {
-			n.node.log.Info("endpoint leaving; it gets no new calls from here", "endpoint", e.ID, "service", e.Service, "address", e.Address, "source", "leader")
+		notice := known[e.ID]
+		switch {
+		case e.LeavingSince > notice.Born && e.LeavingSince > 0:
+			if n.placer.MarkLeaving(&e, n.node.bootClock.Now()) {
+				n.node.log.Info("endpoint leaving; it gets no new calls from here", "endpoint", e.ID, "service", e.Service, "address", e.Address, "source", "leader")
+			}
+		case !notice.LeavingSince.IsZero() && e.Born > n.leavingSince(&notice):
+			n.reborn(&e, e.Born, "leader")
 		}
 	}
 }
+
+// byID returns the notices of listed endpoints.
+func (n *notices) byID() map[string]placer.Notice {
+	out := make(map[string]placer.Notice)
+	for _, notice := range n.placer.Notices() {
+		if notice.IsListed {
+			out[notice.ID] = notice
+		}
+	}
+	return out
+}
+
+// reborn records that an endpoint was started again.
+func (n *notices) reborn(e *placer.Endpoint, born int64, source string) {
+	if n.placer.Reborn(e, born) {
+		n.node.log.Info("endpoint was started again; it gets calls from here", "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", born, "source", source)
+	}
+}
--- a/internal/node/assembler/notices_test.go
+++ b/internal/node/assembler/notices_test.go
@@ -95,6 +95,52 @@
 	require.Equal(t, 1, strings.Count(d.entry.text(), "endpoint leaving"), "logged once, though it is also heard of")
 }
 
+// An endpoint that is started again under its ID and at its address, which the list can't
+// tell, gets calls again once it says when it was started. All entries hear of that. Before,
+// whatever it answers and the list shows, it gets none.
+func TestEndpointThatIsBornAgainServes(t *testing.T) {
+	d := newDeployment(t)
+	other := d.start(8, "entry", false)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = other.node.Stop(ctx)
+	})
+	var isLeaving atomic.Bool
+	var calls atomic.Int64
+	isLeaving.Store(true)
+	one := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Call", r.Header.Get("Call"))
+		if isLeaving.Load() {
+			w.Header().Set("Leaving", "1")
+		}
+		_, _ = io.WriteString(w, "one")
+	}))
+	t.Cleanup(one.Close)
+	two, _ := newServer(t, "two", 0)
+	remote := endpointOf("e2", "", two)
+	remote.Domain = "two" // not preferred
+	d.setListed(endpointOf("e1", "", one), remote)
+	d.put(d.keepers[0], ruleset(5, "k1"))
+	d.requireEventually("k1", "one")
+	isLeaving.Store(false)
+	d.setBorn(time.Now().Add(-time.Hour), 0)
+	asked := time.Now()
+	for time.Since(asked) < 6*time.Second { // longer than until the first question
+		require.Equal(t, "two", d.call("k1"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, int64(1), calls.Load(), "the same life")
+	d.setBorn(time.Now(), 9)
+	d.requireEventually("k1", "one")
+	require.Contains(t, d.entry.text(), "source=endpoint")
+	require.Eventually(t, func() bool { return strings.Contains(other.text(), "endpoint was started again") }, waitTimeout, 10*time.Millisecond)
+	require.NotContains(t, other.text(), "source=endpoint")
+	time.Sleep(time.Second) // reports and directives of the earlier life would bring the mark back
+	require.Equal(t, "one", d.call("k1"))
+}
+
 // A service whose only endpoint wants no calls for a long time gets another one.
 func TestPausedEndpointIsReplaced(t *testing.T) {
 	d := newDeployment(t)
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -61,7 +61,7 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
-	leaving map[noticeKey]time.Time // when listed endpoints were first known to have said that they leave
+	said map[noticeKey]said // what listed endpoints said to nodes
 
 	sums              []Load // over all nodes, by position in the list
 	reviewedAt        time.Time
@@ -76,7 +76,7 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		leaving: make(map[noticeKey]time.Time),
+		said: make(map[noticeKey]said),
 	}
 }
 
@@ -97,7 +97,7 @@
 
 // SetEndpoints replaces the list of endpoints. It reports whether the list changed.
 func (c *Core) SetEndpoints(endpoints []Endpoint, now time.Time) bool {
-	if !c.list.update(c.withLeaving(endpoints), now) {
+	if !c.list.update(c.withNotices(endpoints), now) {
 		return false
 	}
 	for len(c.sums) < len(c.list.byPosition) {
@@ -114,7 +114,7 @@
 // HandleReport processes a report that was received at now and returns the directive for it.
 func (c *Core) HandleReport(r *Report, now time.Time) Directive {
 	c.replaceReport(r, now)
-	c.recordLeaving(r, now)
+	c.recordNotices(r, now)
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
 	if now.Sub(c.reviewedAt) >= reviewInterval || c.Age(now) < startupWindow {
 		c.review(now)
--- a/internal/process/coordinator/notices.go
+++ b/internal/process/coordinator/notices.go
@@ -8,13 +8,15 @@
 // MaxNotices is the number of notices in a report. Of more, the newest are reported.
 const MaxNotices = 32
 
-// Notice is what an endpoint said of itself to a node: that it leaves, or for how much
-// longer it wants no calls from that node.
+// Notice is what an endpoint said of itself to a node: that it leaves, for how much longer
+// it wants no calls from that node, or when it was started. Times are in cluster time, in
+// milliseconds since 1970.
 type Notice struct {
-	ID        string         `msgpack:"i"`
-	Address   netip.AddrPort `msgpack:"a"`
-	IsLeaving bool           `msgpack:"l,omitempty"`
-	Pause     time.Duration  `msgpack:"p,omitempty"`
+	ID           string         `msgpack:"i"`
+	Address      netip.AddrPort `msgpack:"a"`
+	LeavingSince int64          `msgpack:"l,omitempty"`
+	Born         int64          `msgpack:"b,omitempty"`
+	Pause        time.Duration  `msgpack:"p,omitempty"`
 }
 
 // noticeKey identifies one life of an endpoint.
@@ -25,45 +27,67 @@
 
 func (n *Notice) key() noticeKey { return noticeKey{n.ID, n.Address} }
 
-// recordLeaving records which listed endpoints said to a node that they leave, and shows it
-// in the list, so that the other nodes hear of it.
-func (c *Core) recordLeaving(r *Report, now time.Time) {
+// said is what a listed endpoint said of itself.
+type said struct {
+	leavingSince int64
+	born         int64
+	markedAt     time.Time // by the leader's clock
+}
+
+// recordNotices records what listed endpoints said to a node, and shows it in the list, so
+// that the other nodes hear of it. A start after an endpoint said that it leaves takes that
+// back.
+func (c *Core) recordNotices(r *Report, now time.Time) {
 	for i := range r.Notices[:min(len(r.Notices), MaxNotices)] {
 		n := &r.Notices[i]
-		if n.IsLeaving && c.list.markLeaving(n.key()) {
-			c.leaving[n.key()] = now
+		s := c.said[n.key()]
+		if n.Born > s.born {
+			s.born = n.Born
+		}
+		if s.leavingSince == 0 && n.LeavingSince > s.born {
+			s.leavingSince, s.markedAt = n.LeavingSince, now
+		}
+		if s.leavingSince <= s.born {
+			s.leavingSince = 0
+		}
+		if s != (said{}) && c.list.setSaid(n.key(), &s) {
+			c.said[n.key()] = s
 		}
 	}
 }
 
-// withLeaving returns the provider's list with what endpoints said themselves, and forgets
+// withNotices returns the provider's list with what endpoints said themselves, and forgets
 // what those said that are no longer listed. Nodes that still know it report it again if
 // the endpoint was missing from the list only for a while.
-func (c *Core) withLeaving(endpoints []Endpoint) []Endpoint {
-	if len(c.leaving) == 0 {
+func (c *Core) withNotices(endpoints []Endpoint) []Endpoint {
+	if len(c.said) == 0 {
 		return endpoints
 	}
-	out, listed := make([]Endpoint, len(endpoints)), make(map[noticeKey]time.Time)
+	out, listed := make([]Endpoint, len(endpoints)), make(map[noticeKey]said)
 	for i, e := range endpoints {
 		key := noticeKey{e.ID, e.Address}
-		if since, ok := c.leaving[key]; ok {
-			e.SaidLeaving, listed[key] = true, since
+		if s, ok := c.said[key]; ok {
+			e.LeavingSince, e.Born, listed[key] = s.leavingSince, s.born, s
 		}
 		out[i] = e
 	}
-	c.leaving = listed
+	c.said = listed
 	return out
 }
 
-// markLeaving marks a listed endpoint. It reports false if it is not listed or was marked
-// before.
-func (l *list) markLeaving(key noticeKey) bool {
+// setSaid shows in the list what an endpoint said. It reports false if the endpoint is not
+// listed or nothing changed.
+func (l *list) setSaid(key noticeKey, s *said) bool {
 	position, ok := l.byID[key.id]
-	if !ok || l.byPosition[position].Address != key.address || l.byPosition[position].SaidLeaving {
+	if !ok {
+		return false
+	}
+	e := &l.byPosition[position]
+	if e.Address != key.address || e.LeavingSince == s.leavingSince && e.Born == s.born {
 		return false
 	}
 	l.version.Number++
-	l.byPosition[position].SaidLeaving, l.changedIn[position] = true, l.version.Number
+	e.LeavingSince, e.Born, l.changedIn[position] = s.leavingSince, s.born, l.version.Number
 	clear(l.pages)
 	return true
 }
@@ -71,11 +95,11 @@
 // LeavingFor returns for how long it has been known that an endpoint said that it leaves; 0
 // if it didn't.
 func (c *Core) LeavingFor(e *Endpoint, now time.Time) time.Duration {
-	since, ok := c.leaving[noticeKey{e.ID, e.Address}]
-	if !ok {
+	s := c.said[noticeKey{e.ID, e.Address}]
+	if s.leavingSince == 0 {
 		return 0
 	}
-	return now.Sub(since)
+	return now.Sub(s.markedAt)
 }
 
 // PausedLonger returns for each position of the list whether at least half of the entries
--- a/internal/process/coordinator/notices_test.go
+++ b/internal/process/coordinator/notices_test.go
@@ -28,14 +28,14 @@
 	other.ListID, other.Received = d.ListID, d.Received
 
 	said := report("a", now)
-	said.Notices = []coordinator.Notice{{ID: "e1", Address: at(1), IsLeaving: true}, {ID: "e0", Address: at(9), IsLeaving: true}, {ID: "gone", IsLeaving: true}}
+	said.Notices = []coordinator.Notice{{ID: "e1", Address: at(1), LeavingSince: 5000}, {ID: "e0", Address: at(9), LeavingSince: 5000}, {ID: "gone", LeavingSince: 5000}}
 	c.HandleReport(said, now)
 	d = c.HandleReport(other, now)
 	require.Len(t, d.Changes, 1)
 	list = apply(t, &d, list)
 	other.ListID, other.Received = d.ListID, d.Received
-	require.False(t, list[0].SaidLeaving, "said by the one that had this ID at another address")
-	require.True(t, list[1].SaidLeaving)
+	require.Zero(t, list[0].LeavingSince, "said by the one that had this ID at another address")
+	require.Equal(t, int64(5000), list[1].LeavingSince)
 
 	c.HandleReport(said, now.Add(time.Second))
 	require.False(t, c.SetEndpoints(listed, now.Add(time.Second)), "known already")
@@ -46,13 +46,13 @@
 	c.SetEndpoints(reborn, now)
 	d = c.HandleReport(other, now)
 	list = apply(t, &d, list)
-	require.False(t, list[1].SaidLeaving, "started again")
+	require.Zero(t, list[1].LeavingSince, "started again")
 	c.SetEndpoints(listed, now)
 	d = c.HandleReport(other, now)
-	require.False(t, apply(t, &d, list)[1].SaidLeaving, "a node that still knows it reports it")
+	require.Zero(t, apply(t, &d, list)[1].LeavingSince, "a node that still knows it reports it")
 	c.HandleReport(said, now)
 	d = c.HandleReport(other, now)
-	require.True(t, apply(t, &d, list)[1].SaidLeaving)
+	require.Equal(t, int64(5000), apply(t, &d, list)[1].LeavingSince)
 }
 
 // The notices of a report are bounded, whatever a node sends.
@@ -62,14 +62,14 @@
 	r := report("a", start)
 	for i := range 100 {
 		listed = append(listed, coordinator.Endpoint{ID: fmt.Sprint("e", i), Address: at(byte(i))})
-		r.Notices = append(r.Notices, coordinator.Notice{ID: listed[i].ID, Address: listed[i].Address, IsLeaving: true, Pause: time.Hour})
+		r.Notices = append(r.Notices, coordinator.Notice{ID: listed[i].ID, Address: listed[i].Address, LeavingSince: 5000, Pause: time.Hour})
 	}
 	c.SetEndpoints(listed, start)
 	c.HandleReport(r, start)
 	list, _ := c.Endpoints()
 	marked := 0
 	for _, e := range list {
-		if e.SaidLeaving {
+		if e.LeavingSince > 0 {
 			marked++
 		}
 	}
@@ -105,3 +105,28 @@
 		})
 	}
 }
+
+// A start that an endpoint reports after it said that it leaves takes that back at all
+// nodes, and reports of the earlier life don't bring it back.
+func TestStartTakesTheMarkBack(t *testing.T) {
+	c := coordinator.NewCore(3, start, allowanceLifetime, window)
+	c.SetEndpoints([]coordinator.Endpoint{{ID: "e0", Address: at(0)}}, start)
+	said := func(leavingSince, born int64) coordinator.Endpoint {
+		r := report("a", start)
+		r.Notices = []coordinator.Notice{{ID: "e0", Address: at(0), LeavingSince: leavingSince, Born: born}}
+		c.HandleReport(r, start)
+		list, _ := c.Endpoints()
+		return list[0]
+	}
+	require.Equal(t, int64(5000), said(5000, 0).LeavingSince)
+	require.Equal(t, int64(5000), said(0, 4000).LeavingSince, "started before")
+	e := said(0, 9000)
+	require.Zero(t, e.LeavingSince)
+	require.Equal(t, int64(9000), e.Born)
+	require.Zero(t, said(5000, 0).LeavingSince, "a node that knows the earlier life only")
+	require.Equal(t, int64(12000), said(12000, 0).LeavingSince, "leaves again")
+	require.True(t, c.SetEndpoints(nil, start))
+	require.True(t, c.SetEndpoints([]coordinator.Endpoint{{ID: "e0", Address: at(0)}}, start))
+	list, _ := c.Endpoints()
+	require.Zero(t, list[0].Born, "forgotten with the endpoint")
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -54,9 +54,12 @@
 	Slots       int            `msgpack:"n"`
 	Leaving     bool           `msgpack:"l,omitempty"`
 	Reclaimable bool           `msgpack:"r,omitempty"`
-	// SaidLeaving is true if the endpoint said to a node that it leaves, which the provider's
-	// list may not show yet.
-	SaidLeaving bool `msgpack:"sl,omitempty"`
+	// LeavingSince is when the endpoint was first known to have said to a node that it leaves,
+	// which the provider's list may not show yet; 0 if it didn't. Born is when the endpoint was
+	// started, if that was asked, since it may be started again after it has left; 0 if it is
+	// not known. Both are in cluster time, in milliseconds since 1970.
+	LeavingSince int64 `msgpack:"ls,omitempty"`
+	Born         int64 `msgpack:"b,omitempty"`
 }
 
 // Change sets the endpoint at a position of the list. The position becomes empty if the
--- a/internal/process/submitter/size.go
+++ b/internal/process/submitter/size.go
@@ -119,7 +119,7 @@
 			switch {
 			case paused[position], core.LeavingFor(&e, now) > leavingLag:
 				obs.Unusable[g]++
-			case !e.SaidLeaving:
+			case e.LeavingSince == 0:
 				obs.Serving[g]++
 			}
 		}
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -15,7 +15,11 @@
 	Slots       int
 	Leaving     bool
 	Reclaimable bool
-	SaidLeaving bool // the endpoint said to some node that it leaves
+	// LeavingSince is when the endpoint was first known to have said to a node that it leaves,
+	// and Born when it was started, in milliseconds since 1970; 0 if not known. Placing
+	// depends on neither: notices do.
+	LeavingSince int64
+	Born         int64
 }
 
 // PromptBlock is a hashed block of a prompt. Prompts that begin with the same blocks
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -46,6 +46,7 @@
 	returnAt    time.Time
 	isPaused    bool // the end of the pause has not been reported yet
 	returning   *returning
+	born        int64     // when the endpoint was started, in ms since 1970; 0 if not known
 	unlistedAt  time.Time // when Expire first found that the endpoint is not listed
 }
 
@@ -75,8 +76,12 @@
 	// PausedSince and PausedUntil bound the last pause; they are zero if there was none.
 	PausedSince time.Time
 	PausedUntil time.Time
+	// Born is when the endpoint was started, in milliseconds since 1970; 0 if not known.
+	Born int64
 	// IsListed reports whether the endpoint is in the list of endpoints.
 	IsListed bool
+	// IsServing reports whether it is in the list and not shown as leaving there.
+	IsServing bool
 }
 
 // IsPaused reports whether the endpoint wants no calls at the given time.
@@ -159,6 +164,18 @@
 	return false
 }
 
+// Reborn records that an endpoint was started at a time in milliseconds since 1970, after
+// it had said that it leaves. What it said before does not count any more. It reports
+// whether the endpoint was marked as leaving.
+func (p *Placer) Reborn(e *Endpoint, born int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.noticeOf(e)
+	wasLeaving := !n.leavingSince.IsZero()
+	*n = notice{id: n.id, service: n.service, address: n.address, born: max(n.born, born)}
+	return wasLeaving
+}
+
 // wantsNothing reports whether the endpoint asked for no calls, be it for a while.
 func (n *notice) wantsNothing(boot time.Time) bool {
 	return n != nil && (!n.leavingSince.IsZero() || boot.Before(n.returnAt))
@@ -258,7 +275,8 @@
 	e := p.byID[n.id]
 	return Notice{
 		ID: n.id, Service: n.service, Address: n.address, LeavingSince: n.leavingSince, PausedSince: n.pausedSince,
-		PausedUntil: n.pausedUntil, IsListed: e != nil && e.noticeKey() == n.key(),
+		PausedUntil: n.pausedUntil, Born: n.born, IsListed: e != nil && e.noticeKey() == n.key(),
+		IsServing: e != nil && e.noticeKey() == n.key() && !e.Leaving,
 	}
 }
 
--- a/internal/version/conductor/conductor.go
+++ b/internal/version/conductor/conductor.go
@@ -113,7 +113,7 @@
 		list, isListed = core.Endpoints()
 		for _, e := range list {
 			switch {
-			case e.Service != s.Service || e.Leaving || e.SaidLeaving:
+			case e.Service != s.Service || e.Leaving || e.LeavingSince > 0:
 			case e.Version == s.To:
 				o.ready++
 			default:
