Show in the endpoint list for how long endpoints have been leaving

The list of endpoints told that an endpoint leaves, not since when. It has a further column with the age of the first sign, "leaving_for" in JSON. The expected row of TestQueries has that column now; the rest of it is unchanged.

--- a/internal/command/endpointlister/endpointlister.go
+++ b/internal/command/endpointlister/endpointlister.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 
 	"hyssoprudder/internal/command/dispatcher"
@@ -28,11 +29,11 @@
 func list(p *printer.Printer, endpoints []operator.Endpoint) error {
 	rows := make([][]string, 0, len(endpoints))
 	for _, e := range endpoints {
-		state := "live"
+		state, age := "live", ""
 		if e.Leaving {
-			state = "leaving"
+			state, age = "leaving", fmt.Sprintf("%.0fs", e.LeavingFor)
 		}
-		rows = append(rows, []string{e.ID, e.Service, e.Version, e.Domain, e.Address, e.Class, e.Market, state, strconv.Itoa(e.InFlight)})
+		rows = append(rows, []string{e.ID, e.Service, e.Version, e.Domain, e.Address, e.Class, e.Market, state, strconv.Itoa(e.InFlight), age})
 	}
-	return p.Table(endpoints, []string{"id", "service", "version", "domain", "address", "class", "market", "state", "inflight"}, rows)
+	return p.Table(endpoints, []string{"id", "service", "version", "domain", "address", "class", "market", "state", "inflight", "leaving for"}, rows)
 }
--- a/internal/command/querier/querier_test.go
+++ b/internal/command/querier/querier_test.go
@@ -37,7 +37,7 @@
 }
 
 func (fakeNode) Endpoints(context.Context) ([]operator.Endpoint, error) {
-	return []operator.Endpoint{{ID: "e1", Service: "pumice", Leaving: true, InFlight: 3}}, nil
+	return []operator.Endpoint{{ID: "e1", Service: "pumice", Leaving: true, LeavingFor: 12.4, InFlight: 3}}, nil
 }
 
 func (fakeNode) Moves(context.Context) ([]operator.Move, error) {
@@ -61,7 +61,7 @@
 		"rules":             {[]string{"rule", "list"}, 0, "2\tVrancea\tdepot\tservice sand kind=plain\n", ""},
 		"history":           {[]string{"rule", "history"}, 0, "4\t0001-01-01T00:00:00Z\tana\t+\tVrancea\tdepot\tservice sand kind=plain\n", ""},
 		"members":           {[]string{"member", "list"}, 0, "adjud-1\t\t\tentry,keeper\talive\t4\tleader\n", ""},
-		"endpoints":         {[]string{"endpoint", "list"}, 0, "e1\tpumice\t\t\t\t\t\tleaving\t3\n", ""},
+		"endpoints":         {[]string{"endpoint", "list"}, 0, "e1\tpumice\t\t\t\t\t\tleaving\t3\t12s\n", ""},
 		"moves":             {[]string{"move", "list"}, 0, "pumice\t12\t13\t1970-01-01T00:00:00Z\t\t2%\tmoving\t\n", ""},
 		"one move":          {[]string{"move", "show", "pumice"}, 0, "service\tpumice\nfrom\t12\nto\t13\nby\t1970-01-01T00:00:00Z\nstage\t\nshare\t2%\nverdict\tmoving\nreason\t\n", ""},
 		"no such move":      {[]string{"move", "show", "sand"}, 1, "", "has no move; \"move list\" lists them"},
--- a/internal/connection/operator/messages.go
+++ b/internal/connection/operator/messages.go
@@ -62,16 +62,18 @@
 
 // Endpoint is an endpoint as the answering node sees it.
 type Endpoint struct {
-	ID       string  `json:"id"`
-	Service  string  `json:"service"`
-	Version  string  `json:"version"`
-	Domain   string  `json:"domain"`
-	Address  string  `json:"address"`
-	Class    string  `json:"class"`
-	Market   string  `json:"market"`
-	Price    float64 `json:"price"`
-	Leaving  bool    `json:"leaving"`
-	InFlight int     `json:"inflight"` // calls in flight from the answering node
+	ID      string  `json:"id"`
+	Service string  `json:"service"`
+	Version string  `json:"version"`
+	Domain  string  `json:"domain"`
+	Address string  `json:"address"`
+	Class   string  `json:"class"`
+	Market  string  `json:"market"`
+	Price   float64 `json:"price"`
+	Leaving bool    `json:"leaving"`
+	// LeavingFor is for how long the endpoint has been known to leave, in seconds.
+	LeavingFor float64 `json:"leaving_for,omitempty"`
+	InFlight   int     `json:"inflight"` // calls in flight from the answering node
 }
 
 // Waiting lists the live members that have not applied a revision yet.
--- a/internal/node/runner/operators.go
+++ b/internal/node/runner/operators.go
@@ -142,9 +142,14 @@
 			load := r.entry.observer.Load(e.ID())
 			inFlight = load.OwnInFlight()
 		}
+		leavingFor := 0.0
+		if since := r.table.LeavingSince(e.ID()); !since.IsZero() {
+			leavingFor = r.clock.Now().Sub(since).Seconds()
+		}
 		out = append(out, operator.Endpoint{
 			ID: e.ID(), Service: e.Service(), Version: e.Version(), Domain: e.Domain(), Address: e.Address().String(),
-			Class: e.Class(), Market: string(e.Market()), Price: e.Price(), Leaving: r.table.IsLeaving(e.ID()), InFlight: inFlight,
+			Class: e.Class(), Market: string(e.Market()), Price: e.Price(), Leaving: r.table.IsLeaving(e.ID()),
+			LeavingFor: leavingFor, InFlight: inFlight,
 		})
 	}
 	return out
--- a/internal/process/lister/table.go
+++ b/internal/process/lister/table.go
@@ -25,6 +25,7 @@
 	fromRules    map[string]Endpoint
 	fromProvider map[string]Endpoint
 	leaving      map[string]time.Time // by ID: time of the last listing or mark
+	markedAt     map[string]time.Time // by ID: when the endpoint was first known to leave
 	terminatesAt map[string]time.Time // by ID: when a leaving endpoint terminates
 	services     map[string][]Endpoint
 	version      uint64
@@ -36,6 +37,7 @@
 		fromRules:    make(map[string]Endpoint),
 		fromProvider: make(map[string]Endpoint),
 		leaving:      make(map[string]time.Time),
+		markedAt:     make(map[string]time.Time),
 		terminatesAt: make(map[string]time.Time),
 		services:     make(map[string][]Endpoint),
 	}
@@ -65,6 +67,7 @@
 		_, known := t.leaving[id]
 		if l.Leaving && !known {
 			marked = append(marked, id)
+			t.markedAt[id] = now
 		}
 		if l.Leaving || known {
 			t.leaving[id] = now
@@ -82,7 +85,7 @@
 	if _, known := t.leaving[id]; known {
 		return false
 	}
-	t.leaving[id] = now
+	t.leaving[id], t.markedAt[id] = now, now
 	t.rebuild()
 	return true
 }
@@ -109,6 +112,14 @@
 	return ok
 }
 
+// LeavingSince returns when the endpoint was first known to leave, or the zero time if it
+// has no leaving mark.
+func (t *Table) LeavingSince(id string) time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.markedAt[id]
+}
+
 // Marks returns the IDs of all leaving endpoints, sorted.
 func (t *Table) Marks() []string {
 	t.mu.RLock()
@@ -158,6 +169,7 @@
 	for id, last := range t.leaving {
 		if now.Sub(last) > markRetention {
 			delete(t.leaving, id)
+			delete(t.markedAt, id)
 			delete(t.terminatesAt, id)
 		}
 	}
--- a/internal/process/lister/table_test.go
+++ b/internal/process/lister/table_test.go
@@ -58,3 +58,18 @@
 	table.SetFromProvider(nil, now.Add(time.Hour))
 	require.Empty(t, table.Marks())
 }
+
+// The age of a mark is that of its first sign, whatever the list shows later.
+func TestTableKnowsSinceWhenAnEndpointLeaves(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := lister.NewTable()
+	require.Zero(t, table.LeavingSince("a"))
+	table.MarkLeaving("a", now)
+	table.SetFromProvider([]lister.Listed{{Endpoint: endpoint("a"), Leaving: true}, {Endpoint: endpoint("b"), Leaving: true}}, now.Add(time.Second))
+	table.SetFromProvider([]lister.Listed{{Endpoint: endpoint("a")}, {Endpoint: endpoint("b")}}, now.Add(time.Minute))
+	require.Equal(t, now, table.LeavingSince("a"))
+	require.Equal(t, now.Add(time.Second), table.LeavingSince("b"))
+	table.SetFromProvider(nil, now.Add(time.Hour))
+	table.SetFromProvider(nil, now.Add(2*time.Hour))
+	require.Zero(t, table.LeavingSince("a"), "forgotten with the mark")
+}
