Play leaving and pausing endpoints at random over managed nodes

The faults of stand-ins can make all answers say that the stand-in leaves, and reject calls with a request for a pause.

--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -88,7 +88,8 @@
 	}
 	version, running := e.running()
 	effect := e.faults.Call(version, running, r.Header.Get("Route"), body.Prompt)
-	if effect.Refuse {
+	effect.Announce(w)
+	if effect.Refuse || effect.Pause > 0 {
 		refuse(w, "refused")
 		return
 	}
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	RefuseRate     float64 `json:"refuse_rate,omitempty" toml:"refuse_rate"` // fraction of calls answered 503 with "Outcome: notrun"
 	LoseAnswerRate float64 `json:"lose_rate,omitempty" toml:"lose_rate"`     // fraction of calls that run and whose answer is then lost
 	DelayMillis    int64   `json:"late_ms,omitempty" toml:"late_ms"`         // delay of answers
+	LeaveRate      float64 `json:"leave_rate,omitempty" toml:"leave_rate"`   // fraction of calls from which on all answers say that the stand-in leaves
+	PauseRate      float64 `json:"pause_rate,omitempty" toml:"pause_rate"`   // fraction of calls answered 503 with a request for a pause
+	PauseMillis    int64   `json:"pause_ms,omitempty" toml:"pause_ms"`       // longest such pause; its length is drawn at random
 
 	FailLoad       bool `json:"fail_load,omitempty" toml:"fail_load"`               // the version cannot be loaded
 	Freeze         bool `json:"freeze,omitempty" toml:"freeze"`                     // no request is answered while set, whatever the version
@@ -41,6 +45,19 @@
 	Refuse     bool
 	LoseAnswer bool
 	Delay      time.Duration
+	Leave      bool
+	Pause      time.Duration // for which no calls are wanted; the call is refused
+}
+
+// Announce sets the header fields by which an answer says that the stand-in leaves, and for
+// how many seconds it wants no calls.
+func (e *Effect) Announce(w http.ResponseWriter) {
+	if e.Leave {
+		w.Header().Set("Leaving", "1")
+	}
+	if e.Pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.Pause.Seconds(), 'f', 3, 64))
+	}
 }
 
 // injected is a fault that is set.
@@ -48,6 +65,7 @@
 	fault Fault
 	setAt time.Time
 	calls int // calls since the fault was set
+	left  bool
 }
 
 // Set is the set of faults of one stand-in. It is safe for concurrent use.
@@ -134,6 +152,11 @@
 		effect.Fail = effect.Fail || s.chance(f.FailRate)
 		effect.Refuse = effect.Refuse || s.chance(f.RefuseRate)
 		effect.LoseAnswer = effect.LoseAnswer || s.chance(f.LoseAnswerRate)
+		e.left = e.left || s.chance(f.LeaveRate)
+		effect.Leave = effect.Leave || e.left
+		if s.chance(f.PauseRate) {
+			effect.Pause = time.Duration((0.1 + 0.9*s.random.Float64()) * float64(f.PauseMillis) * float64(time.Millisecond))
+		}
 		effect.Delay += time.Duration(f.DelayMillis) * time.Millisecond
 	}
 	return effect
--- a/internal/standin/servicer/servicer.go
+++ b/internal/standin/servicer/servicer.go
@@ -189,8 +189,9 @@
 	}
 	defer s.callEnded()
 	effect := s.faults.Call(s.spec.Version, min(ahead, s.spec.Slots), r.URL.Path)
+	effect.Announce(w)
 	switch {
-	case effect.Refuse:
+	case effect.Refuse, effect.Pause > 0:
 		refuse(w, "refused")
 	case effect.Fail:
 		http.Error(w, "failed", http.StatusInternalServerError)
