--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -78,6 +78,7 @@
 	idleSince   time.Time     // when it became idle
 	isFresh     bool
 	closed      bool
+	refused     []uint64 // hashes of the IDs of refused calls
 }
 
 // Opened returns the number of connections opened since the pool was created.
@@ -247,7 +248,7 @@
 // Release returns the connection to the pool. The body of the answer must have been read
 // to its end.
 func (c *Conn) Release() {
-	if c.closed || c.client.Err() != nil {
+	if c.closed || c.client.Err() != nil || len(c.refused) >= maxRefusals {
 		c.Close()
 		return
 	}
@@ -288,10 +289,11 @@
 
 type countingConnKey struct{}
 
-// countingConn counts the bytes written to a connection.
+// countingConn counts the bytes written to a connection, and extends its read deadline.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	written  atomic.Int64
+	deadline readDeadline
 }
 
 // Write writes b. Its bytes are counted before the write, because some of them may be sent
@@ -334,10 +336,3 @@
 	}
 	return failed
 }
-
-// SetReadDeadline sets the deadline for reads from the endpoint; the zero time means no
-// deadline. A call that is waiting at the deadline fails with os.ErrDeadlineExceeded.
-func (c *Conn) SetReadDeadline(t time.Time) {
-	// An error means that the connection is closed, which the next read returns.
-	_ = c.conn.SetReadDeadline(t)
-}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/connection/screener"
@@ -30,6 +33,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is what remains of the time to stop when the last calls are aborted.
 	stopMargin = 350 * time.Millisecond
+	// abortTimeout is how long the answers to aborted calls may take.
+	abortTimeout = 150 * time.Millisecond
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
 	// maxHeaderBytes limits a request's header; the server needs it before the rules are
@@ -51,9 +56,12 @@
 	isolator       *isolator.Isolator
 	lives          *lives
 	callers        *http.Server
+	abortCalls     context.CancelCauseFunc
+	screener       *screener.Screener
 	callerListener net.Listener
 	ready          *listener.Listener
 	isClosing      atomic.Bool
+	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
 
@@ -88,16 +96,20 @@
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
 		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
+	callsCtx, abortCalls := context.WithCancelCause(context.Background())
+	e.abortCalls = abortCalls
 	e.callers = &http.Server{
+		BaseContext: func(net.Listener) context.Context { return callsCtx },
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
+	e.screener = screener.New(e.limits, n.clock.Now)
 	e.ready = listener.New("the balancer", &http.Server{Handler: n.adapter.ReadyHandler(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
 }
 
@@ -130,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	e.callerListener = screener.New(e.limits, e.node.clock.Now).Wrap(l)
+	e.callerListener = e.screener.Wrap(l)
 	e.group.Add(2)
 	go e.run()
 	go (&sweeper{entry: e}).run()
@@ -173,20 +185,25 @@
 }
 
 // stop serves new calls until the load balancer has detected that the node is not
-// ready, and then waits for the calls in flight.
+// ready. Then it closes idle connections and waits for the calls in flight and for those
+// of which a part was received.
 func (e *entry) stop(ctx context.Context) {
 	e.isClosing.Store(true)
 	clock.Sleep(e.node.clock, balancerDelay, ctx.Done())
 	drainCtx := ctx
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		drainCtx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
+		deadline = deadline.Add(-stopMargin)
+		drainCtx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
+		e.until.Store(&deadline)
 	}
-	if err := e.callers.Shutdown(drainCtx); err != nil {
-		e.node.log.Warn("calls aborted at the end of the time to stop", "err", err)
-		e.callers.Close()
+	e.logConnections(log.InfoLevel, "draining the connections of callers")
+	if err := e.screener.Drain(drainCtx); err != nil {
+		e.logConnections(log.WarnLevel, "aborting calls at the end of the time to stop")
+		e.abort()
 	}
+	e.callers.Close()
 	e.node.reporter.Stop()
 	e.retriever.Stop()
 	e.ready.Close()
@@ -195,6 +212,30 @@
 	e.pool.Close()
 }
 
+func (e *entry) servesUntil() time.Time {
+	if until := e.until.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
+var errStopping = errors.New("the node is stopping")
+
+// abort ends the calls in flight and waits until they are answered.
+func (e *entry) abort() {
+	e.abortCalls(errStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	if err := e.screener.Drain(ctx); err != nil {
+		e.logConnections(log.WarnLevel, "closing connections with calls that can't be answered in time")
+	}
+}
+
+func (e *entry) logConnections(level log.Level, message string) {
+	c := e.screener.Counts()
+	e.node.log.Log(level, message, "idle", c.Idle, "fresh", c.Fresh, "receiving", c.Receiving, "busy", c.Busy)
+}
+
 // callBegan counts a call in the customer's usage, in the window of the cluster time.
 func (e *entry) callBegan(customer string) {
 	e.counter.Add(customer, e.clusterTime())
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -41,8 +42,8 @@
 )
 
 // attempt sends the call to one endpoint.
-func (x *exchange) attempt(choice *placer.Choice) step {
-	a := &attempt{x: x, choice: choice, outcome: placer.Abandoned}
+func (x *exchange) attempt(to *secured) step {
+	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned}
 	// Deferred, so that it also runs when a panic aborts the caller's connection.
 	defer a.end()
 	return a.run()
@@ -76,20 +77,25 @@
 	bodyBy      time.Time // when the answer must be complete, or a stream must have an event
 	lastEventAt time.Time // last event of a stream
 	deliveries  int       // writes of stream events to the caller
+	events      eventReader
 }
 
 // run sends the call and delivers the answer.
 func (a *attempt) run() step {
 	x := a.x
-	conn, err := x.f.config.Pool.Get(x.ctx, a.choice.Endpoint().Address, x.maxConnections())
-	if err != nil {
-		a.connectFailed(err)
-		return stepUnsent
+	isSecured := a.conn != nil
+	if !isSecured {
+		conn, err := x.connect(x.ctx, a.choice)
+		if err != nil {
+			a.connectFailed(err)
+			return stepUnsent
+		}
+		a.conn = conn
 	}
-	a.conn = conn
+	conn := a.conn
 	// Whether the rules are confirmed is checked last, so that a process that was
 	// suspended does not send a call under outdated rules.
-	if !x.f.config.IsConfirmed() {
+	if !x.f.config.IsConfirmed() && (!isSecured || !x.waitForConfirmation()) {
 		conn.Release()
 		x.result.Detail = "rules not confirmed"
 		return stepUnsent
@@ -104,10 +110,12 @@
 		x.result.Detail = "the endpoint wants no calls any more"
 		return stepUnsent
 	}
-	conn.SetReadDeadline(a.responseDeadline())
+	a.waitUntil(a.responseDeadline())
 	a.sentAt, a.isStarted = x.f.config.Clock.Now(), true
 	x.f.config.AttemptStarted(x.route.Name, a.choice.Endpoint())
+	var err error
 	a.response, err = conn.Do(a.request(remaining)) //nolint:bodyclose // release closes it, or the connection is closed
+	a.endWait()
 	if err != nil {
 		return a.requestFailed(err)
 	}
@@ -116,18 +124,35 @@
 	return a.readAnswer()
 }
 
+// connect returns a connection on which the endpoint did not refuse a call with the same ID.
+func (x *exchange) connect(ctx context.Context, choice *placer.Choice) (*pooler.Conn, error) {
+	for {
+		conn, err := x.f.config.Pool.Get(ctx, choice.Endpoint().Address, x.maxConnections())
+		if err != nil || !conn.HasRefused(x.call.ID) {
+			return conn, err
+		}
+		conn.Close()
+	}
+}
+
 func (a *attempt) connectFailed(err error) {
 	a.x.result.Detail = err.Error()
+	a.outcome = unreachedOutcome(a.x.ctx, err)
+}
+
+// unreachedOutcome returns the outcome at an endpoint to which no connection was obtained.
+func unreachedOutcome(ctx context.Context, err error) placer.Outcome {
 	switch {
-	case a.x.ctx.Err() != nil:
+	case ctx.Err() != nil:
+		return placer.Abandoned
 	case errors.Is(err, pooler.ErrFull):
-		a.outcome = placer.Rejected
-	default:
-		a.outcome = placer.Unreached
+		return placer.Rejected
 	}
+	return placer.Unreached
 }
 
-// responseDeadline returns the time by which the endpoint must begin its answer.
+// responseDeadline returns the time by which the endpoint must begin its answer while
+// another endpoint is available.
 func (a *attempt) responseDeadline() time.Time {
 	x := a.x
 	if !x.route.IsRepeatable() || x.sent+1 >= x.route.MaxAttempts {
@@ -146,7 +171,8 @@
 	return a.x.route.IsRepeatable() && a.x.sent < a.x.route.MaxAttempts
 }
 
-// bodyDeadline returns the time by which an answer whose head has arrived must be complete.
+// bodyDeadline returns the time by which an answer whose head has arrived must be complete
+// while another endpoint is available.
 func (a *attempt) bodyDeadline() time.Time {
 	x := a.x
 	if !a.mayBeRepeated() {
@@ -245,6 +271,7 @@
 	a.x.result.Detail = "the endpoint did not run the call: status " + strconv.Itoa(a.response.StatusCode)
 	a.conn.SetReadDeadline(a.x.f.config.Clock.Now().Add(rejectionTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBody))
+	a.conn.RecordRefusal(a.x.call.ID)
 	a.release(err == nil && n < maxRejectionBody)
 	return stepNotRun
 }
@@ -275,8 +302,9 @@
 		// The caller already has events of a stream; only further events may follow.
 		return a.unusableAnswer("the endpoint did not resume the stream: status " + strconv.Itoa(a.response.StatusCode))
 	}
-	a.conn.SetReadDeadline(a.bodyDeadline())
+	a.waitUntil(a.bodyDeadline())
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedAnswer+1))
+	a.endWait()
 	if err != nil {
 		a.isBroken = a.isConnectionLost(err)
 		return a.unusableAnswer("the answer broke off: " + err.Error())
@@ -284,7 +312,6 @@
 	a.recordFirstByte()
 	x.countUsage()
 	if len(body) > maxBufferedAnswer {
-		a.conn.SetReadDeadline(x.deadline)
 		return a.copyAnswer(body)
 	}
 	a.release(true)
@@ -344,10 +371,11 @@
 }
 
 // copyHeader copies the endpoint's header fields to the answer, and suppresses fields
-// that the HTTP server would add itself.
+// that the HTTP server would add itself. It removes the hop-by-hop fields from from; those
+// in to belong to the caller's connection and are kept.
 func copyHeader(to, from http.Header) {
+	StripHop(from)
 	maps.Copy(to, from)
-	StripHop(to)
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := from[name]; !ok {
 			to[name] = nil
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -45,8 +45,12 @@
 	waits      int
 	boot       *clock.Manual // ends pauses
 	pool       *pooler.Pool
-	placing    func() // called before an endpoint is chosen
-	sending    func() // called before a call is sent, and when it arrives
+	placing    func()        // called before an endpoint is chosen
+	sending    func()        // called before a call is sent, and when it arrives
+	maxWait    time.Duration // of all calls
+	lapseAfter int           // number of checks after which the rules are not confirmed; 0 for never
+	budget     *forwarder.Budget
+	listeners  []net.Listener
 }
 
 const (
@@ -56,7 +60,7 @@
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
-	f := &fixture{quotas: apportioner.New(), confirmed: true, boot: clock.NewManual(time.Unix(1000, 0))}
+	f := &fixture{quotas: apportioner.New(), confirmed: true, boot: clock.NewManual(time.Unix(1000, 0)), maxWait: 1500 * time.Millisecond, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
 	p := placer.New()
 	var list []placer.Endpoint
 	for i, e := range endpoints {
@@ -70,17 +74,17 @@
 	pool := pooler.New(clock.System{})
 	f.pool = pool
 	f.forwarder = forwarder.New(forwarder.Config{
-		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, Encode: encode, Decode: decode, Refuse: refuse,
-		RenewAllowances: func() <-chan struct{} { return nil }, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
+		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
+		RenewAllowances: f.reportAnswered, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded: func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
 		IsIsolated: func(string, []placer.PromptBlock) bool {
 			f.hook(&f.placing)
 			return f.isIsolated.Load()
 		},
-		Version:        func(string, bool, float64) forwarder.Version { return f.version },
+		Version:        f.chooseVersion,
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
-		Quotas:         f.quotas, Placer: p, Pool: pool, Budget: forwarder.NewBudget(0.2, 1000, 10*time.Second),
+		Quotas:         f.quotas, Placer: p, Pool: pool, Budget: f.budget,
 	})
 	f.forwarder.SetTable(registrar.NewTable(rules()))
 	f.quotas.SetRates(map[string]float64{"masons": 100})
@@ -129,10 +133,21 @@
 	}
 }
 
+func (f *fixture) chooseVersion(string, bool, float64) forwarder.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
 func (f *fixture) isConfirmed() bool {
 	f.hook(&f.sending)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lapseAfter > 0 {
+		if f.lapseAfter--; f.lapseAfter == 0 {
+			f.confirmed = false
+		}
+	}
 	return f.confirmed
 }
 
@@ -157,7 +172,7 @@
 func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
 	call := &forwarder.Call{
 		ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header,
-		Key: r.Header.Get("Key"), IsKeyed: r.Header.Get("Key") != "", Arrived: time.Now(), MaxWait: 1500 * time.Millisecond,
+		Key: r.Header.Get("Key"), IsKeyed: r.Header.Get("Key") != "", Arrived: time.Now(), MaxWait: f.maxWait,
 		Body: func(int64) ([]byte, forwarder.Refusal) {
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
@@ -173,6 +188,7 @@
 	h := make(http.Header)
 	h.Set(headerID, call.ID)
 	h.Set(headerAfter, metadata.After)
+	h.Set("Pause", call.Header.Get("Pause"))
 	h.Set(headerOwner, metadata.Customer)
 	return h
 }
@@ -209,6 +225,12 @@
 }
 
 func (f *fixture) call(t *testing.T, path, key, body string) reply {
+	t.Helper()
+	return f.callAs(t, "c1", path, key, body)
+}
+
+// callAs sends a call with the given ID.
+func (f *fixture) callAs(t *testing.T, id, path, key, body string) reply {
 	t.Helper()
 	method := http.MethodPost
 	if body == "" {
@@ -216,7 +238,7 @@
 	}
 	r, err := http.NewRequestWithContext(context.Background(), method, f.server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
-	r.Header.Set(headerID, "c1")
+	r.Header.Set(headerID, id)
 	if key != "" {
 		r.Header.Set("Key", key)
 	}
--- a/internal/request/placer/choice_test.go
+++ b/internal/request/placer/choice_test.go
@@ -1,7 +1,6 @@
 package placer_test
 
 import (
-	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,32 +8,35 @@
 	"hyssoprudder/internal/request/placer"
 )
 
-// lister replaces the list of endpoints again and again.
+// lister replaces the endpoint list, in which endpoints turn leaving and back.
 type lister struct {
 	placer *placer.Placer
-	done   sync.WaitGroup
+	done   chan struct{}
 }
 
 func (l *lister) run() {
-	defer l.done.Done()
-	list := newEndpoints(1, 64)
-	for range 1000 {
-		list[0].Leaving = !list[0].Leaving
+	defer close(l.done)
+	for i := range 200 {
+		list := newEndpoints(3, 64)
+		for position := range list {
+			list[position].Leaving = i%2 == 0
+		}
 		l.placer.SetEndpoints(list)
 	}
 }
 
-// The endpoint of a choice was read while a new list changed it, so that a call could be
-// encoded for a half-changed endpoint. The race detector reports that.
-func TestChoiceKeepsItsEndpoint(t *testing.T) {
+// A call read the endpoint that was chosen for it while a new list overwrote the endpoint.
+func TestChosenEndpointIsReadWhileTheListChanges(t *testing.T) {
 	p := placer.New()
-	p.SetEndpoints(newEndpoints(1, 64))
-	c, _, _ := p.Place(newRequest(start, 1))
-	l := &lister{placer: p}
-	l.done.Add(1)
+	p.SetEndpoints(newEndpoints(3, 64))
+	c, refusal, _ := p.Place(newRequest(start, 1))
+	require.Equal(t, placer.RefusedNone, refusal)
+	chosen := c.Endpoint()
+	l := &lister{placer: p, done: make(chan struct{})}
 	go l.run()
-	for range 1000 {
-		require.False(t, c.Endpoint().Leaving, "as it was listed when it was chosen")
+	for range 200 {
+		require.Equal(t, chosen, c.Endpoint())
 	}
-	l.done.Wait()
+	<-l.done
+	p.End(c, placer.Answered, start)
 }
