--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -52,6 +53,9 @@
 	// IsConfirmed reports whether the rules of this node were confirmed recently, and
 	// no newer rules are known for long. Without it no call is served.
 	IsConfirmed func() bool
+	// ServesUntil returns the time by which a call that arrives now must end, or the zero
+	// time if the node isn't stopping.
+	ServesUntil func() time.Time
 	// RenewAllowances requests new allowances for this node at once. The returned
 	// channel is closed when the request is completed.
 	RenewAllowances func() <-chan struct{}
@@ -128,7 +132,7 @@
 type exchange struct {
 	f              *Forwarder
 	w              http.ResponseWriter
-	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects
+	ctx            context.Context //nolint:containedctx // canceled when the caller disconnects or the node stops
 	call           *Call
 	route          *registrar.Route
 	service        *registrar.Service
@@ -139,16 +143,18 @@
 	random         float64   // random number in [0, 1) that selects the version
 	cost           float64   // amount charged to the customer's limit
 	tried          []string
-	sent           int  // number of endpoints to which bytes of the call were sent
-	mayRun         bool // an endpoint may have run the call
-	isBudgeted     bool // the call was recorded in the retry budget
-	isUsageCounted bool // the call was counted in the customer's usage
+	next           *secured // where the call goes on after an attempt that was given up
+	sent           int      // number of endpoints to which bytes of the call were sent
+	mayRun         bool     // an endpoint may have run the call
+	isBudgeted     bool     // the call was recorded in the retry budget
+	isUsageCounted bool     // the call was counted in the customer's usage
 	buffered       *bufferedAnswer
 	stream         *stream
 	result         Result
 }
 
-// Serve answers a call. ctx must be canceled when the caller disconnects.
+// Serve answers a call. ctx must be canceled when the caller disconnects; its cause tells if
+// there is another reason.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	x := &exchange{f: f, w: w, ctx: ctx, call: call, random: rand.Float64()}
 	defer x.end()
@@ -162,6 +168,7 @@
 // end reports the result of the call. It also runs when a panic aborts the caller's
 // connection.
 func (x *exchange) end() {
+	x.releaseNext()
 	x.f.bodyBytes.Add(-x.reserved)
 	x.result.Took = x.f.config.Clock.Now().Sub(x.call.Arrived)
 	x.f.config.CallEnded(x.call, &x.result)
@@ -194,6 +201,9 @@
 	if call.MaxWait > 0 {
 		x.deadline = call.Arrived.Add(min(route.Timeout, call.MaxWait))
 	}
+	if until := f.config.ServesUntil(); !until.IsZero() && x.deadline.After(until) {
+		return Stopping, f.retryAfter(minRetryAfter)
+	}
 	if refusal, after := x.readBody(table.Limits().BodyBytes); refusal != None {
 		return refusal, after
 	}
@@ -277,13 +287,13 @@
 // remaining returns the time remaining until the deadline.
 func (x *exchange) remaining() time.Duration { return x.deadline.Sub(x.f.config.Clock.Now()) }
 
-// place chooses an endpoint that was not tried before.
-func (x *exchange) place() (*placer.Choice, placer.Refusal, time.Duration) {
+// place chooses an endpoint that is not excluded.
+func (x *exchange) place(exclude []string) (*placer.Choice, placer.Refusal, time.Duration) {
 	now := x.f.config.Clock.Now()
 	req := &placer.Request{
 		Service: x.service.Name, Domain: x.f.config.Domain, Blocks: x.call.Blocks, Prompt: x.call.Prompt,
 		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
-		Exclude: x.tried, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
+		Exclude: exclude, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
 	}
 	if x.service.Model != nil {
 		req.KVSize = x.service.Model.KVSize
@@ -367,23 +377,24 @@
 			x.abandonIsolated()
 			return
 		}
-		choice, refused, wait := x.place()
-		if choice == nil {
+		next, refused, wait := x.nextEndpoint()
+		if next == nil {
 			x.abandon(string(refused), wait)
 			return
 		}
+		choice := next.choice
 		x.result.Endpoint, x.result.Predicted = choice.Endpoint().ID, choice.Predicted()
 		x.result.Attempts++
 		if !x.isBudgeted {
 			x.isBudgeted = true
 			x.f.config.Budget.RecordCall(x.service.Name, x.f.config.Clock.Now())
 		}
-		next := x.attempt(choice)
-		if next == stepDone {
+		last := x.attempt(next)
+		if last == stepDone {
 			return
 		}
 		x.tried = append(x.tried, choice.Endpoint().ID)
-		if reason := x.stopReason(next); reason != "" {
+		if reason := x.stopReason(last); reason != "" {
 			x.abandon(reason, 0)
 			return
 		}
@@ -395,11 +406,14 @@
 func (x *exchange) stopReason(last step) string {
 	switch {
 	case x.ctx.Err() != nil:
-		return "the caller disconnected"
+		return x.cancelReason()
 	case x.remaining() < minRemaining:
 		return "no time is left"
 	case last == stepLost && !x.route.IsRepeatable():
 		return "the call may have run and must not run twice"
+	case x.next != nil:
+		// The next attempt was charged to the budget before this one was given up.
+		return ""
 	case last == stepUnsent:
 		if len(x.tried) > maxUnreachable {
 			return "no endpoint can be reached"
@@ -413,6 +427,14 @@
 	return ""
 }
 
+// cancelReason returns why the context of the call was canceled.
+func (x *exchange) cancelReason() string {
+	if cause := context.Cause(x.ctx); !errors.Is(cause, context.Canceled) {
+		return cause.Error()
+	}
+	return "the caller disconnected"
+}
+
 // maxUnreachable is how many endpoints may be unreachable before a call is abandoned.
 const maxUnreachable = 3
 
@@ -425,13 +447,14 @@
 	}
 	x.result.Detail = reason
 	switch {
-	case x.ctx.Err() != nil:
-		// The caller has disconnected.
-		x.result.Refusal = Unknown
-		panic(http.ErrAbortHandler)
 	case x.hasStreamBegun():
 		x.result.Refusal = Unknown
 		panic(http.ErrAbortHandler)
+	case x.ctx.Err() != nil && !x.mayRun:
+		x.refuse(Busy, x.f.retryAfter(minRetryAfter))
+	case x.ctx.Err() != nil:
+		// A caller that closed only its sending side still reads.
+		x.refuse(Unknown, 0)
 	case x.buffered != nil:
 		x.buffered.deliver(x)
 	case x.mayRun && x.remaining() < minRemaining:
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -94,7 +94,7 @@
 // Choice is the endpoint chosen for a call, together with the load recorded there.
 type Choice struct {
 	endpoint       *endpoint
-	listed         Endpoint      // as it was listed when it was chosen
+	listed         Endpoint      // as listed when it was chosen; the list may change it later
 	predicted      time.Duration // time to the first event
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
 	kvTokens       int           // KV cache tokens reserved for this call
@@ -105,7 +105,7 @@
 	returning      *returning
 }
 
-// Endpoint returns the chosen endpoint.
+// Endpoint returns the chosen endpoint, as it was listed then.
 func (c *Choice) Endpoint() Endpoint { return c.listed }
 
 // Predicted returns the expected time to the first event.
