Report only those notices that the list does not show yet

A report repeated all notices of an entry, 32 at most: up to 8 KB a second of the 9 that a node may send, and of more than 32 the older ones were never reported. Now an entry reports what the leader's list does not show, 16 at a time, so that all arrive one after the other and a report has none in the steady state.

--- a/internal/node/assembler/notices.go
+++ b/internal/node/assembler/notices.go
@@ -61,7 +61,8 @@
 	}
 }
 
-// report returns what listed endpoints said, for the leader.
+// report returns what listed endpoints said and the leader's list does not show yet, and their
+// pauses.
 func (n *notices) report() []coordinator.Notice {
 	now := n.node.bootClock.Now()
 	all := slices.DeleteFunc(n.placer.Notices(), func(e placer.Notice) bool { return !e.IsListed })
@@ -70,8 +71,11 @@
 	}
 	var out []coordinator.Notice
 	for _, e := range all {
-		notice := coordinator.Notice{ID: e.ID, Address: e.Address, Born: e.Born}
-		if !e.LeavingSince.IsZero() {
+		notice := coordinator.Notice{ID: e.ID, Address: e.Address}
+		if !e.IsBornShown {
+			notice.Born = e.Born
+		}
+		if !e.LeavingSince.IsZero() && !e.IsShown {
 			notice.LeavingSince = n.leavingSince(&e)
 		}
 		if rest := e.PausedUntil.Sub(now); rest >= minReportedPause {
--- a/internal/process/coordinator/notices.go
+++ b/internal/process/coordinator/notices.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// MaxNotices is the number of notices in a report. Of more, the newest are reported.
-const MaxNotices = 32
+// MaxNotices is the number of notices in a report. Of more, the newest are reported first;
+// those that the list shows are not reported again.
+const MaxNotices = 16
 
 // Notice is what an endpoint said of itself to a node: that it leaves, for how much longer
 // it wants no calls from that node, or when it was started. Times are in cluster time, in
--- a/internal/process/coordinator/notices_test.go
+++ b/internal/process/coordinator/notices_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"hyssoprudder/internal/process/coordinator"
 )
@@ -130,3 +131,43 @@
 	list, _ := c.Endpoints()
 	require.Zero(t, list[0].Born, "forgotten with the endpoint")
 }
+
+// fullReport returns a report with as many notices as fit, about listed endpoints.
+func fullReport(c *coordinator.Core) *coordinator.Report {
+	var listed []coordinator.Endpoint
+	r := report("a", start)
+	for i := range coordinator.MaxNotices {
+		e := coordinator.Endpoint{ID: fmt.Sprintf("i-%016x", i), Address: at(byte(i))}
+		listed = append(listed, e)
+		r.Notices = append(r.Notices, coordinator.Notice{ID: e.ID, Address: e.Address, LeavingSince: 1765000000000, Born: 1764000000000, Pause: time.Hour})
+	}
+	c.SetEndpoints(listed, start)
+	return r
+}
+
+// The notices of a report are small beside the traffic that a node may cause.
+func TestNoticesAreSmall(t *testing.T) {
+	full := fullReport(coordinator.NewCore(3, start, allowanceLifetime, window))
+	with, err := msgpack.Marshal(full)
+	require.NoError(t, err)
+	full.Notices = nil
+	without, err := msgpack.Marshal(full)
+	require.NoError(t, err)
+	t.Log(len(with)-len(without), "bytes")
+	require.Less(t, len(with)-len(without), 1100)
+}
+
+// BenchmarkNotices measures the leader's work for a report with as many notices as fit.
+func BenchmarkNotices(b *testing.B) {
+	for name, count := range map[string]int{"none": 0, "full": coordinator.MaxNotices} {
+		b.Run(name, func(b *testing.B) {
+			c := coordinator.NewCore(3, start, allowanceLifetime, window)
+			r := fullReport(c)
+			r.Notices = r.Notices[:count]
+			now := start.Add(time.Minute)
+			for b.Loop() {
+				c.HandleReport(r, now)
+			}
+		})
+	}
+}
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -82,6 +82,10 @@
 	IsListed bool
 	// IsServing reports whether it is in the list and not shown as leaving there.
 	IsServing bool
+	// IsShown reports whether the list itself shows that the endpoint leaves, or said so, and
+	// IsBornShown whether it shows the start.
+	IsShown     bool
+	IsBornShown bool
 }
 
 // IsPaused reports whether the endpoint wants no calls at the given time.
@@ -272,12 +276,15 @@
 }
 
 func (p *Placer) export(n *notice) Notice {
-	e := p.byID[n.id]
-	return Notice{
+	out := Notice{
 		ID: n.id, Service: n.service, Address: n.address, LeavingSince: n.leavingSince, PausedSince: n.pausedSince,
-		PausedUntil: n.pausedUntil, Born: n.born, IsListed: e != nil && e.noticeKey() == n.key(),
-		IsServing: e != nil && e.noticeKey() == n.key() && !e.Leaving,
+		PausedUntil: n.pausedUntil, Born: n.born,
 	}
+	if e := p.byID[n.id]; e != nil && e.noticeKey() == n.key() {
+		out.IsListed, out.IsServing = true, !e.Leaving
+		out.IsShown, out.IsBornShown = e.Leaving || e.LeavingSince > 0, e.Born >= n.born
+	}
+	return out
 }
 
 // Expire drops what is no longer of use, and returns the notices of endpoints whose pause
