--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -1,10 +1,12 @@
-// Package attributor attributes crashes of endpoints to blocks of prompts. Entries report which blocks were in the
-// calls that broke off when an endpoint ended; the leader decides from the reports of all entries which block
-// crashes endpoints, and calls with that block are refused everywhere for a while. It performs no I/O.
+// Package attributor attributes crashes of endpoints to requests or to blocks of their prompts. Entries report which
+// calls broke off when an endpoint ended and which blocks were in them; the leader decides from the reports of all
+// entries which request or block crashes endpoints, and its calls are refused everywhere for a while. It performs no
+// I/O.
 package attributor
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,20 +33,32 @@
 	maxSeen = 64
 	// maxSuspects bounds the suspects that are sent to entries; those with the most crashes are sent.
 	maxSuspects = 64
-	// maxTracked bounds the blocks that are tracked.
-	maxTracked = 8192
+	// maxTracked bounds the suspects that are tracked. When it is reached, evictedSuspects of them are evicted:
+	// most requests are seen in one crash only.
+	maxTracked      = 8192
+	evictedSuspects = maxTracked / 4
 	// minIsolation is how long a block is isolated the first time. The time doubles up to maxIsolation each
 	// time that the block crashes an endpoint again.
 	minIsolation = 5 * time.Minute
 	maxIsolation = time.Hour
 )
 
-// Key identifies a block of the prompts of a service.
+// Key identifies a block of the prompts of a service or, without a service, a request by its fingerprint.
 type Key struct {
 	Service string `msgpack:"s"`
 	Block   uint64 `msgpack:"b"`
 }
 
+// RequestKey returns the key of a request. It names no service: another one may run the same request.
+func RequestKey(fingerprint uint64) Key { return Key{Block: fingerprint} }
+
+// IsRequest reports whether the key identifies a request.
+func (k Key) IsRequest() bool { return k.Service == "" }
+
+// RequestDepth is the depth of a request in an Exposure. It is greater than that of any block: a request is in fewer
+// calls than the blocks of its prompt.
+const RequestDepth = math.MaxInt32
+
 // Exposure is a block that was in a call that broke off when an endpoint crashed. The times are cluster time.
 type Exposure struct {
 	Key Key `msgpack:"k"`
@@ -52,6 +66,8 @@
 	Depth int `msgpack:"d"`
 	// StartedAt is when the last of the calls with the block was sent.
 	StartedAt time.Time `msgpack:"t"`
+	// AnsweredAt is when the entry last answered the same request, zero if it does not know of an answer.
+	AnsweredAt time.Time `msgpack:"n,omitempty"`
 }
 
 // Crash is what one entry knows of the crash of an endpoint.
@@ -61,10 +77,13 @@
 	Exposures []Exposure `msgpack:"x"`
 }
 
-// Suspect is a block that may have crashed endpoints since a time.
+// Suspect is a request or block that may have crashed endpoints since a time.
 type Suspect struct {
 	Key   Key       `msgpack:"k"`
 	Since time.Time `msgpack:"t"`
+	// Crashes is how often it did so without an answer in between, and LastCrash is the last time.
+	Crashes   int       `msgpack:"c"`
+	LastCrash time.Time `msgpack:"l"`
 }
 
 // Answer tells that a call with a block was answered completely at a time.
@@ -86,12 +105,17 @@
 	counted    int               // number of crashes counted
 	suspects   map[Key]*suspect
 	isolations map[Key]*isolation
+	answers    map[Key]time.Time // last answers of calls that were suspected or isolated
+	adopted    map[Key]bool      // suspects of earlier leaders that were adopted
+	isAdopting bool
 }
 
 type crash struct {
 	at        time.Time
 	exposures map[Key]Exposure
 	isCounted bool
+	// reviewedAt is the first review of the crash by a leader that adopts what earlier leaders knew.
+	reviewedAt time.Time
 }
 
 type suspect struct {
@@ -100,7 +124,10 @@
 	crashes     int       // crashes in a row: each under a call that was sent after the crash before
 	suspectedAt time.Time // when crashes reached suspicionThreshold
 	depth       int
-	seenIn      []int // numbers of the crashes that the block was in, at most maxSeen
+	wasAnswered bool // some entry has answered the request
+	// adoptedUntil is until when an earlier leader has counted the crashes. Entries report the last ones again.
+	adoptedUntil time.Time
+	seenIn       []int // numbers of the crashes that the block was in, at most maxSeen
 }
 
 type isolation struct {
@@ -110,12 +137,16 @@
 
 // New returns a core that knows of no crashes.
 func New() *Core {
-	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation)}
+	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation), answers: make(map[Key]time.Time), adopted: make(map[Key]bool)}
 }
 
 // Add adds the report of an entry about a crash. Reports may be repeated.
 func (c *Core) Add(reported *Crash) {
 	known := c.crashes[reported.Endpoint]
+	if known != nil && !known.isCounted && reported.At.Before(known.at) && known.at.Sub(reported.At) <= sameCrashTime {
+		// A call that an entry repeated right after the crash was sent before other entries saw it.
+		known.at = reported.At
+	}
 	if known == nil || reported.At.Sub(known.at).Abs() > sameCrashTime {
 		if known != nil && reported.At.Before(known.at) {
 			return
@@ -127,14 +158,22 @@
 		return
 	}
 	for _, e := range reported.Exposures {
-		if old, ok := known.exposures[e.Key]; !ok || e.StartedAt.After(old.StartedAt) {
-			known.exposures[e.Key] = e
+		old, ok := known.exposures[e.Key]
+		if ok && old.StartedAt.After(e.StartedAt) {
+			e.StartedAt = old.StartedAt
+		}
+		if ok && old.AnsweredAt.After(e.AnsweredAt) {
+			e.AnsweredAt = old.AnsweredAt
 		}
+		known.exposures[e.Key] = e
 	}
 }
 
 // Answer records that a call was answered. Its block is then neither suspected nor isolated.
 func (c *Core) Answer(a Answer) {
+	if a.At.After(c.answers[a.Key]) {
+		c.answers[a.Key] = a.At
+	}
 	if s := c.suspects[a.Key]; s != nil && a.At.After(s.since) {
 		delete(c.suspects, a.Key)
 	}
@@ -152,6 +191,32 @@
 	}
 }
 
+// SetAdopting tells whether entries may still report what earlier leaders suspected and isolated. No block is isolated
+// meanwhile: a request that explains the crashes may not be known yet.
+func (c *Core) SetAdopting(isAdopting bool) { c.isAdopting = isAdopting }
+
+// AdoptSuspects adds the requests that earlier leaders suspected, as the entries know them, each of them once. Blocks are
+// not adopted: which of them explains the crashes cannot be told without the calls that were in these.
+func (c *Core) AdoptSuspects(suspects []Suspect, now time.Time) {
+	for _, adopted := range suspects {
+		key := adopted.Key
+		if !key.IsRequest() || c.adopted[key] || c.isolations[key] != nil || c.answers[key].After(adopted.Since) || len(c.adopted) >= maxTracked {
+			continue
+		}
+		c.adopted[key] = true
+		s := c.suspects[key]
+		if s == nil {
+			if len(c.suspects) >= maxTracked {
+				c.evict()
+			}
+			s = &suspect{lastCrash: adopted.LastCrash, depth: RequestDepth}
+			c.suspects[key] = s
+		}
+		s.since, s.adoptedUntil = adopted.Since, adopted.LastCrash.Add(sameCrashTime)
+		s.crashes, s.suspectedAt = max(s.crashes, adopted.Crashes), now
+	}
+}
+
 // Review counts the crashes that all entries have had the time to report, given the interval between reports. If a
 // block has to be isolated from now on, it returns that block.
 func (c *Core) Review(now time.Time, reportInterval time.Duration) (Isolation, bool) {
@@ -167,7 +232,15 @@
 func (c *Core) settled(now time.Time, settleTime time.Duration) []*crash {
 	var out []*crash
 	for _, k := range c.crashes {
-		if !k.isCounted && now.Sub(k.at) >= settleTime {
+		from := k.at
+		if c.isAdopting {
+			// The crash may be older than the leader, and the first report about it is not the last one.
+			if k.reviewedAt.IsZero() {
+				k.reviewedAt = now
+			}
+			from = k.reviewedAt
+		}
+		if !k.isCounted && now.Sub(from) >= settleTime {
 			out = append(out, k)
 		}
 	}
@@ -177,7 +250,8 @@
 
 // count counts a crash against the blocks in it, unless an isolated block explains it. Calls that were sent before
 // the last crash that counted against a block are no new evidence: a common block is in calls at many endpoints
-// that crash together.
+// that crash together. That holds for requests which have been answered before, too; one that has not may itself be
+// at many endpoints at once.
 func (c *Core) count(k *crash, now time.Time) {
 	for key := range k.exposures {
 		if i := c.isolations[key]; i != nil && now.Before(i.until) {
@@ -185,57 +259,102 @@
 		}
 	}
 	c.counted++
+	// Known suspects go first, so that none of them is evicted for a new one before the crash counts against it.
+	var unknown []Exposure
 	for key, e := range k.exposures {
-		s := c.suspects[key]
-		if s == nil {
-			if len(c.suspects) >= maxTracked {
-				continue
-			}
-			s = &suspect{since: k.at}
-			c.suspects[key] = s
-		}
-		s.depth = max(s.depth, e.Depth)
-		if len(s.seenIn) < maxSeen {
-			s.seenIn = append(s.seenIn, c.counted)
+		if s := c.suspects[key]; s != nil {
+			s.count(k, e, c.counted, now)
+		} else {
+			unknown = append(unknown, e)
 		}
-		if !e.StartedAt.After(s.lastCrash) {
-			continue
-		}
-		s.crashes, s.lastCrash = s.crashes+1, k.at
-		if s.crashes == suspicionThreshold {
-			s.suspectedAt = now
+	}
+	for _, e := range unknown {
+		if len(c.suspects) >= maxTracked {
+			c.evict()
 		}
+		s := &suspect{since: k.at, wasAnswered: !c.answers[e.Key].IsZero()}
+		c.suspects[e.Key] = s
+		s.count(k, e, c.counted, now)
 	}
 }
 
-// decide isolates a block that was in enough crashes in a row, or the block that explains these crashes better. It
-// waits until entries have had the time to report that calls with the block were answered.
+// count counts a crash, which has a number, against the suspect.
+func (s *suspect) count(k *crash, e Exposure, number int, now time.Time) {
+	if e.AnsweredAt.After(s.since) {
+		*s = suspect{since: k.at}
+	}
+	s.wasAnswered = s.wasAnswered || !e.AnsweredAt.IsZero()
+	s.depth = max(s.depth, e.Depth)
+	if len(s.seenIn) < maxSeen {
+		s.seenIn = append(s.seenIn, number)
+	}
+	isNew := e.StartedAt.After(s.lastCrash) || e.Key.IsRequest() && !s.wasAnswered
+	if !isNew || k.at.Before(s.adoptedUntil) {
+		return
+	}
+	s.crashes, s.lastCrash = s.crashes+1, k.at
+	if s.crashes == suspicionThreshold {
+		s.suspectedAt = now
+	}
+}
+
+// decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
+// It waits until entries have had the time to report that calls with it were answered. A request goes before the
+// blocks of its prompt, which other requests have too, unless the block has evidence enough beside that request.
 func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
 	var best *suspect
-	for _, s := range c.suspects {
-		if s.crashes >= isolationThreshold && (best == nil || s.crashes > best.crashes) {
-			best = s
+	var found Key
+	for key, s := range c.suspects {
+		if s.crashes < isolationThreshold || best != nil && found.IsRequest() && !key.IsRequest() {
+			continue
+		}
+		if best == nil || key.IsRequest() && !found.IsRequest() || s.crashes > best.crashes {
+			best, found = s, key
 		}
 	}
 	if best == nil {
 		return Isolation{}, false
 	}
-	var found Key
 	for key, s := range c.suspects {
-		if s == best || s.explains(best) {
+		if s.explains(best) && (key.IsRequest() || !found.IsRequest() || c.hasEvidenceBeside(s, best)) {
 			best, found = s, key
 		}
 	}
-	if best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
+	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
 		return Isolation{}, false
 	}
 	return c.isolate(found, now), true
 }
 
-// explains reports whether a block was in all crashes that another one was in, and either in more of them or, as the
+// hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others.
+func (c *Core) hasEvidenceBeside(block, request *suspect) bool {
+	beside := without(block.seenIn, request.seenIn)
+	if block.crashes < isolationThreshold || len(beside) < isolationThreshold {
+		return false
+	}
+	for key, s := range c.suspects {
+		if key.IsRequest() && len(without(beside, s.seenIn)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// without returns the sorted numbers that are not in excluded, which is sorted.
+func without(numbers, excluded []int) []int {
+	var out []int
+	for _, number := range numbers {
+		if _, ok := slices.BinarySearch(excluded, number); !ok {
+			out = append(out, number)
+		}
+	}
+	return out
+}
+
+// explains reports whether a block or request was in all crashes that another one was in, and either in more of them or, as the
 // later one in the prompts, in fewer calls.
 func (s *suspect) explains(other *suspect) bool {
-	if len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
+	if len(other.seenIn) == 0 || len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
 		return false
 	}
 	for _, number := range other.seenIn {
@@ -246,17 +365,62 @@
 	return true
 }
 
-// isolate isolates a block. The crashes counted so far are thereby explained.
+// evict removes the suspects with the fewest crashes, of these the oldest ones.
+func (c *Core) evict() {
+	keys := make([]Key, 0, len(c.suspects))
+	for k := range c.suspects {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		x, y := c.suspects[a], c.suspects[b]
+		return cmp.Or(cmp.Compare(x.crashes, y.crashes), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a.Block, b.Block))
+	})
+	for _, k := range keys[:min(len(keys), evictedSuspects)] {
+		delete(c.suspects, k)
+	}
+}
+
+// isolate isolates a block or a request. The crashes that it was in are thereby explained.
 func (c *Core) isolate(k Key, now time.Time) Isolation {
 	duration := minIsolation
 	if i := c.isolations[k]; i != nil {
 		duration = min(2*i.duration, maxIsolation)
 	}
 	c.isolations[k] = &isolation{until: now.Add(duration), duration: duration}
-	clear(c.suspects)
+	explained := c.suspects[k].seenIn
+	delete(c.suspects, k)
+	for key, s := range c.suspects {
+		if !k.IsRequest() {
+			delete(c.suspects, key)
+			continue
+		}
+		s.discount(explained, key)
+		if s.crashes == 0 {
+			delete(c.suspects, key)
+		}
+	}
 	return Isolation{Key: k, Until: now.Add(duration)}
 }
 
+// discount removes crashes that a request explains. For a block one of them stays: it may be the block that makes
+// the request crash endpoints, and other requests have it too. A block is not isolated before one more crash: reports
+// that the request was in some of the crashes may have been lost.
+func (s *suspect) discount(explained []int, key Key) {
+	var rest []int
+	keepOne := !key.IsRequest()
+	for _, number := range s.seenIn {
+		if _, ok := slices.BinarySearch(explained, number); !ok {
+			rest = append(rest, number)
+		} else if keepOne {
+			rest, keepOne = append(rest, number), false
+		}
+	}
+	s.seenIn, s.crashes = rest, min(s.crashes, len(rest))
+	if !key.IsRequest() {
+		s.crashes = min(s.crashes, isolationThreshold-1)
+	}
+}
+
 // expire removes what is too old. A block whose isolation ended is on probation for as long as it was isolated: it
 // is isolated again after one more crash.
 func (c *Core) expire(now time.Time) {
@@ -265,6 +429,11 @@
 			delete(c.crashes, endpoint)
 		}
 	}
+	for key, at := range c.answers {
+		if now.Sub(at) > suspectTTL {
+			delete(c.answers, key)
+		}
+	}
 	for key, i := range c.isolations {
 		switch {
 		case now.Before(i.until):
@@ -294,7 +463,8 @@
 	})
 	var out []Suspect
 	for _, k := range keys[:min(len(keys), maxSuspects)] {
-		out = append(out, Suspect{Key: k, Since: c.suspects[k].since})
+		s := c.suspects[k]
+		out = append(out, Suspect{Key: k, Since: s.since, Crashes: s.crashes, LastCrash: s.lastCrash})
 	}
 	return out
 }
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -77,7 +77,7 @@
 		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: f.reportAnswered, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded: func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
-		IsIsolated: func(string, []placer.PromptBlock) bool {
+		IsIsolated: func(string, []placer.PromptBlock, func() uint64) bool {
 			f.hook(&f.placing)
 			return f.isIsolated.Load()
 		},
--- a/internal/request/forwarder/silence.go
+++ b/internal/request/forwarder/silence.go
@@ -78,7 +78,7 @@
 func (a *attempt) secureNext() bool {
 	x := a.x
 	c := &x.f.config
-	if x.ctx.Err() != nil || x.remaining() < minRemaining || !c.IsConfirmed() || c.IsIsolated(x.service.Name, x.call.Blocks) ||
+	if x.ctx.Err() != nil || x.remaining() < minRemaining || !c.IsConfirmed() || c.IsIsolated(x.service.Name, x.call.Blocks, x.fingerprint) ||
 		!c.Budget.HasRepeat(x.service.Name, c.Clock.Now()) {
 		return false
 	}
