--- a/internal/node/assembler/assembler_test.go
+++ b/internal/node/assembler/assembler_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,6 +49,8 @@
 	fences        []uint64
 	sizes         map[string]int
 	listed        []coordinator.Endpoint // nil: only server
+	born          int64                  // when endpoints were started; 0 if they don't say
+	isBornKnownBy int                    // the only node whose questions are answered; 0 for all
 }
 
 // testNode is a node with its log and the functions that it passed to its adapter.
@@ -68,6 +71,13 @@
 	return n.log.Write(b)
 }
 
+// text returns the log.
+func (n *testNode) text() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.log.String()
+}
+
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, folder: t.TempDir(), usageByWindow: make(map[int64]map[string]int), sizes: make(map[string]int)}
@@ -166,13 +176,17 @@
 			return http.Header{"Call": {c.ID}, "Owner": {o.Customer}, "Prompt": c.Header["Prompt"]}
 		},
 		Decode: func(r *http.Response) forwarder.Reply {
-			return forwarder.Reply{ID: r.Header.Get("Call"), IsSealed: true}
+			pause, _ := time.ParseDuration(r.Header.Get("Pause")) // none if it is not stated
+			return forwarder.Reply{
+				ID: r.Header.Get("Call"), IsSealed: true, IsLeaving: r.Header.Get("Leaving") != "", Pause: pause, IsNotRun: pause > 0,
+			}
 		},
 		Refuse: func(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
 			http.Error(w, string(refusal), http.StatusTeapot)
 		},
+		Born:      n.askBorn,
 		List:      d.list,
-		SendUsage: d.receiveUsage, HasUsage: true,
+		SendUsage: d.receiveUsage, HasUsage: true, HasSize: true,
 		SendSize: func(_ context.Context, _ submitter.Holder, o submitter.SizeOrder) submitter.Outcome {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -182,6 +196,24 @@
 	}
 }
 
+var errNoBirth = errors.New("the endpoint does not say when it was started")
+
+func (n *testNode) askBorn(context.Context, netip.AddrPort) (int64, error) {
+	d := n.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.born == 0 || d.isBornKnownBy != 0 && d.isBornKnownBy != n.number {
+		return 0, errNoBirth
+	}
+	return d.born, nil
+}
+
+func (d *deployment) setBorn(at time.Time, knownBy int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.born, d.isBornKnownBy = at.UnixMilli(), knownBy
+}
+
 func (n *testNode) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.serve(r.Context(), w, &forwarder.Call{
 		ID: "c1", Method: r.Method, Target: r.RequestURI, Host: "a.example", Path: r.URL.Path, Header: r.Header, Arrived: time.Now(),
--- a/internal/node/assembler/crashes.go
+++ b/internal/node/assembler/crashes.go
@@ -48,6 +48,9 @@
 func (c *crashCheck) run() {
 	defer c.group.Done()
 	for range maxCrashChecks {
+		if c.placer.WantsNothing(c.endpoint.ID, c.node.bootClock.Now()) {
+			return
+		}
 		checkedAt := c.clusterTime()
 		err := c.connect()
 		if err != nil {
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -54,6 +54,7 @@
 	versions       *versions
 	retriever      *retriever.Retriever
 	isolator       *isolator.Isolator
+	lives          *lives
 	callers        *http.Server
 	abortCalls     context.CancelCauseFunc
 	screener       *screener.Screener
@@ -80,6 +81,9 @@
 		isolator: isolator.New(),
 	}
 	n.entry = e
+	e.placer.SetDrain(b.Drain())
+	e.lives = newLives(e)
+	n.registry.MustRegister(&notices{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -92,7 +96,7 @@
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
@@ -172,7 +176,9 @@
 func (s *sweeper) run() {
 	defer s.group.Done()
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
-		s.pool.Sweep(s.placer.IsKnown)
+		s.pool.Sweep(s.placer.IsWanted)
+		(&notices{s.entry}).expire()
+		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
 	}
@@ -255,6 +261,7 @@
 	e.mu.Lock()
 	r.ListID, r.Received = e.listID, e.received
 	e.mu.Unlock()
+	r.Notices = (&notices{e}).report()
 	for position, l := range e.placer.Loads() {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
@@ -272,8 +279,13 @@
 	e.mu.Lock()
 	e.freshness.Name(d.RulesetNumber, inForce, e.node.bootClock.Now())
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
+	known := e.listID
 	isCurrent := e.applyList(d)
+	isChanged, endpoints := e.listID != known, e.endpoints
 	e.mu.Unlock()
+	if isChanged {
+		(&notices{e}).hear(endpoints)
+	}
 	if isCurrent {
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
--- a/internal/request/forwarder/changes_test.go
+++ b/internal/request/forwarder/changes_test.go
@@ -222,7 +222,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	c.got = reply{response.StatusCode, response.Header.Get("Refusal"), string(body), err}
+	c.got = reply{status: response.StatusCode, refusal: response.Header.Get("Refusal"), body: string(body), err: err}
 }
 
 // requireAnswer requires a complete answer or a refusal that is true.
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -43,17 +43,24 @@
 	endpoints  []placer.Endpoint
 	changed    chan struct{}
 	waits      int
+	boot       *clock.Manual // ends pauses
+	pool       *pooler.Pool
+	placing    func()        // called before an endpoint is chosen
+	sending    func()        // called before a call is sent, and when it arrives
 	maxWait    time.Duration // of all calls
 	lapseAfter int           // number of checks after which the rules are not confirmed; 0 for never
 	budget     *forwarder.Budget
 	listeners  []net.Listener
 }
 
-const allowance = 10 // the customer's allowance
+const (
+	allowance = 10              // the customer's allowance
+	drain     = 3 * time.Second // the time to drain
+)
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
 	t.Helper()
-	f := &fixture{quotas: apportioner.New(), confirmed: true, maxWait: 1500 * time.Millisecond, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
+	f := &fixture{quotas: apportioner.New(), confirmed: true, boot: clock.NewManual(time.Unix(1000, 0)), maxWait: 1500 * time.Millisecond, budget: forwarder.NewBudget(0.2, 1000, 10*time.Second)}
 	p := placer.New()
 	var list []placer.Endpoint
 	for i, e := range endpoints {
@@ -61,14 +68,19 @@
 			ID: strconv.Itoa(i), Service: "desk", Slots: 6, Address: e.listener.Addr().(*net.TCPAddr).AddrPort(),
 		})
 	}
+	p.SetDrain(drain)
 	p.SetEndpoints(list)
 	f.placer, f.endpoints = p, list
 	pool := pooler.New(clock.System{})
+	f.pool = pool
 	f.forwarder = forwarder.New(forwarder.Config{
-		Clock: clock.System{}, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
+		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
 		RenewAllowances: f.reportAnswered, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
-		CallEnded:      func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
-		IsIsolated:     func(string, []placer.PromptBlock, func() uint64) bool { return f.isIsolated.Load() },
+		CallEnded: func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
+		IsIsolated: func(string, []placer.PromptBlock, func() uint64) bool {
+			f.hook(&f.placing)
+			return f.isIsolated.Load()
+		},
 		Version:        f.chooseVersion,
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
 		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
@@ -111,6 +123,16 @@
 	}
 }
 
+// hook calls a function of the test without the lock.
+func (f *fixture) hook(do *func()) {
+	f.mu.Lock()
+	called := *do
+	f.mu.Unlock()
+	if called != nil {
+		called()
+	}
+}
+
 func (f *fixture) chooseVersion(string, bool, float64) forwarder.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -118,6 +140,7 @@
 }
 
 func (f *fixture) isConfirmed() bool {
+	f.hook(&f.sending)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lapseAfter > 0 {
@@ -172,12 +195,23 @@
 
 func decode(r *http.Response) forwarder.Reply {
 	return forwarder.Reply{
-		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "", IsClosing: r.Close,
+		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "",
+		IsMisdirected: r.StatusCode == http.StatusMisdirectedRequest, IsClosing: r.Close,
+		IsLeaving: r.Header.Get(headerLeaving) != "", Pause: pauseOf(r),
+	}
+}
+
+func pauseOf(r *http.Response) time.Duration {
+	d, err := time.ParseDuration(r.Header.Get(headerPause))
+	if err != nil {
+		return 0
 	}
+	return d
 }
 
-func refuse(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, _ time.Duration) {
+func refuse(w http.ResponseWriter, _ *forwarder.Call, refusal forwarder.Refusal, after time.Duration) {
 	w.Header().Set("Refusal", string(refusal))
+	w.Header().Set("After", after.String())
 	w.WriteHeader(http.StatusTeapot)
 }
 
@@ -187,6 +221,7 @@
 	refusal string
 	body    string
 	err     error
+	after   time.Duration // when the caller may try again, if it was refused
 }
 
 func (f *fixture) call(t *testing.T, path, key, body string) reply {
@@ -213,5 +248,6 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header.Get("Refusal"), string(text), err}
+	after, _ := time.ParseDuration(response.Header.Get("After")) // none unless refused
+	return reply{response.StatusCode, response.Header.Get("Refusal"), string(text), err, after}
 }
--- a/internal/request/forwarder/silence.go
+++ b/internal/request/forwarder/silence.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	x.next = &secured{choice: choice, conn: conn}
-	if !c.IsConfirmed() || !c.Budget.AllowRepeat(x.service.Name, c.Clock.Now()) {
+	if !c.IsConfirmed() || !c.Placer.MaySend(choice, c.BootClock.Now()) || !c.Budget.AllowRepeat(x.service.Name, c.Clock.Now()) {
 		x.releaseNext()
 		return false
 	}
