--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -309,3 +309,30 @@
 	body, err := io.ReadAll(response.Body)
 	return string(body), err
 }
+
+// What had arrived before the deadline must be read, even if the read begins after it: the
+// process may have been suspended, or the caller may have been slow to take what came before.
+func TestAnswerThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
+	begun, sent := make(chan struct{}), make(chan struct{})
+	e := newEndpoint(t, func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+		<-begun
+		_, _ = io.WriteString(c, "k")
+		close(sent)
+	})
+	pool := pooler.New(clock.System{})
+	defer pool.Close()
+	conn, err := pool.Get(context.Background(), e.address(), 1)
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.SetExtensibleReadDeadline(time.Now().Add(time.Hour), nil)
+	response, err := conn.Do(get("/a"))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	close(begun)
+	<-sent
+	conn.SetExtensibleReadDeadline(time.Now().Add(-time.Second), func() (time.Time, bool) { return time.Time{}, false })
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+}
