Keep the tests of silent endpoints apart from load and from each other

Beside a load of 30 to 45 on 8 cores, with the race detector, 20 repetitions of the forwarder's tests showed two faults of the tests.

TestCallerDisconnectsWhileEndpointIsSilent, 8 of its 12 cases in one repetition: "Condition never satisfied". The caller's 300 to 400 ms began before the call was sent, so that it could leave before the entry had read anything, and the test waited for a result that can't come. The time now begins when an endpoint has received the call.

TestSilentEndpointAnswersIfNoOtherTakesTheCall, once: "Should be empty, but was [POST /resumable/1 ...]" in a case that calls /stream/1: the request came from the case "other endpoint unreachable" of another path, whose closed listener's port had been taken by this test's endpoint. The unreachable endpoint is now port 1.

Both keep what they require. The traces are by the code and the output; the first was not traced in a run of its own.

--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -50,7 +50,6 @@
 	maxWait    time.Duration // of all calls
 	lapseAfter int           // number of checks after which the rules are not confirmed; 0 for never
 	budget     *forwarder.Budget
-	listeners  []net.Listener
 }
 
 const (
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -85,7 +86,11 @@
 				f.choose(t, spare)
 			}
 		},
-		"other endpoint unreachable": func(_ *testing.T, f *fixture) { f.listeners[1].Close() },
+		"other endpoint unreachable": func(_ *testing.T, f *fixture) {
+			// The port of a closed listener might be taken by an endpoint of another test.
+			f.endpoints[1].Address = netip.MustParseAddrPort("127.0.0.1:1")
+			f.placer.SetEndpoints(f.endpoints)
+		},
 		"other endpoint of an unwanted version": func(_ *testing.T, f *fixture) {
 			f.endpoints[1].Version = "2"
 			f.placer.SetEndpoints(f.endpoints)
@@ -112,7 +117,6 @@
 					first := newEndpoint(t, pauseOnce(at))
 					other := newEndpoint(t, answerWith(http.StatusInternalServerError, "other"))
 					f := newFixture(t, first, other)
-					f.listeners = []net.Listener{first.listener, other.listener}
 					f.preferFirst()
 					if prepare != nil {
 						prepare(t, f)
@@ -252,9 +256,19 @@
 		for _, after := range []time.Duration{299, 300, 301, 350, 400, 401} {
 			t.Run(fmt.Sprintf("%s %dms", name, after), func(t *testing.T) {
 				t.Parallel()
-				f := newFixture(t, newEndpoint(t, neverAnswer), newEndpoint(t, neverAnswer))
-				ctx, cancel := context.WithTimeout(context.Background(), after*time.Millisecond)
+				received := make(chan struct{}, 8)
+				silentAfterSignal := func(c net.Conn, r *http.Request, body string) bool {
+					received <- struct{}{}
+					return neverAnswer(c, r, body)
+				}
+				f := newFixture(t, newEndpoint(t, silentAfterSignal), newEndpoint(t, silentAfterSignal))
+				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
+				go func() {
+					<-received
+					time.Sleep(after * time.Millisecond)
+					cancel()
+				}()
 				r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.server.URL+path, nil)
 				require.NoError(t, err)
 				r.Header.Set(headerID, "c1")
