Let the limits of heads and idle connections break off no body

A request whose body took longer than the limit on heads, counted from its head, was answered 400: since the operators' server of managed nodes is screened with 2 s for heads, also an order whose document comes over a slow link.

Cause: net/http clears the read deadline when it has read a head, and only then says that the connection is active. Handlers that set a deadline of their own, like that of callers of managed nodes, were not affected.

Change: no limit applies once a head was read that no handler has taken yet.

Evidence: TestSlowBodyIsNoSlowHead failed before in its 12 cases, and on in the 8 cases with an idle limit, with 400 in place of 200 (with a limit of 50 ms on heads and a pause of 200 ms; it has 1 s and 2 s now, and failed with these in 12 cases too). That the operators' server answers 400 was read in the code.

--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -202,7 +202,8 @@
 	if c.hasBytes && limits.Head > 0 {
 		limit = limits.Head
 	}
-	if t.IsZero() && c.isIdle && limit > 0 {
+	// Once a head was read, the server reads the body, though it may not have said so yet.
+	if t.IsZero() && c.isIdle && len(c.framings) == 0 && limit > 0 {
 		t = c.screener.now().Add(limit)
 	}
 	c.readDeadline = t
