Search only new bytes of a stream for the end of an event

An event that arrives in many pieces was searched from its start with each piece, so that 256 KB of a faulty endpoint cost 16 MB of searching, and a call ended by its deadline instead of by the bound on events.

--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -90,8 +90,14 @@
 // follows them.
 func (a *attempt) forwardEvents(chunk []byte) (isStream bool, failed error) {
 	x, s := a.x, a.x.stream
+	// What is left of earlier reads holds no complete event, so that only its last bytes can
+	// belong to the end of one.
+	searched := max(len(s.partial)-len("\r\n\r\n")+1, 0)
 	s.partial = append(s.partial, chunk...)
-	complete := lastEventEnd(s.partial)
+	complete := lastEventEnd(s.partial[searched:])
+	if complete > 0 {
+		complete += searched
+	}
 	end := a.events.read(s.partial[:complete])
 	if end == 0 {
 		return complete == 0, nil
