Count no stop of a leaving endpoint as a crash

A request that ran at three endpoints when they stopped was refused everywhere for five minutes. An endpoint that the list shows as leaving stops after its time to drain, and breaks off the calls that still run. Their entry found that it could not be reached and reported a crash; only endpoints that had said themselves that they leave were left out. A long call that is sent again, as in a rolling replacement, so reached three crashes without an answer in between.

No check is made now of an endpoint that is listed as leaving or no longer listed. One that has crashed remains listed for a while, as ready.

TestRequestAtStoppingEndpointsIsNotRefused failed before the change in both cases: 'Should not be: "request crashes endpoints"'. It passes now.

--- a/internal/node/assembler/crashes.go
+++ b/internal/node/assembler/crashes.go
@@ -48,7 +48,8 @@
 func (c *crashCheck) run() {
 	defer c.group.Done()
 	for range maxCrashChecks {
-		if c.placer.WantsNothing(c.endpoint.ID, c.node.bootClock.Now()) {
+		// An endpoint that leaves stops by itself. One that has crashed remains listed for a while.
+		if c.placer.IsLeaving(c.endpoint.ID) || c.placer.WantsNothing(c.endpoint.ID, c.node.bootClock.Now()) {
 			return
 		}
 		checkedAt := c.clusterTime()
