Keep a pause that a restarted endpoint asked for

Calls were sent to an endpoint in the pause that it had asked for, if it had said that it leaves, was started again, and its start was heard of after the pause. Only the calls that no other endpoint can serve, and those under way, reach it in between. What the endpoint had said was dropped as a whole, also what it said after its start.

A pause that was asked for after the start, or up to the error of the endpoint's clock before it, stays in force.

TestPauseOfANewLifeIsKept failed before the change in its second case: 'expected: true, actual: false', a call was placed in the pause. It passes now.

--- a/internal/node/assembler/notices.go
+++ b/internal/node/assembler/notices.go
@@ -137,7 +137,8 @@
 
 // reborn records that an endpoint was started again.
 func (n *notices) reborn(e *placer.Endpoint, born int64, source string) {
-	if n.placer.Reborn(e, born) {
+	age := n.clusterTime().Sub(time.UnixMilli(born)) + lifeDelay
+	if n.placer.Reborn(e, born, n.node.bootClock.Now().Add(-age)) {
 		n.node.log.Info("endpoint was started again; it gets calls from here", "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", born, "source", source)
 	}
 }
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -44,7 +44,8 @@
 	pausedSince time.Time
 	pausedUntil time.Time
 	returnAt    time.Time
-	isPaused    bool // the end of the pause has not been reported yet
+	pausedAt    time.Time // when the endpoint last asked for a pause
+	isPaused    bool      // the end of the pause has not been reported yet
 	returning   *returning
 	born        int64     // when the endpoint was started, in ms since 1970; 0 if not known
 	unlistedAt  time.Time // when Expire first found that the endpoint is not listed
@@ -138,7 +139,7 @@
 		spread := min(time.Duration(returnSpread*float64(d)), maxReturnSpread)
 		n.returnAt = until.Add(time.Duration(rand.Float64() * float64(spread)))
 	}
-	n.isPaused, n.returning = true, &returning{limit: firstReturns}
+	n.pausedAt, n.isPaused, n.returning = boot, true, &returning{limit: firstReturns}
 	return isNew
 }
 
@@ -169,13 +170,18 @@
 }
 
 // Reborn records that an endpoint was started at a time in milliseconds since 1970, after
-// it had said that it leaves. What it said before does not count any more. It reports
-// whether the endpoint was marked as leaving.
-func (p *Placer) Reborn(e *Endpoint, born int64) bool {
+// it had said that it leaves. What it said before does not count any more. bornBoot is an
+// early estimate of that time by the clock that counts suspension: a pause that was asked
+// for later stays in force. It reports whether the endpoint was marked as leaving.
+func (p *Placer) Reborn(e *Endpoint, born int64, bornBoot time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.noticeOf(e)
 	wasLeaving := !n.leavingSince.IsZero()
+	if n.pausedAt.After(bornBoot) {
+		n.leavingSince, n.born = time.Time{}, max(n.born, born)
+		return wasLeaving
+	}
 	*n = notice{id: n.id, service: n.service, address: n.address, born: max(n.born, born)}
 	return wasLeaving
 }
--- a/internal/request/placer/notice_test.go
+++ b/internal/request/placer/notice_test.go
@@ -223,3 +223,30 @@
 	returned, _ = p.Expire(start.Add(time.Hour))
 	require.Empty(t, returned)
 }
+
+// An endpoint that had left was started again and asked for a pause before its start was known here. It got calls in
+// that pause.
+func TestPauseOfANewLifeIsKept(t *testing.T) {
+	cases := map[string]struct {
+		pausedAt time.Duration // after start
+		isKept   bool
+	}{
+		"asked for before the start": {500 * time.Millisecond, false},
+		"asked for after the start":  {3 * time.Second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := placer.New()
+			list := newEndpoints(1, 64)
+			p.SetEndpoints(list)
+			p.MarkLeaving(&list[0], start)
+			require.True(t, p.Pause(&list[0], time.Minute, start.Add(c.pausedAt)))
+			require.True(t, p.Reborn(&list[0], 1000, start.Add(2*time.Second)))
+			isPlaced := place(p, start.Add(10*time.Second)) != nil
+			require.Equal(t, c.isKept, !isPlaced)
+			if c.isKept {
+				require.NotNil(t, place(p, start.Add(90*time.Second)), "the pause is over")
+			}
+		})
+	}
+}
