Review crashes without comparing each block with all requests

The leader reviews the crashes with each report of an entry. While it waits for answers of a suspected request, a review compared each block that may explain the crashes with every request that it tracks, up to 8,192: a block's crashes beside the request must not be those of a single other one.

A request that was in fewer than three crashes cannot be in all of at least three. Only the others are compared now, so the decisions are the same.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -304,7 +304,11 @@
 func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
 	var best *suspect
 	var found Key
+	var repeated []*suspect // requests that were in several crashes
 	for key, s := range c.suspects {
+		if key.IsRequest() && len(s.seenIn) >= isolationThreshold {
+			repeated = append(repeated, s)
+		}
 		if s.crashes < isolationThreshold || best != nil && found.IsRequest() && !key.IsRequest() {
 			continue
 		}
@@ -316,7 +320,7 @@
 		return Isolation{}, false
 	}
 	for key, s := range c.suspects {
-		if s.explains(best) && (key.IsRequest() || !found.IsRequest() || c.hasEvidenceBeside(s, best)) {
+		if s.explains(best) && (key.IsRequest() || !found.IsRequest() || s.hasEvidenceBeside(best, repeated)) {
 			best, found = s, key
 		}
 	}
@@ -326,18 +330,14 @@
 	return c.isolate(found, now), true
 }
 
-// hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others.
-func (c *Core) hasEvidenceBeside(block, request *suspect) bool {
-	beside := without(block.seenIn, request.seenIn)
-	if block.crashes < isolationThreshold || len(beside) < isolationThreshold {
+// hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others:
+// no one of the requests that were in several crashes was in all of these.
+func (s *suspect) hasEvidenceBeside(request *suspect, repeated []*suspect) bool {
+	beside := without(s.seenIn, request.seenIn)
+	if s.crashes < isolationThreshold || len(beside) < isolationThreshold {
 		return false
 	}
-	for key, s := range c.suspects {
-		if key.IsRequest() && len(without(beside, s.seenIn)) == 0 {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(repeated, func(other *suspect) bool { return len(without(beside, other.seenIn)) == 0 })
 }
 
 // without returns the sorted numbers that are not in excluded, which is sorted.
