Tell of answers before a request was suspected

A sound request was refused everywhere for five minutes. Its attempts broke off at three endpoints that could not be reached, as in a lost domain, and the next attempt, or the caller's next request at another entry, was answered within milliseconds. Entries told the leader only of answers of requests that were suspected at that time, and the leader suspects a request some 500 ms after its second crash: no answer was known to follow the crashes.

Entries remember when they answered requests. They tell now of an answer after the first crash of a suspect, at most one for each of the 64 suspects that the leader names. A request that crashes endpoints has no such answer.

TestRequestThatIsAnsweredBeforeItIsSuspectedIsNotIsolated failed before the change in both cases: 'Should be false', the request was isolated. It passes now.

--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -198,12 +198,24 @@
 		}
 		answers = append(answers, attributor.Answer{Key: key, At: at})
 	}
+	answers = i.appendEarlierAnswers(answers, now)
 	for key, until := range i.isolations {
 		isolations = append(isolations, attributor.Isolation{Key: key, Until: until})
 	}
 	return crashes, answers, isolations
 }
 
+// appendEarlierAnswers appends the answers of requests that were not suspected yet when they were answered.
+func (i *Isolator) appendEarlierAnswers(answers []attributor.Answer, now time.Time) []attributor.Answer {
+	for key, s := range i.suspects {
+		_, isReported := i.answered[key]
+		if at := i.requests.last(key, now); !isReported && at.After(s.Since) {
+			answers = append(answers, attributor.Answer{Key: key, At: at})
+		}
+	}
+	return answers
+}
+
 // Suspects returns the requests that earlier leaders suspected, while the leader does not know them.
 func (i *Isolator) Suspects() []attributor.Suspect {
 	i.mu.Lock()
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -203,3 +203,47 @@
 		})
 	}
 }
+
+// A call broke off at three endpoints of a lost domain, and the next attempt, or its caller's next request, was answered
+// before the leader knew of the crashes. The request was isolated, since the answer was not reported.
+func TestRequestThatIsAnsweredBeforeItIsSuspectedIsNotIsolated(t *testing.T) {
+	cases := map[string]struct {
+		answeredBy int
+		answeredAt time.Duration // after start
+	}{
+		"by the entry whose calls broke off": {0, 50 * time.Millisecond},
+		"by another entry":                   {1, 200 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			entries := []*isolator.Isolator{isolator.New(), isolator.New()}
+			leader := attributor.New()
+			for attempt, id := range []string{"e1", "e2", "e3"} {
+				at := start.Add(time.Duration(attempt) * time.Millisecond)
+				require.True(t, entries[0].Broken(placer.Endpoint{ID: id, Service: "desk"}, call(77), at, at))
+				entries[0].Unreachable(id, at)
+			}
+			for step := 50 * time.Millisecond; step <= 4*time.Second; step += 50 * time.Millisecond {
+				now := start.Add(step)
+				if step == c.answeredAt {
+					entries[c.answeredBy].Answered("desk", call(77), now)
+				}
+				if step%reportInterval != 0 {
+					continue
+				}
+				for _, entry := range entries {
+					crashes, answers, _ := entry.Report(now)
+					for k := range crashes {
+						leader.Add(&crashes[k])
+					}
+					for _, a := range answers {
+						leader.Answer(a)
+					}
+					_, isIsolated := leader.Review(now, reportInterval)
+					require.False(t, isIsolated)
+					entry.Apply(leader.Suspects(), leader.Isolations(now), true, now)
+				}
+			}
+		})
+	}
+}
