Reload settings that change while a node starts

A managed node that got SIGHUP before it had read its settings ended: its handler for signals was installed only after them. The handler is now installed first; the time until main runs remains.

TestNodeReloadsSettingsThatChangeWhileItStarts failed before: "the node ended: signal: hangup". The product's own interface does not reload by a signal.

--- a/cmd/hyssoprudder-managed/main.go
+++ b/cmd/hyssoprudder-managed/main.go
@@ -28,6 +28,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// First of all, since a signal that arrives earlier ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	s, err := settings.LoadManaged(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -41,16 +44,14 @@
 	logger := log.NewWithOptions(os.Stdout, log.Options{
 		ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: level,
 	}).With("node", s.ID())
-	if err := serve(s, logger); err != nil {
+	if err := serve(s, logger, signals); err != nil {
 		logger.Error("node failed; exiting", "err", err)
 		return 1
 	}
 	return 0
 }
 
-func serve(s *settings.Managed, logger *log.Logger) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+func serve(s *settings.Managed, logger *log.Logger, signals <-chan os.Signal) error {
 	node, err := assembler.New(s, newAdapter(s), logger)
 	if err != nil {
 		return err
