--- a/internal/connection/pooler/deadline.go
+++ b/internal/connection/pooler/deadline.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	d.isLast = true
-	return w.SetReadDeadline(time.Now().Add(lastWait)) == nil
+	return w.SetReadDeadline(w.clock.Now().Add(lastWait)) == nil
 }
 
 // extendDeadline reports whether the deadline was extended.
--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -135,7 +135,7 @@
 func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	w := &countingConn{}
+	w := &countingConn{clock: p.clock}
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, countingConnKey{}, w), "http", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("connect to endpoint: %w", err)
@@ -292,6 +292,7 @@
 // countingConn counts the bytes written to a connection, and extends its read deadline.
 type countingConn struct {
 	net.Conn
+	clock    clock.Clock
 	written  atomic.Int64
 	deadline readDeadline
 }
--- a/internal/request/forwarder/connection_test.go
+++ b/internal/request/forwarder/connection_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hyssoprudder/internal/connection/screener"
@@ -83,7 +82,7 @@
 			require.NoError(t, err)
 			defer response.Body.Close()
 			require.Equal(t, 200, response.StatusCode)
-			assert.True(t, response.Close, "the answer announces that the connection is closed")
+			require.True(t, response.Close, "the answer announces that the connection is closed")
 			_, err = io.Copy(io.Discard, response.Body)
 			require.NoError(t, err)
 			_, err = http.ReadResponse(r, nil)
