--- a/internal/process/journaler/journaler.go
+++ b/internal/process/journaler/journaler.go
@@ -2,7 +2,8 @@
 // the term, vote and identity; and the newest snapshot.
 //
 // Nothing is reported as written before it is synced. After the first failed write or sync, a
-// journal refuses every further change.
+// journal refuses every further change. A write that finds the disk full is taken back instead,
+// and may be repeated.
 package journaler
 
 import (
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -28,6 +30,13 @@
 // ErrFailed is wrapped by the errors of a journal that has failed or is closed.
 var ErrFailed = errors.New("journal has failed")
 
+// ErrFull is wrapped by the errors of changes that were not made because the disk is full. They
+// may be repeated.
+var ErrFull = errors.New("no space for the journal")
+
+// isFull reports whether a file system refused a write for lack of space.
+func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
+
 // Kind is the kind of an entry.
 type Kind uint8
 
@@ -174,7 +183,11 @@
 	if err != nil {
 		return j.fail(err)
 	}
-	if err := j.files.Replace(filepath.Join(j.folder, stateName), data); err != nil {
+	err = j.files.Replace(filepath.Join(j.folder, stateName), data)
+	switch {
+	case isFull(err):
+		return fmt.Errorf("write state: %w: %w", ErrFull, err)
+	case err != nil:
 		return j.fail(fmt.Errorf("write state: %w", err))
 	}
 	j.state = s
@@ -193,7 +206,11 @@
 	if first := entries[0].Index; first > j.last+1 || first <= j.snapshot.Index {
 		panic(fmt.Sprintf("journaler: entry %d after %d, snapshot %d", first, j.last, j.snapshot.Index))
 	}
-	if err := j.write(entries); err != nil {
+	err := j.write(entries)
+	switch {
+	case errors.Is(err, ErrFull):
+		return err
+	case err != nil:
 		return j.fail(err)
 	}
 	j.last = entries[len(entries)-1].Index
@@ -211,7 +228,9 @@
 		}
 	}
 	j.buf = appendRecord(j.buf[:0], j.nextRecord, payload)
-	if _, err := j.current.Write(j.buf); err != nil {
+	if _, err := j.current.Write(j.buf); isFull(err) {
+		return j.truncate(err)
+	} else if err != nil {
 		return fmt.Errorf("append: %w", err)
 	}
 	if err := j.current.Sync(); err != nil {
@@ -224,6 +243,20 @@
 	return nil
 }
 
+// truncate removes the part of a record for which there was no space.
+func (j *Journal) truncate(cause error) error {
+	if err := j.current.Close(); err != nil {
+		return fmt.Errorf("append: %w", errors.Join(cause, err))
+	}
+	f, err := j.files.Append(j.segments[len(j.segments)-1].path, j.currentSize)
+	if err != nil {
+		j.current = nil
+		return fmt.Errorf("append: %w", errors.Join(cause, err))
+	}
+	j.current = f
+	return fmt.Errorf("append: %w: %w", ErrFull, cause)
+}
+
 func (j *Journal) rotate() error {
 	if j.current != nil {
 		if err := j.current.Close(); err != nil {
@@ -233,7 +266,10 @@
 	}
 	path := filepath.Join(j.folder, fmt.Sprintf("%016x%s", j.nextRecord, segmentSuffix))
 	f, err := j.files.Create(path)
-	if err != nil {
+	switch {
+	case isFull(err):
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	case err != nil:
 		return err
 	}
 	j.current, j.currentSize = f, 0
@@ -248,7 +284,11 @@
 	if err != nil {
 		return err
 	}
-	if err := j.files.Replace(filepath.Join(j.folder, snapshotName), data); err != nil {
+	err = j.files.Replace(filepath.Join(j.folder, snapshotName), data)
+	switch {
+	case isFull(err):
+		return fmt.Errorf("write snapshot: %w: %w", ErrFull, err)
+	case err != nil:
 		return fmt.Errorf("write snapshot: %w", err)
 	}
 	return nil
--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -135,6 +136,51 @@
 	return f.File.Sync()
 }
 
+// A keeper's process ended when its disk was full. What finds no space is taken back, so that it
+// can be written later.
+func TestWriteToAFullDiskIsRepeated(t *testing.T) {
+	for name, partial := range map[string]bool{"nothing written": false, "partly written": true} {
+		t.Run(name, func(t *testing.T) {
+			folder := newFilledFolder(t, journaler.Options{})
+			files, active, isFull := journaler.SystemFiles(), &faults{}, false
+			appendTo, create, replace := files.Append, files.Create, files.Replace
+			files.Append = func(path string, size int64) (journaler.File, error) {
+				f, err := appendTo(path, size)
+				return &faultyFile{File: f, faults: active}, err
+			}
+			files.Create = func(path string) (journaler.File, error) {
+				if isFull {
+					return nil, syscall.ENOSPC
+				}
+				return create(path)
+			}
+			files.Replace = func(path string, data []byte) error {
+				if isFull {
+					return syscall.ENOSPC
+				}
+				return replace(path, data)
+			}
+			j := open(t, folder, journaler.Options{Files: files})
+			*active, isFull = faults{write: syscall.ENOSPC, partial: partial}, true
+			for range 3 {
+				require.ErrorIs(t, j.Append([]journaler.Entry{entry(11, 3)}), journaler.ErrFull)
+				require.ErrorIs(t, j.SaveState(journaler.State{Identity: "id", Term: 9}), journaler.ErrFull)
+				require.ErrorIs(t, j.WriteSnapshot(journaler.Snapshot{Index: 4}), journaler.ErrFull)
+			}
+			require.NoError(t, j.Err())
+			*active, isFull = faults{}, false
+			require.NoError(t, j.Append([]journaler.Entry{entry(11, 3), entry(12, 3)}))
+			require.NoError(t, j.SaveState(journaler.State{Identity: "id", Term: 9}))
+			require.NoError(t, j.Close())
+			j = open(t, folder, journaler.Options{})
+			entries := j.LoadedEntries()
+			require.Equal(t, []journaler.Entry{entry(11, 3), entry(12, 3)}, entries[len(entries)-2:])
+			require.EqualValues(t, 9, j.State().Term)
+			require.NoError(t, j.Close())
+		})
+	}
+}
+
 func TestNothingIsAcknowledgedAfterAFailure(t *testing.T) {
 	broken := errors.New("broken")
 	tests := map[string]faults{
--- a/internal/process/keeper/loop.go
+++ b/internal/process/keeper/loop.go
@@ -1,10 +1,12 @@
 package keeper
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/journaler"
 )
 
@@ -120,17 +122,7 @@
 func (k *Keeper) execute(out *Output) error {
 	k.publish()
 	k.send(out.Early)
-	if out.State != nil {
-		if err := k.journal.SaveState(*out.State); err != nil {
-			return err
-		}
-	}
-	if out.Snapshot != nil {
-		if err := k.install(out.Snapshot); err != nil {
-			return err
-		}
-	}
-	if err := k.journal.Append(out.Entries); err != nil {
+	if err := k.awaitSpace(func() error { return k.persist(out) }); err != nil {
 		return err
 	}
 	k.send(out.Messages)
@@ -146,6 +138,47 @@
 	return nil
 }
 
+// persist makes the outputs durable. It may be repeated.
+func (k *Keeper) persist(out *Output) error {
+	if out.State != nil {
+		if err := k.journal.SaveState(*out.State); err != nil {
+			return err
+		}
+	}
+	if out.Snapshot != nil {
+		if err := k.install(out.Snapshot); err != nil {
+			return err
+		}
+		out.Snapshot = nil
+	}
+	return k.journal.Append(out.Entries)
+}
+
+// fullRetryDelay is the time between two writes to a full disk.
+const fullRetryDelay = 100 * time.Millisecond
+
+// awaitSpace repeats a write while the disk is full. Meanwhile the keeper neither votes nor
+// acknowledges anything, as if it were frozen, and its lease expires.
+func (k *Keeper) awaitSpace(write func() error) error {
+	isWaiting := false
+	for {
+		err := write()
+		if !errors.Is(err, journaler.ErrFull) {
+			if isWaiting && err == nil {
+				k.log.Info("disk has space again")
+			}
+			return err
+		}
+		if !isWaiting {
+			k.log.Warn("disk is full; no vote and no acknowledgement until there is space", "error", err)
+		}
+		isWaiting = true
+		if !clock.Sleep(k.config.Clock, fullRetryDelay, k.quit) {
+			return err
+		}
+	}
+}
+
 func (k *Keeper) apply(e journaler.Entry) error {
 	var result applier.Result
 	k.logSize += len(e.Data) + entryOverhead
