Refuse calls that come late in a planned stop of an own entry

A managed entry refuses them; an entry of the own composition took any call that arrived on an open connection after its listener had closed. Change: once the listener is closed, a call whose time ends after the stop is answered 503, with the outcome notrun, or unknown if it has a key, since its first copy may have run. Streams are handed over as before.

--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -46,6 +46,7 @@
 	listener *listener.Listener
 	index    atomic.Pointer[index]
 	closing  atomic.Bool
+	until    atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the server stops
 	inFlight atomic.Int64
 }
 
@@ -80,9 +81,14 @@
 func (s *Server) Drain() { s.closing.Store(true) }
 
 // Stop accepts no more connections and waits for the calls in flight. When ctx ends,
-// it aborts the remaining calls and returns their number.
+// it aborts the remaining calls and returns their number. Calls that arrive meanwhile on open
+// connections are refused if they may not end by then; streams are not, since they go on at
+// another entry.
 func (s *Server) Stop(ctx context.Context) int64 {
 	s.Drain()
+	if until, ok := ctx.Deadline(); ok {
+		s.until.Store(&until)
+	}
 	if err := s.listener.Stop(ctx); err == nil {
 		return 0
 	}
@@ -119,6 +125,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	call, problem := s.read(w, r, id, start)
+	if problem == nil {
+		problem = s.refuseLate(call)
+	}
 	var result handler.Result
 	if problem != nil {
 		problem.Write(w, id)
@@ -129,6 +138,20 @@
 	s.report(id, call, result, s.cfg.Clock.Now().Sub(start))
 }
 
+// refuseLate returns the problem for a call that may not end before the server does. A call
+// with a key may have run already, since callers repeat such calls.
+func (s *Server) refuseLate(call *handler.Call) *handler.Problem {
+	until := s.until.Load()
+	if until == nil || call.Service().Kind() == parser.KindModel || !call.Deadline().After(*until) {
+		return nil
+	}
+	outcome := handler.OutcomeNotRun
+	if call.Key() != "" {
+		outcome = handler.OutcomeUnknown
+	}
+	return handler.NewProblem(http.StatusServiceUnavailable, outcome, "Stopping", "this entry stops before the call would end; send it again").RetryAfter(time.Second)
+}
+
 func (s *Server) report(id string, call *handler.Call, result handler.Result, duration time.Duration) {
 	ended := meter.CompletedCall{Route: "none", Customer: "none", Outcome: string(result.Outcome), Status: result.Status, Attempts: result.Attempts, RecomputedTokens: result.Recomputed, Duration: duration}
 	if call != nil {
--- a/internal/connection/server/stop_test.go
+++ b/internal/connection/server/stop_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hyssoprudder/internal/connection/server"
 	"hyssoprudder/internal/request/handler"
 )
 
@@ -121,3 +122,56 @@
 		})
 	}
 }
+
+// A request that came late in the time to stop was taken and passed on, and cut at its end.
+func TestStopRefusesCallsThatMayNotEndInTime(t *testing.T) {
+	cases := map[string]struct {
+		header  string
+		status  int
+		outcome handler.Outcome
+	}{
+		"ends in time":                  {"Timeout: 50ms\r\n", http.StatusOK, handler.OutcomeDone},
+		"may not end in time":           {"Timeout: 55m\r\n", http.StatusServiceUnavailable, handler.OutcomeNotRun},
+		"may not end in time, with key": {"Timeout: 55m\r\nIdempotency-Key: k\r\n", http.StatusServiceUnavailable, handler.OutcomeUnknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv, address := startWith(t, answerRoute, io.Discard, "60s")
+			c, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer c.Close()
+			request := "GET /v1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer masons-demo\r\n" + tc.header + "\r\n"
+			_, err = io.WriteString(c, request[:20])
+			require.NoError(t, err)
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Minute)
+			defer cancel()
+			aborted := make(chan int64, 1)
+			s := &limitedStopper{srv: srv, ctx: ctx, aborted: aborted}
+			go s.run()
+			require.Eventually(t, func() bool {
+				other, err := net.Dial("tcp", address)
+				if err == nil {
+					other.Close()
+				}
+				return err != nil
+			}, stopTimeout, time.Millisecond)
+			_, err = io.WriteString(c, request[20:])
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, tc.status, response.StatusCode)
+			require.Equal(t, string(tc.outcome), response.Header.Get(handler.HeaderOutcome))
+			require.Zero(t, <-aborted)
+		})
+	}
+}
+
+// limitedStopper stops a server within the time of a context.
+type limitedStopper struct {
+	srv     *server.Server
+	ctx     context.Context //nolint:containedctx // passed to Stop by run
+	aborted chan int64
+}
+
+func (s *limitedStopper) run() { s.aborted <- s.srv.Stop(s.ctx) }
