Accept connections that wait when a planned stop begins

A drain sets a deadline on the listener; if it passes before the accepting goroutine runs, Accept fails although connections wait, and a drain without open connections ended at once and closed what was accepted later. Change: after the deadline the goroutine accepts once more with a new one, for 200 ms at most, and a drain ends only when the server has stopped to accept. The test waits until its request is being received.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -91,6 +91,9 @@
 	return l.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Counts returns the number of connections of a screened server by what is going on at them.
+func (l *Listener) Counts() screener.Counts { return l.screener.Counts() }
+
 // Stop accepts no more connections and waits for the requests in flight; a screened server
 // also answers each request of which it has read a part. If ctx ends first, Stop returns its
 // error, and Abort ends the remaining requests.
--- a/internal/connection/screener/drain.go
+++ b/internal/connection/screener/drain.go
@@ -13,6 +13,8 @@
 	// lastWait is how long a last read from an idle connection, or a last accept, waits.
 	// Both also return what had arrived before.
 	lastWait = 10 * time.Millisecond
+	// maxLastAccepts is how long after the start of a drain connections that wait are accepted.
+	maxLastAccepts = 200 * time.Millisecond
 	// firstRequestTimeout is how long after it was accepted a connection without a
 	// request is kept during a drain: its caller is about to send one.
 	firstRequestTimeout = 500 * time.Millisecond
@@ -44,7 +46,7 @@
 func (s *Screener) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	if !s.isDraining {
-		s.isDraining = true
+		s.isDraining, s.drainedAt = true, s.now()
 		for _, l := range s.listeners {
 			s.stopAccepting(l)
 		}
@@ -71,6 +73,19 @@
 	l.Close()
 }
 
+// mayAcceptAgain prepares a last accept after the deadline of a drain has passed: a deadline that
+// passes before the goroutine runs hides connections that wait.
+func (s *Screener) mayAcceptAgain(l net.Listener, err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	limited, ok := l.(interface{ SetDeadline(t time.Time) error })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return ok && s.isDraining && now.Sub(s.drainedAt) < maxLastAccepts && limited.SetDeadline(now.Add(lastWait)) == nil
+}
+
 // add registers a connection. It reports false if the screener has been drained.
 func (s *Screener) add(c *conn) bool {
 	s.mu.Lock()
@@ -93,24 +108,30 @@
 }
 
 func (s *Screener) closeIfEmpty() {
-	if s.isDraining && !s.isEmptied && len(s.conns) == 0 {
+	if s.isDraining && !s.isEmptied && len(s.conns) == 0 && len(s.accepting) == 0 {
 		s.isEmptied = true
 		close(s.emptied)
 	}
 }
 
-func (s *Screener) draining() bool {
+// beginAccept records that connections of a listener are being accepted. A drain waits until the
+// server has stopped to accept.
+func (s *Screener) beginAccept(l *listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isDraining
+	s.accepting[l] = struct{}{}
 }
 
 // acceptError returns the error for the server if Accept has failed.
-func (s *Screener) acceptError(err error) error {
-	if s.draining() {
-		return http.ErrServerClosed
+func (s *Screener) acceptError(l *listener, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.accepting, l)
+	if !s.isDraining {
+		return err
 	}
-	return err
+	s.closeIfEmpty()
+	return http.ErrServerClosed
 }
 
 // Close closes the connection.
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -55,8 +55,10 @@
 
 	mu         sync.Mutex
 	listeners  []net.Listener
+	accepting  map[*listener]struct{} // those whose connections are being accepted
 	conns      map[*conn]struct{}
 	isDraining bool
+	drainedAt  time.Time // when the drain began
 	isEmptied  bool
 	emptied    chan struct{} // closed when the last connection of a drain is closed
 }
@@ -64,7 +66,7 @@
 // New returns a screener. It calls limits each time it applies a limit, so that changes
 // take effect at once.
 func New(limits func() Limits, now func() time.Time) *Screener {
-	return &Screener{limits: limits, now: now, conns: make(map[*conn]struct{}), emptied: make(chan struct{})}
+	return &Screener{limits: limits, now: now, conns: make(map[*conn]struct{}), accepting: make(map[*listener]struct{}), emptied: make(chan struct{})}
 }
 
 // Wrap returns a listener whose connections are screened.
@@ -82,9 +84,13 @@
 
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
+	l.screener.beginAccept(l)
 	inner, err := l.Listener.Accept()
+	if l.screener.mayAcceptAgain(l.Listener, err) {
+		inner, err = l.Listener.Accept()
+	}
 	if err != nil {
-		return nil, l.screener.acceptError(err)
+		return nil, l.screener.acceptError(l, err)
 	}
 	c := &conn{Conn: inner, screener: l.screener, isIdle: true, acceptedAt: l.screener.now()}
 	if !l.screener.add(c) {
--- a/internal/connection/server/stop_test.go
+++ b/internal/connection/server/stop_test.go
@@ -143,6 +143,7 @@
 			request := "GET /v1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer masons-demo\r\n" + tc.header + "\r\n"
 			_, err = io.WriteString(c, request[:20])
 			require.NoError(t, err)
+			require.Eventually(t, func() bool { return srv.Counts().Receiving == 1 }, stopTimeout, time.Millisecond)
 			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Minute)
 			defer cancel()
 			aborted := make(chan int64, 1)
