Ask followers for the leader once they have heard of it

The trace: the follower has only voted in this term (term 2, no leader, commit 0, no members), while the leader and the other keeper have committed 7 entries. A keeper that no leader has written to knows none. Change: the test waits until every keeper has applied what was committed.

--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -270,6 +270,8 @@
 	leader := d.leader()
 	require.NoError(t, leader.Read(ctx))
 	require.Equal(t, uint64(5), leader.applier.Rules().Number)
+	// A keeper that has only voted in this term has not heard of a leader yet.
+	d.requireRevision(5)
 	for _, k := range d.keepers {
 		if k != leader {
 			var notLeader *NotLeaderError
