Let entries of a large deployment report to relays

Tokens were spread in parts that no call fits in: 78 in 100 of what was left in a bucket lay at entries. Change: from 24 entries on (setting relayed) each keeper but the leader relays for a group of entries: it sums up their loads, usage, refusals, crashes, notices and clocks, reports them each 150 ms, and answers the entries from what the leader told it last, with the age of that. Entries choose a relay of their failure domain by hashing, another one when it does not answer or has lost the leader for a second, and the leader only if there is none. Limits are divided in two steps (divider.Pool); allowances follow the demand of a second, the rest stays in the bucket, and a call that is short takes what it costs by a small request of its own, for as long as its objective allows. Only the answer that the bucket is empty refuses it, with the time until it is not. Entries take nothing unspent from one relay to another, but debts. TestLateAnswerOnAnAllowanceRefusesNoCall, TestLimitsInTwoStepsAreKept, TestListThroughRelays (found a change and its reversal that one relay did not see), TestCrestOfTrafficAtManyEntries pass; nine mutants of the division and of the ages are caught.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -125,6 +125,7 @@
 	if s.Has(settings.RoleEntry) {
 		n.buildEntry()
 	}
+	n.registry.MustRegister(&contact{n})
 	return n, nil
 }
 
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -71,6 +71,7 @@
 	endpoints     []coordinator.Endpoint // the endpoint list, by position
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
+	granter       uint64                 // relay that granted the allowances, 0 for a leader
 }
 
 func (n *Node) buildEntry() {
@@ -87,16 +88,17 @@
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
+		Node: n.settings.ID(), Domain: n.settings.Domain(),
 	}
 	if n.keeper != nil {
-		config.Local = n.keeper.coordinator.HandleReport
+		config.Local, config.LocalTake = n.keeper.coordinator.HandleReport, n.keeper.coordinator.Take
 	}
 	n.reporter = reporter.New(config)
 	e.retriever = retriever.New(retriever.Config{
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, RenewAllowances: n.reporter.ReportNow, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, AskAllowance: e.askAllowance, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
@@ -253,13 +255,13 @@
 	now := e.node.clock.Now()
 	r.Node, r.Incarnation, r.Entry, r.WallClock = e.node.settings.ID(), e.node.incarnation, true, now.UnixNano()
 	quotas := e.quotas.Report(now)
-	r.Demand, r.Unspent, r.Sequence, r.Pending = quotas.Demand, quotas.Unspent, quotas.Sequence, quotas.Pending
+	r.Demand, r.Unspent, r.Sequence = quotas.Demand, quotas.Unspent, quotas.Sequence
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	r.Suspects = e.isolator.Suspects()
 	e.versions.report(r)
 	e.mu.Lock()
-	r.ListID, r.Received = e.listID, e.received
+	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
 	e.mu.Unlock()
 	r.Notices = (&notices{e}).report()
 	for position, l := range e.placer.Loads() {
@@ -279,7 +281,13 @@
 	e.mu.Lock()
 	e.freshness.Name(d.RulesetNumber, inForce, e.node.bootClock.Now())
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
+	if d.IsPartial {
+		e.mu.Unlock()
+		e.forwarder.SetEntries(d.Entries)
+		return d.RulesetNumber > 0 && e.forwarder.Table().Number() >= d.RulesetNumber
+	}
 	known := e.listID
+	e.granter = d.Granter
 	isCurrent := e.applyList(d)
 	isChanged, endpoints := e.listID != known, e.endpoints
 	e.mu.Unlock()
@@ -293,10 +301,31 @@
 	e.forwarder.SetEntries(d.Entries)
 	e.versions.apply(d, e.forwarder.Table())
 	age := e.node.bootClock.Now().Sub(sentAt)
-	e.quotas.SetAllowances(d.Sequence, d.Allowances, now, now.Add(d.AllowanceLifetime-age))
+	e.quotas.SetAllowances(d.Sequence, d.Allowances, now.Add(d.AllowanceLifetime-age))
 	return d.RulesetNumber > 0 && e.forwarder.Table().Number() >= d.RulesetNumber
 }
 
+// askAllowance asks for what a call costs beyond the allowances.
+func (e *entry) askAllowance(ctx context.Context, customer string, cost float64) bool {
+	sentAt := e.node.bootClock.Now()
+	reply, ok := e.node.reporter.Take(ctx, &coordinator.AllowanceRequest{
+		Node: e.node.settings.ID(), Incarnation: e.node.incarnation, Shortages: map[string]coordinator.Shortage{customer: {Amount: cost, Least: cost}},
+	})
+	if !ok {
+		return false
+	}
+	now := e.node.clock.Now()
+	if granted := reply.Granted[customer]; granted > 0 {
+		e.quotas.Add(customer, granted, now, now.Add(reply.Lifetime-e.node.bootClock.Now().Sub(sentAt)))
+		return true
+	}
+	wait, ok := reply.Waits[customer]
+	if ok {
+		e.quotas.Exhaust(customer, cost, wait, now)
+	}
+	return ok
+}
+
 // applyList applies the changes of the endpoint list, and reports whether the node has
 // the newest list. The caller holds e.mu.
 func (e *entry) applyList(d *coordinator.Directive) bool {
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -60,6 +60,7 @@
 	keeper      *keeper.Keeper
 	proposer    *proposer.Proposer
 	coordinator *coordinator.Coordinator
+	relay       *coordinator.Relay
 	submitter   *submitter.Submitter
 	conductor   *conductor.Conductor
 	control     *listener.Listener
@@ -80,8 +81,19 @@
 	k.coordinator = coordinator.New(coordinator.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "coordinator"), Lease: k.keeper.CaughtUpLease, Leader: k.leader,
 		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.state.Moves, Limits: k.limits, AllowanceLifetime: b.Revoke(), Window: b.UsageWindow(),
+		Relayed: n.settings.Relayed(),
 	})
-	if err := n.messenger.Register(coordinator.ServiceName, &coordinator.Service{Coordinator: k.coordinator}); err != nil {
+	k.relay = coordinator.NewRelay(coordinator.RelayConfig{
+		GroupConfig: coordinator.GroupConfig{
+			Node: n.settings.ID() + "/relay", Incarnation: n.incarnation, Window: b.UsageWindow(),
+			Address: coordinator.RelayAddress{Address: n.settings.Nodes(), Domain: n.settings.Domain()},
+		},
+		Clock: n.bootClock, Log: n.log.With("part", "relay"), Call: n.call, Local: k.coordinator, Leader: k.leader, Keepers: k.keeper.Addresses,
+	})
+	if err := n.messenger.Register(coordinator.ServiceName, &coordinator.Service{Coordinator: k.coordinator, Relay: k.relay}); err != nil {
+		return err
+	}
+	if err := n.messenger.Register(coordinator.AllowanceServiceName, &coordinator.AllowanceService{Coordinator: k.coordinator, Relay: k.relay}); err != nil {
 		return err
 	}
 	k.submitter = submitter.New(submitter.Config{
@@ -181,6 +193,7 @@
 		return err
 	}
 	k.proposer.Start()
+	k.relay.Start()
 	k.submitter.Start()
 	k.conductor.Start()
 	k.group.Add(1)
@@ -214,6 +227,7 @@
 	if err := k.keeper.Stop(handOverCtx); err != nil {
 		k.node.log.Error("keeper stopped with an error", "err", err)
 	}
+	k.relay.Stop()
 	k.proposer.Stop()
 	k.group.Wait()
 }
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -36,6 +36,19 @@
 	// maxLoads is the approximate number of endpoints whose loads are sent to a node: those
 	// with the highest load. A node's own calls are spread over fewer endpoints than that.
 	maxLoads = 256
+	// defaultRelayed is the number of entries from which on they report to relays, unless it is
+	// configured. Below directFraction of that they report to the leader again.
+	defaultRelayed = 24
+	directFraction = 0.7
+	// relayInterval is the time between two reports of a relay, and idleRelayInterval the time
+	// while entries report to the leader.
+	relayInterval     = 150 * time.Millisecond
+	idleRelayInterval = time.Second
+	// relayTimeout is how long after its last report a relay is named to entries.
+	relayTimeout = 1200 * time.Millisecond
+	// redirectInterval is the time until the next report of an entry that the leader sends to a
+	// relay.
+	redirectInterval = 10 * time.Millisecond
 	// callWeight is the number of pending prefill tokens that weigh as much as a call.
 	callWeight = 300
 )
@@ -48,6 +61,17 @@
 	isSummed    bool          // its loads are included in the sums
 }
 
+// entries returns the number of entries on whose behalf the node reports.
+func (n *node) entries() int {
+	switch {
+	case n.report.Group != nil:
+		return n.report.Group.Entries
+	case n.report.Entry:
+		return 1
+	}
+	return 0
+}
+
 // Core is the state of the leader in one term. It is a state machine without input or output
 // and not safe for concurrent use.
 type Core struct {
@@ -63,11 +87,14 @@
 
 	said map[noticeKey]said // what listed endpoints said to nodes
 
-	sums              []Load // over all nodes, by position in the list
+	sums              loadSums // over all nodes
+	relays            []RelayAddress
+	relayed           int           // number of entries from which on they report to relays
+	isRelayed         bool          // entries report to relays
+	reportInterval    time.Duration // longest time from a report of an entry until the leader has the next one
 	reviewedAt        time.Time
 	entries           int           // number of entries at the last review, plus new ones
 	clusterTimeOffset time.Duration // of the cluster time, relative to the leader's clock, at the last review
-	minWeight         uint64        // weight below which loads are not sent to nodes, at the last review
 }
 
 // NewCore returns the state of a leader whose term started at now. Allowances are valid for
@@ -76,10 +103,13 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said),
+		said: make(map[noticeKey]said), relayed: defaultRelayed,
 	}
 }
 
+// SetRelayed sets the number of entries from which on they report to relays.
+func (c *Core) SetRelayed(entries int) { c.relayed = entries }
+
 // Term returns the term of the log that the core belongs to.
 func (c *Core) Term() uint64 { return c.term }
 
@@ -100,9 +130,7 @@
 	if !c.list.update(c.withNotices(endpoints), now) {
 		return false
 	}
-	for len(c.sums) < len(c.list.byPosition) {
-		c.sums = append(c.sums, Load{})
-	}
+	c.sums.extend(len(c.list.byPosition))
 	return true
 }
 
@@ -113,37 +141,115 @@
 
 // HandleReport processes a report that was received at now and returns the directive for it.
 func (c *Core) HandleReport(r *Report, now time.Time) Directive {
-	c.replaceReport(r, now)
-	c.recordNotices(r, now)
-	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
-	if now.Sub(c.reviewedAt) >= reviewInterval || c.Age(now) < startupWindow {
+	if now.Sub(c.reviewedAt) >= reviewInterval {
 		c.review(now)
 	}
-	d := Directive{
-		Leads: true, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
+	if r.Entry && c.isRelayed && !r.NeedsLeader && len(c.relays) > 0 {
+		return c.redirect(now)
 	}
-	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
+	c.replaceReport(r, now)
+	c.recordNotices(r, now)
+	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
 	if c.Age(now) < startupWindow {
-		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
+		c.review(now)
 	}
-	if !r.Entry {
+	d := c.newDirective(now)
+	switch {
+	case r.Group != nil:
+		c.addGroup(r.Group)
+		d.ReportInterval = c.relayInterval(now)
+	case !r.Entry:
 		return d
 	}
 	c.attribute(r, &d, now)
-	grant := c.divider.Renew(&divider.Report{
-		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: r.Unspent, Demand: r.Demand, Pending: r.Pending,
-	}, now)
+	unspent := r.Unspent
+	if r.Granter != 0 {
+		unspent = debts(unspent)
+	}
+	report := divider.Report{Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: unspent, Demand: r.Demand}
+	if r.Group != nil {
+		report.Held = r.Group.Held
+	}
+	grant := c.divider.Renew(&report, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.list.isLoaded() {
 		c.list.fillDirective(&d, r.ListID, r.Received)
 		if d.Received < d.Length {
 			d.ReportInterval = pageInterval
 		}
-		d.Loads = c.loads(c.nodes[r.Node], c.minWeight)
+		d.Loads = c.sums.except(c.nodes[r.Node].summedLoads())
 	}
 	return d
 }
 
+// newDirective returns a directive with what all nodes are told.
+func (c *Core) newDirective(now time.Time) Directive {
+	d := Directive{
+		Leads: true, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
+	}
+	if c.isRelayed {
+		d.Relays = c.relays
+	}
+	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
+	if c.Age(now) < startupWindow {
+		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
+	}
+	return d
+}
+
+// redirect returns the directive for an entry that is to report to a relay. It confirms the
+// rules and costs the leader little, since all entries may come at once.
+func (c *Core) redirect(now time.Time) Directive {
+	d := c.newDirective(now)
+	d.IsPartial, d.ReportInterval = true, redirectInterval
+	return d
+}
+
+func (c *Core) relayInterval(now time.Time) time.Duration {
+	switch {
+	case c.Age(now) < startupWindow:
+		return startupInterval
+	case c.isRelayed:
+		return relayInterval
+	}
+	return idleRelayInterval
+}
+
+// addGroup adds what a relay reports on its group.
+func (c *Core) addGroup(g *Group) {
+	for i := range g.Usage {
+		c.ledger.Add(g.Usage[i].Node, g.Usage[i].Incarnation, g.Usage[i].Windows)
+	}
+}
+
+// debts returns the negative amounts. Positive ones were granted by another node, to which they
+// may have been returned too.
+func debts(unspent map[string]float64) map[string]float64 {
+	out := make(map[string]float64)
+	for customer, amount := range unspent {
+		if amount < 0 {
+			out[customer] = amount
+		}
+	}
+	return out
+}
+
+// Take grants a node what waiting calls need beyond its allowances.
+func (c *Core) Take(r *AllowanceRequest, now time.Time) AllowanceReply {
+	reply := AllowanceReply{Granted: make(map[string]float64), Waits: make(map[string]time.Duration), Lifetime: c.divider.AllowanceLifetime()}
+	for customer, s := range r.Shortages {
+		request := divider.Request{Node: r.Node, Incarnation: r.Incarnation, Customer: customer, Amount: s.Amount, Least: s.Least}
+		granted, wait := c.divider.Take(&request, now)
+		switch {
+		case granted > 0:
+			reply.Granted[customer] = granted
+		case wait > 0:
+			reply.Waits[customer] = wait
+		}
+	}
+	return reply
+}
+
 // attribute passes a node's evidence of crashes to the attributor and fills in what it decided.
 func (c *Core) attribute(r *Report, d *Directive, now time.Time) {
 	clusterTime := now.Add(c.clusterTimeOffset)
@@ -159,7 +265,7 @@
 	for _, a := range r.Answers {
 		c.attributor.Answer(a)
 	}
-	if isolated, ok := c.attributor.Review(clusterTime, d.ReportInterval); ok {
+	if isolated, ok := c.attributor.Review(clusterTime, max(c.reportInterval, d.ReportInterval)); ok {
 		c.isolated = append(c.isolated, isolated)
 	}
 	d.Suspects, d.Isolations = c.attributor.Suspects(), c.attributor.Isolations(clusterTime)
@@ -176,20 +282,17 @@
 func (c *Core) replaceReport(r *Report, now time.Time) {
 	last := c.nodes[r.Node]
 	c.removeLoads(last)
-	if last == nil && r.Entry {
-		c.entries++
-	}
 	n := &node{report: *r, receivedAt: now, clockOffset: time.Unix(0, r.WallClock).Sub(now)}
+	c.entries += n.entries()
+	if last != nil {
+		c.entries -= last.entries()
+	}
 	c.nodes[r.Node] = n
 	if r.ListID.Term != c.term {
 		return // its positions refer to another leader's list
 	}
 	n.isSummed = true
-	for _, l := range r.Loads {
-		if int(l.Position) < len(c.sums) {
-			c.sums[l.Position].add(l)
-		}
-	}
+	c.sums.add(r.Loads)
 }
 
 // removeLoads subtracts the loads of a node from the sums.
@@ -198,18 +301,22 @@
 		return
 	}
 	n.isSummed = false
-	for _, l := range n.report.Loads {
-		if int(l.Position) < len(c.sums) {
-			c.sums[l.Position].subtract(l)
-		}
+	c.sums.subtract(n.report.Loads)
+}
+
+// summedLoads returns the loads of the node that are included in the sums.
+func (n *node) summedLoads() []Load {
+	if !n.isSummed {
+		return nil
 	}
+	return n.report.Loads
 }
 
 // review updates what depends on all nodes: it removes the loads of nodes that are gone, evicts
 // nodes whose reports are too old for the cluster time, and computes the number of entries, the
 // cluster time and the weight threshold again.
 func (c *Core) review(now time.Time) {
-	c.reviewedAt, c.entries = now, 0
+	c.reviewedAt, c.entries, c.reportInterval, c.relays = now, 0, 0, nil
 	for name, n := range c.nodes {
 		if now.Sub(n.receivedAt) > nodeTimeout {
 			c.removeLoads(n)
@@ -217,71 +324,24 @@
 		switch {
 		case now.Sub(n.receivedAt) > maxClockAge:
 			delete(c.nodes, name)
-		case n.report.Entry && now.Sub(n.receivedAt) < nodeTimeout:
-			c.entries++
+		case now.Sub(n.receivedAt) < nodeTimeout:
+			c.entries += n.entries()
 		}
-	}
-	c.clusterTimeOffset, c.minWeight = c.ClusterTimeOffset(now), c.weightThreshold()
-}
-
-// weight returns the load of an endpoint as a number of tokens.
-func (l *Load) weight() uint64 { return uint64(l.PendingPrefill) + callWeight*uint64(l.InFlight) }
-
-// weightThreshold returns the weight that about maxLoads endpoints reach.
-func (c *Core) weightThreshold() uint64 {
-	if len(c.sums) <= maxLoads {
-		return 0
-	}
-	weights := make([]uint64, len(c.sums))
-	for position := range c.sums {
-		weights[position] = c.sums[position].weight()
-	}
-	slices.Sort(weights)
-	return weights[len(weights)-maxLoads]
-}
-
-// loads returns the loads of all nodes but one, for the endpoints with at least minWeight.
-func (c *Core) loads(except *node, minWeight uint64) []Load {
-	own := make(map[uint16]Load, len(except.report.Loads))
-	if except.isSummed {
-		for _, l := range except.report.Loads {
-			sum := own[l.Position]
-			sum.add(l)
-			own[l.Position] = sum
+		if g := n.report.Group; g != nil && now.Sub(n.receivedAt) < relayTimeout {
+			c.relays = append(c.relays, RelayAddress{Address: g.Address, Domain: g.Domain})
+			c.reportInterval = max(c.reportInterval, g.Interval+c.relayInterval(now))
 		}
 	}
-	var out []Load
-	for position, l := range c.sums {
-		if l.InFlight == 0 || l.weight() < minWeight {
-			continue
-		}
-		l.Position = uint16(position)
-		l.subtract(own[l.Position])
-		if l.InFlight > 0 {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
-func (l *Load) add(o Load) {
-	l.InFlight += o.InFlight
-	l.Waiting += o.Waiting
-	l.PendingPrefill += o.PendingPrefill
-	l.KVTokens += o.KVTokens
-}
-
-func (l *Load) subtract(o Load) {
-	l.InFlight -= o.InFlight
-	l.Waiting -= o.Waiting
-	l.PendingPrefill -= o.PendingPrefill
-	l.KVTokens -= o.KVTokens
+	slices.SortFunc(c.relays, func(a, b RelayAddress) int { return a.Address.Compare(b.Address) })
+	c.isRelayed = c.entries >= c.relayed || c.isRelayed && float64(c.entries) > directFraction*float64(c.relayed)
+	c.clusterTimeOffset = c.ClusterTimeOffset(now)
+	c.sums.review()
 }
 
 // TotalLoads returns the load of each endpoint over all nodes, by position in the list.
 func (c *Core) TotalLoads(now time.Time) []Load {
 	c.review(now)
-	return c.loads(&node{}, 0)
+	return c.sums.all()
 }
 
 // Refused returns how many calls to a service the nodes have refused since they started.
@@ -300,6 +360,9 @@
 		if len(n.report.Counts) > 0 {
 			out = append(out, n.report.Counts)
 		}
+		if n.report.Group != nil {
+			out = append(out, n.report.Group.Counts...)
+		}
 	}
 	return out
 }
--- a/internal/process/coordinator/notices.go
+++ b/internal/process/coordinator/notices.go
@@ -9,6 +9,9 @@
 // those that the list shows are not reported again.
 const MaxNotices = 16
 
+// maxGroupNotices is the number of notices in the report of a relay.
+const maxGroupNotices = 64
+
 // Notice is what an endpoint said of itself to a node: that it leaves, for how much longer
 // it wants no calls from that node, or when it was started. Times are in cluster time, in
 // milliseconds since 1970.
@@ -18,6 +21,17 @@
 	LeavingSince int64          `msgpack:"l,omitempty"`
 	Born         int64          `msgpack:"b,omitempty"`
 	Pause        time.Duration  `msgpack:"p,omitempty"`
+	// Count is the number of entries of a relay's group that were asked for a pause; Pause is
+	// then their median.
+	Count int `msgpack:"c,omitempty"`
+}
+
+// maxNotices returns how many notices of a report count.
+func (r *Report) maxNotices() int {
+	if r.Group != nil {
+		return maxGroupNotices
+	}
+	return MaxNotices
 }
 
 // noticeKey identifies one life of an endpoint.
@@ -39,7 +53,7 @@
 // that the other nodes hear of it. A start after an endpoint said that it leaves takes that
 // back.
 func (c *Core) recordNotices(r *Report, now time.Time) {
-	for i := range r.Notices[:min(len(r.Notices), MaxNotices)] {
+	for i := range r.Notices[:min(len(r.Notices), r.maxNotices())] {
 		n := &r.Notices[i]
 		s := c.said[n.key()]
 		if n.Born > s.born {
@@ -109,15 +123,15 @@
 	counts, entries := make(map[int]int), 0
 	for _, n := range c.nodes {
 		age := now.Sub(n.receivedAt)
-		if !n.report.Entry || age > nodeTimeout {
+		if age > nodeTimeout {
 			continue
 		}
-		entries++
-		for i := range n.report.Notices[:min(len(n.report.Notices), MaxNotices)] {
+		entries += n.entries()
+		for i := range n.report.Notices[:min(len(n.report.Notices), n.report.maxNotices())] {
 			notice := &n.report.Notices[i]
 			position, ok := c.list.byID[notice.ID]
 			if ok && notice.Pause-age > d && c.list.byPosition[position].Address == notice.Address {
-				counts[position]++
+				counts[position] += max(notice.Count, 1)
 			}
 		}
 	}
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -37,6 +37,8 @@
 	AllowanceLifetime time.Duration
 	// Window is the length of a usage window.
 	Window time.Duration
+	// Relayed is the number of entries from which on they report to relays; 0 for the default.
+	Relayed int
 }
 
 // Coordinator answers the reports of all nodes while this node is the leader. It is safe for
@@ -55,11 +57,32 @@
 // Service holds the RPC methods that other nodes call.
 type Service struct {
 	Coordinator *Coordinator
+	Relay       *Relay
 }
 
-// Beat answers a report.
+// Beat answers a report: as the leader if this node leads, otherwise as a relay.
 func (s *Service) Beat(args *Report, reply *Directive) error {
 	*reply = s.Coordinator.HandleReport(args)
+	if !reply.Leads && args.Group == nil {
+		*reply = s.Relay.HandleReport(args)
+	}
+	return nil
+}
+
+// AllowanceService holds the RPC methods for allowances. It is a service of its own, since its
+// calls may wait.
+type AllowanceService struct {
+	Coordinator *Coordinator
+	Relay       *Relay
+}
+
+// Take grants what waiting calls need: as the leader if this node leads, otherwise as a relay.
+func (s *AllowanceService) Take(args *AllowanceRequest, reply *AllowanceReply) error {
+	granted, ok := s.Coordinator.Take(args)
+	if !ok && !args.IsRelay {
+		granted = s.Relay.Take(args)
+	}
+	*reply = granted
 	return nil
 }
 
@@ -99,6 +122,17 @@
 	return d
 }
 
+// Take grants what waiting calls need, if this node is the leader.
+func (c *Coordinator) Take(r *AllowanceRequest) (AllowanceReply, bool) {
+	ruleset := c.config.Ruleset()
+	var reply AllowanceReply
+	ok := c.Do(func(core *Core, _ keeper.Lease, now time.Time) {
+		c.setLimits(ruleset, now)
+		reply = core.Take(r, now)
+	})
+	return reply, ok
+}
+
 func (c *Coordinator) logIsolated(i attributor.Isolation) {
 	id := strconv.FormatUint(i.Key.Block, 16)
 	if i.Key.IsRequest() {
@@ -140,6 +174,9 @@
 func (c *Coordinator) enterTerm(lease keeper.Lease, now time.Time) {
 	if c.core == nil || c.core.Term() != lease.Term() {
 		c.core = NewCore(lease.Term(), now, c.config.AllowanceLifetime, c.config.Window)
+		if c.config.Relayed > 0 {
+			c.core.SetRelayed(c.config.Relayed)
+		}
 		c.rulesetNumber = 0
 		c.config.Log.Info("became coordinator; waiting for the nodes' reports", "term", lease.Term())
 	}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -18,6 +18,37 @@
 // BeatMethod is the RPC method by which a node sends a report and receives a directive.
 const BeatMethod = ServiceName + ".Beat"
 
+// AllowanceServiceName is the name under which AllowanceService is registered.
+const AllowanceServiceName = "Allowances"
+
+// TakeMethod is the RPC method by which a node asks for more than its allowances.
+const TakeMethod = AllowanceServiceName + ".Take"
+
+// AllowanceRequest asks for amounts beyond a node's allowances, for calls that wait.
+type AllowanceRequest struct {
+	Node        string              `msgpack:"n"`
+	Incarnation uint64              `msgpack:"i"`
+	Shortages   map[string]Shortage `msgpack:"s"` // by customer
+	// IsRelay is true if a relay asks the leader on behalf of its group.
+	IsRelay bool `msgpack:"r,omitempty"`
+}
+
+// Shortage is what waiting calls of a customer need: Amount in all, and Least the smallest of
+// them.
+type Shortage struct {
+	Amount float64 `msgpack:"a"`
+	Least  float64 `msgpack:"l"`
+}
+
+// AllowanceReply answers an AllowanceRequest. What is in neither map is not known yet.
+type AllowanceReply struct {
+	// Granted are amounts that are valid for Lifetime from when the request was sent.
+	Granted  map[string]float64 `msgpack:"g,omitempty"`
+	Lifetime time.Duration      `msgpack:"t,omitempty"`
+	// Waits are the times until the whole limits of customers cover the smallest call.
+	Waits map[string]time.Duration `msgpack:"w,omitempty"`
+}
+
 // RulesetMethod is the RPC method by which a node requests a page of a ruleset from any keeper.
 const RulesetMethod = ServiceName + ".Page"
 
@@ -129,9 +160,16 @@
 	Demand   map[string]float64 `msgpack:"d,omitempty"`
 	Unspent  map[string]float64 `msgpack:"h,omitempty"`
 	Sequence uint64             `msgpack:"q,omitempty"`
-	// Pending is the amount needed by calls that wait for a larger allowance, by customer.
-	Pending map[string]float64  `msgpack:"x,omitempty"`
+	// Granter is the relay that granted the allowances, 0 for a leader.
+	Granter uint64              `msgpack:"gr,omitempty"`
 	Usage   []accountant.Counts `msgpack:"u,omitempty"`
+	// NeedsLeader is true if no relay answers the node, so that the leader must send all that
+	// relays send otherwise.
+	NeedsLeader bool `msgpack:"nl,omitempty"`
+	// IsRedirected is true if the node was told to report to a relay.
+	IsRedirected bool `msgpack:"ir,omitempty"`
+	// Group is set in the report of a relay, which reports on behalf of a group of entries.
+	Group *Group `msgpack:"gp,omitempty"`
 	// Refused counts the calls refused for lack of capacity since the node started, by
 	// service.
 	Refused map[string]uint64 `msgpack:"f,omitempty"`
@@ -151,13 +189,50 @@
 	Counts  []byte `msgpack:"o,omitempty"`
 }
 
+// Group is what a relay reports beyond the sums over its entries.
+type Group struct {
+	// Address and Domain tell entries where the relay is.
+	Address netip.AddrPort `msgpack:"a"`
+	Domain  string         `msgpack:"d"`
+	// Entries is the number of entries that reported to the relay or tried to.
+	Entries int `msgpack:"e"`
+	// Interval is the time between two reports of an entry.
+	Interval time.Duration `msgpack:"v"`
+	// Held is what entries hold of the relay's allowances.
+	Held map[string]float64 `msgpack:"h,omitempty"`
+	// Usage holds the windows that have ended since the leader confirmed the last ones.
+	Usage []SourceUsage `msgpack:"u,omitempty"`
+	// Counts are the entries' counters of calls of moving services.
+	Counts [][]byte `msgpack:"c,omitempty"`
+}
+
+// SourceUsage is the usage counted by one incarnation of an entry.
+type SourceUsage struct {
+	Node        string              `msgpack:"n"`
+	Incarnation uint64              `msgpack:"i"`
+	Windows     []accountant.Counts `msgpack:"w"`
+}
+
+// RelayAddress tells entries where a relay is.
+type RelayAddress struct {
+	Address netip.AddrPort `msgpack:"a"`
+	Domain  string         `msgpack:"d"`
+}
+
 // Directive is the leader's answer to a Report. Without Leads, only Leader and Keepers are
-// set.
+// set. A relay answers with what the leader told it.
 type Directive struct {
-	// Leads is true if the answering node held the lease of the log when it answered.
-	Leads   bool             `msgpack:"y"`
-	Leader  netip.AddrPort   `msgpack:"l"`
-	Keepers []netip.AddrPort `msgpack:"k,omitempty"`
+	// Leads is true if the answering node held the lease of the log when it answered, or is a
+	// relay whose report was answered by such a node Age ago.
+	Leads bool          `msgpack:"y"`
+	Age   time.Duration `msgpack:"ag,omitempty"`
+	// Relays are the keepers to one of which each entry reports, unless it NeedsLeader; none if
+	// entries report to the leader. IsPartial is true if the directive leaves out what relays
+	// send.
+	Relays    []RelayAddress   `msgpack:"rl,omitempty"`
+	IsPartial bool             `msgpack:"pa,omitempty"`
+	Leader    netip.AddrPort   `msgpack:"l"`
+	Keepers   []netip.AddrPort `msgpack:"k,omitempty"`
 	// RulesetNumber is the number of the newest ruleset. The node requests the ruleset itself by
 	// RulesetMethod: a directive has to arrive within the timeout of a report, whatever the size of
 	// the ruleset.
@@ -179,6 +254,7 @@
 	// are valid for AllowanceLifetime from when the report was sent.
 	Allowances        map[string]float64 `msgpack:"s,omitempty"`
 	Sequence          uint64             `msgpack:"q,omitempty"`
+	Granter           uint64             `msgpack:"gr,omitempty"`
 	AllowanceLifetime time.Duration      `msgpack:"a"`
 	// ClusterTime is the cluster time, in nanoseconds since 1970.
 	ClusterTime int64 `msgpack:"c"`
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -1,22 +1,28 @@
 // Package divider divides the rate limits of customers among the nodes. It runs on the leader,
 // keeps a token bucket for each limit, and grants parts of it to the nodes as allowances. A
-// node spends its allowance without asking and returns the rest with each report. Everything
-// spent comes out of one bucket, whichever messages are lost.
+// node spends its allowance without asking and returns the rest with each report; for a call
+// that is larger it takes more at once. Everything spent comes out of one bucket, whichever
+// messages are lost. A keeper that stands between the leader and a group of nodes divides its
+// own allowances among these with a Pool.
 package divider
 
 import (
+	"strconv"
 	"time"
 )
 
 const (
-	// evenFraction is the fraction of what is left in a bucket that is divided evenly, so that
-	// a node that a customer starts to use has some allowance; the rest follows the demand.
-	evenFraction = 0.5
 	// grantFraction is the fraction of what is left in a bucket that all nodes together are
-	// granted when each of them reports once; the rest serves nodes that spend quickly.
-	grantFraction = 1.5
+	// granted when each of them reports once. The rest stays in the bucket for Take: a call may
+	// be larger than the part of any node.
+	grantFraction = 0.75
 	// maxNodeFraction is the largest fraction of what is left that a single node is granted.
 	maxNodeFraction = 0.5
+	// grantHorizon is the time for which a node is granted what is requested of it, so that
+	// calls go on while no leader answers.
+	grantHorizon = time.Second
+	// typicalSmoothing is the weight of the newest call in the typical size of a call.
+	typicalSmoothing = 0.1
 )
 
 // sweepInterval is the time between two sweeps over all nodes, so that the work for one report
@@ -42,6 +48,7 @@
 	limit       Limit
 	level       float64
 	outstanding float64 // granted and not returned, by nodes that may still spend it
+	typical     float64 // smoothed size of the calls for which nodes ask
 	filledAt    time.Time
 }
 
@@ -55,13 +62,17 @@
 
 func (b *bucket) clip() { b.level = min(b.level, b.limit.Burst-b.outstanding) }
 
-// maxGrant returns how much of the requested amount may be granted. A call that is larger than
-// the whole bucket is let through when the bucket is full.
-func (b *bucket) maxGrant(requested float64) float64 {
-	if requested > b.limit.Burst && b.level >= fullFraction*b.limit.Burst {
-		return requested
+// maxGrant returns how much of the requested amount may be granted, 0 if that is less than what
+// a single call needs. A call that is larger than the whole bucket is let through when the
+// bucket is full.
+func (b *bucket) maxGrant(amount, least float64) float64 {
+	if least > b.limit.Burst && b.level >= fullFraction*b.limit.Burst {
+		return least
 	}
-	return min(requested, max(b.level, 0))
+	if granted := min(amount, b.level); granted >= least {
+		return max(granted, 0)
+	}
+	return 0
 }
 
 // nodeState holds the last report of a node and the grant that answered it.
@@ -70,10 +81,17 @@
 	sequence      uint64
 	demand        map[string]float64
 	granted       map[string]float64
+	taken         map[string]float64 // granted by Take since then
+	held          map[string]float64 // passed on by the node before its last report
 	unspentBefore map[string]float64 // unspent amounts in the report that the grant answered
 	expires       time.Time
 }
 
+// outstanding returns how much of a customer's limit the node and its group may still spend.
+func (n *nodeState) outstanding(customer string) float64 {
+	return n.granted[customer] + n.taken[customer] + n.held[customer]
+}
+
 // Divider decides the allowances of all nodes. It is not safe for concurrent use.
 type Divider struct {
 	lifetime time.Duration
@@ -119,8 +137,8 @@
 	// of the node a second.
 	Unspent map[string]float64
 	Demand  map[string]float64
-	// Pending is the amount needed by calls that wait at the node for a larger allowance.
-	Pending map[string]float64
+	// Held is what the node has passed on to a group of nodes and cannot return yet.
+	Held map[string]float64
 }
 
 // Grant replaces the unspent allowance of a node.
@@ -134,22 +152,33 @@
 	if now.Sub(d.sweptAt) >= sweepInterval {
 		d.sweep(r.Node, now)
 	}
-	for _, b := range d.buckets {
-		b.fill(now)
-	}
-	d.returnUnspent(r)
+	last := d.lastOf(r.Node, r.Incarnation)
+	d.returnUnspent(last, r)
 	d.sequence++
 	n := &nodeState{
-		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(d.buckets)),
-		unspentBefore: r.Unspent, expires: now.Add(d.lifetime),
+		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(r.Demand)),
+		held: r.Held, unspentBefore: r.Unspent, expires: now.Add(d.lifetime),
 	}
-	if last := d.nodes[r.Node]; last != nil {
+	if last != nil {
 		d.addDemand(last, -1)
 	}
 	d.nodes[r.Node] = n
 	d.addDemand(n, 1)
-	for name, b := range d.buckets {
-		grant := max(max(b.level, 0)*min(d.fraction(n, name), maxNodeFraction), b.maxGrant(r.Pending[name]))
+	for name, held := range r.Held {
+		if b := d.buckets[name]; b != nil {
+			b.outstanding += held
+		}
+	}
+	for name, demand := range r.Demand {
+		b := d.buckets[name]
+		if b == nil || demand <= 0 {
+			continue
+		}
+		b.fill(now)
+		grant := min(max(b.level, 0)*min(grantFraction*demand/d.demand[name], maxNodeFraction), demand*grantHorizon.Seconds())
+		if grant < b.typical {
+			continue // of no use to the node
+		}
 		n.granted[name] = grant
 		b.level -= grant
 		b.outstanding += grant
@@ -157,6 +186,69 @@
 	return Grant{Sequence: n.sequence, Allowances: n.granted}
 }
 
+// lastOf returns the state of a node's incarnation, or nil. What an earlier incarnation was
+// granted stays outstanding until it expires, since its group may still spend it.
+func (d *Divider) lastOf(name string, incarnation uint64) *nodeState {
+	n := d.nodes[name]
+	if n == nil || n.incarnation == incarnation {
+		return n
+	}
+	d.addDemand(n, -1)
+	n.demand = nil
+	delete(d.nodes, name)
+	d.nodes[name+"/"+strconv.FormatUint(n.incarnation, 16)] = n
+	return nil
+}
+
+// Request asks for more than a node was granted, for calls that wait.
+type Request struct {
+	Node        string
+	Incarnation uint64
+	Customer    string
+	Amount      float64
+	// Least is the smallest amount that is of use.
+	Least float64
+}
+
+// Take grants a part of what is left of a customer's limit, at least r.Least. If there is not
+// that much, it returns the time until there will be.
+func (d *Divider) Take(r *Request, now time.Time) (granted float64, wait time.Duration) {
+	b := d.buckets[r.Customer]
+	if b == nil {
+		return 0, 0
+	}
+	b.fill(now)
+	b.typical += typicalSmoothing * (r.Least - b.typical)
+	granted = b.maxGrant(r.Amount, r.Least)
+	if granted <= 0 {
+		return 0, b.timeUntil(r.Least)
+	}
+	n := d.lastOf(r.Node, r.Incarnation)
+	if n == nil {
+		n = &nodeState{incarnation: r.Incarnation}
+		d.nodes[r.Node] = n
+	}
+	if n.taken == nil {
+		n.taken = make(map[string]float64)
+	}
+	n.taken[r.Customer] += granted
+	n.expires = now.Add(d.lifetime)
+	b.level -= granted
+	b.outstanding += granted
+	return granted, 0
+}
+
+// minWait is the shortest time to wait that is returned, since 0 means that there is none.
+const minWait = time.Millisecond
+
+// timeUntil returns the time until an amount is available.
+func (b *bucket) timeUntil(amount float64) time.Duration {
+	if b.limit.Rate <= 0 {
+		return minWait
+	}
+	return max(minWait, time.Duration((min(amount, b.limit.Burst)-b.level)/b.limit.Rate*float64(time.Second)))
+}
+
 // sweep evicts nodes whose allowances have expired, except the one that reports, and sums up
 // the demands again.
 func (d *Divider) sweep(except string, now time.Time) {
@@ -182,7 +274,7 @@
 // unknown, so it is not returned to the buckets.
 func (d *Divider) evict(name string, n *nodeState) {
 	for customer, b := range d.buckets {
-		b.outstanding -= n.granted[customer]
+		b.outstanding -= n.outstanding(customer)
 	}
 	delete(d.nodes, name)
 }
@@ -190,12 +282,11 @@
 // returnUnspent returns to the buckets what a node has not spent. If the node did not receive
 // its last grant, that is returned in full, and what was returned before that grant is taken
 // out again: it stayed with the node and may have been spent since.
-func (d *Divider) returnUnspent(r *Report) {
-	n := d.nodes[r.Node]
-	grantLost := n != nil && n.incarnation == r.Incarnation && n.sequence != r.Sequence
+func (d *Divider) returnUnspent(n *nodeState, r *Report) {
+	grantLost := n != nil && n.sequence != r.Sequence
 	for name, b := range d.buckets {
 		if n != nil {
-			b.outstanding -= n.granted[name]
+			b.outstanding -= n.outstanding(name)
 		}
 		if grantLost {
 			b.level += n.granted[name] - n.unspentBefore[name]
@@ -204,13 +295,3 @@
 		b.clip()
 	}
 }
-
-// fraction returns the fraction of what is left in a bucket that a node is granted.
-func (d *Divider) fraction(n *nodeState, name string) float64 {
-	sum := d.demand[name]
-	ratio := 1 / float64(len(d.nodes))
-	if sum > 0 {
-		ratio = evenFraction*ratio + (1-evenFraction)*n.demand[name]/sum
-	}
-	return grantFraction * ratio
-}
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -30,6 +30,7 @@
 	control    netip.AddrPort
 	metrics    netip.AddrPort
 	seeds      []netip.AddrPort
+	relayed    int
 	provider   Provider
 	bounds     Bounds
 }
@@ -151,6 +152,10 @@
 // Secret returns the deployment's key, by which nodes authenticate to each other.
 func (m *Managed) Secret() string { return m.secret }
 
+// Relayed returns the number of entries from which on they report to relays in place of the
+// leader.
+func (m *Managed) Relayed() int { return m.relayed }
+
 // IsFirstStart reports whether the deployment as a whole starts for the first time.
 func (m *Managed) IsFirstStart() bool { return m.firstStart }
 
@@ -191,6 +196,7 @@
 	Secret   value         `toml:"secret"`
 	First    value         `toml:"first"`
 	Seeds    value         `toml:"seeds"`
+	Relayed  value         `toml:"relayed"`
 	Log      fileLog       `toml:"log"`
 	Listen   managedListen `toml:"listen"`
 	Provider fileProvider  `toml:"provider"`
@@ -232,7 +238,7 @@
 	Rollback    value `toml:"rollback"`
 }
 
-var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "log.level",
+var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "log.level",
 	"listen.callers", "listen.ready", "listen.nodes", "listen.control", "listen.metrics",
 	"provider.address", "provider.rate", "provider.lag", "provider.duties",
 	"bounds.contact", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
@@ -255,6 +261,7 @@
 	defaultExposure    = 0.1
 	defaultRollback    = 5 * time.Second
 	defaultRate        = 10.0 // reads per second
+	defaultRelayed     = 24
 	defaultLag         = time.Second
 
 	maxBound = time.Hour // maximum of a duration
@@ -296,7 +303,8 @@
 	m := &Managed{
 		file: r.path, id: r.text("id", f.ID, true), domain: r.text("domain", f.Domain, true),
 		domains: r.texts("domains", f.Domains), data: r.filePath(r.text("data", f.Data, false)),
-		secret: r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
+		relayed: int(r.number("relayed", f.Relayed, defaultRelayed)),
+		secret:  r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
 		callers: r.address("listen.callers", f.Listen.Callers, false),
 		ready:   r.address("listen.ready", f.Listen.Ready, false),
 		nodes:   r.address("listen.nodes", f.Listen.Nodes, true),
--- a/internal/request/apportioner/apportioner.go
+++ b/internal/request/apportioner/apportioner.go
@@ -15,11 +15,9 @@
 	// maxMeasurementInterval is the longest time between two measurements of the
 	// demand that are compared.
 	maxMeasurementInterval = time.Minute
-	// renewalRetryAfter is about how long it takes until an allowance is renewed.
-	renewalRetryAfter = 300 * time.Millisecond
-	// exhaustedBackoff is how long no larger allowance is requested after the whole
-	// limit was found to be spent.
-	exhaustedBackoff = 200 * time.Millisecond
+	// maxExhaustion is how long at most no more is asked for after the whole limit was
+	// found to be spent: others may return what they did not spend.
+	maxExhaustion = 200 * time.Millisecond
 )
 
 // bucket is one customer's allowance.
@@ -27,8 +25,9 @@
 	rate             float64 // of the whole limit, per second; 0 means no limit
 	granted          float64
 	unspent          float64
-	pending          float64   // requested by waiting calls
-	exhaustedUntil   time.Time // no larger allowance is available before this time
+	exhaustedUntil   time.Time // until then calls of at least exhaustedCost are over the limit
+	exhaustedCost    float64
+	availableAt      time.Time // when the whole limit covers exhaustedCost again
 	spentSinceReport float64   // spent since the last report
 	requested        float64   // cost of calls since the last measurement
 	demand           float64   // per second
@@ -68,7 +67,6 @@
 	Sequence uint64
 	Unspent  map[string]float64
 	Demand   map[string]float64
-	Pending  map[string]float64
 }
 
 // Report returns the state of the allowances. Costs that are charged after the report
@@ -76,7 +74,7 @@
 func (q *Quotas) Report(now time.Time) Status {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := Status{Sequence: q.sequence, Unspent: make(map[string]float64, len(q.buckets)), Demand: make(map[string]float64, len(q.buckets)), Pending: make(map[string]float64)}
+	s := Status{Sequence: q.sequence, Unspent: make(map[string]float64, len(q.buckets)), Demand: make(map[string]float64, len(q.buckets))}
 	elapsed := now.Sub(q.measuredAt)
 	for name, b := range q.buckets {
 		b.spentSinceReport = 0
@@ -91,9 +89,6 @@
 		if b.demand > 0 {
 			s.Demand[name] = b.demand
 		}
-		if b.pending > 0 {
-			s.Pending[name] = b.pending
-		}
 	}
 	q.measuredAt = now
 	return s
@@ -101,17 +96,43 @@
 
 // SetAllowances replaces the allowances, which expire at until. They are the answer
 // to the last report.
-func (q *Quotas) SetAllowances(sequence uint64, allowances map[string]float64, now, until time.Time) {
+func (q *Quotas) SetAllowances(sequence uint64, allowances map[string]float64, until time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.sequence, q.until = sequence, until
 	for name, b := range q.buckets {
 		b.granted = allowances[name]
 		b.unspent = b.granted - b.spentSinceReport
-		if b.pending > 0 && b.unspent < b.pending {
-			b.exhaustedUntil = now.Add(exhaustedBackoff)
+	}
+}
+
+// Add adds what was granted for a waiting call, valid until a time.
+func (q *Quotas) Add(customer string, amount float64, now, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !now.Before(q.until) { // what was granted before has expired
+		for _, b := range q.buckets {
+			b.unspent = min(b.unspent, 0)
 		}
 	}
+	if until.After(q.until) {
+		q.until = until
+	}
+	if b := q.buckets[customer]; b != nil {
+		b.unspent += amount
+		b.spentSinceReport -= amount
+	}
+}
+
+// Exhaust records that the whole limit does not cover a call, and will not before wait has
+// passed.
+func (q *Quotas) Exhaust(customer string, cost float64, wait time.Duration, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if b := q.buckets[customer]; b != nil {
+		b.exhaustedCost, b.availableAt = cost, now.Add(wait)
+		b.exhaustedUntil = now.Add(min(wait, maxExhaustion))
+	}
 }
 
 // Verdict tells whether a call is within its customer's limit.
@@ -121,7 +142,7 @@
 const (
 	// Passed calls are within the limit.
 	Passed Verdict = iota
-	// Short calls need a larger allowance, which may be available at once.
+	// Short calls need more than the allowance, which may be available at once.
 	Short
 	// Over calls exceed the limit.
 	Over
@@ -142,25 +163,11 @@
 		b.spentSinceReport += cost
 		return Passed, 0
 	}
-	if now.Before(b.exhaustedUntil) {
+	if now.Before(b.exhaustedUntil) && cost >= b.exhaustedCost {
 		b.requested += cost
-		return Over, max(renewalRetryAfter, time.Duration((cost-b.unspent)/b.rate*float64(time.Second)))
-	}
-	return Short, renewalRetryAfter
-}
-
-// AddPending requests an allowance that covers a call, until RemovePending is called.
-func (q *Quotas) AddPending(customer string, cost float64) { q.changePending(customer, cost) }
-
-// RemovePending withdraws a request made by AddPending.
-func (q *Quotas) RemovePending(customer string, cost float64) { q.changePending(customer, -cost) }
-
-func (q *Quotas) changePending(customer string, cost float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if b := q.buckets[customer]; b != nil {
-		b.pending = max(b.pending+cost, 0)
+		return Over, b.availableAt.Sub(now) + time.Duration((cost-b.exhaustedCost)/b.rate*float64(time.Second))
 	}
+	return Short, time.Duration(cost / b.rate * float64(time.Second))
 }
 
 // Return refunds the cost of a call that did not run.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -97,6 +97,9 @@
 	Stopping Refusal = "the node is stopping"
 	// OverQuota means that the customer is over its limit.
 	OverQuota Refusal = "over the limit"
+	// AllowanceUnknown means that no keeper said in time whether the customer is within its
+	// limit.
+	AllowanceUnknown Refusal = "allowance unknown"
 	// Busy means that no capacity is available in time.
 	Busy Refusal = "no capacity"
 	// Isolated means that the request, or a block of its prompt, crashes endpoints.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -55,9 +55,9 @@
 	// ServesUntil returns the time by which a call that arrives now must end, or the zero
 	// time if the node isn't stopping.
 	ServesUntil func() time.Time
-	// RenewAllowances requests new allowances for this node at once. The returned
-	// channel is closed when the request is completed.
-	RenewAllowances func() <-chan struct{}
+	// AskAllowance asks for what a call costs, beyond the allowances of this node, and passes
+	// the answer to Quotas. It reports false if there was no answer.
+	AskAllowance func(ctx context.Context, customer string, cost float64) bool
 	// ReportAnswered returns a channel that is closed when a report that this node
 	// sends to the leader after the call has been answered or has failed. The rules or
 	// their confirmation may have changed then.
@@ -226,39 +226,49 @@
 	if verdict == apportioner.Short {
 		verdict, wait = x.waitForAllowance()
 	}
-	if verdict != apportioner.Passed {
+	switch verdict {
+	case apportioner.Passed:
+		return None, 0
+	case apportioner.Short:
+		x.cost = 0
+		return AllowanceUnknown, x.f.retryAfter(minRetryAfter)
+	default:
 		x.cost = 0
 		return OverQuota, x.f.retryAfter(wait)
 	}
-	return None, 0
 }
 
 func (x *exchange) takeQuota() (apportioner.Verdict, time.Duration) {
 	return x.f.config.Quotas.Take(x.customer.Name, x.cost, x.f.config.Clock.Now())
 }
 
-// allowanceTimeout is how long a call waits for a larger allowance. A request takes a
-// few milliseconds if the leader is available.
-const allowanceTimeout = 120 * time.Millisecond
+const (
+	// minAllowanceWait is how long a call waits at least for an answer on its allowance, unless
+	// its time ends.
+	minAllowanceWait = 120 * time.Millisecond
+	// allowanceRetryDelay is the time until a call that got no answer asks again.
+	allowanceRetryDelay = 20 * time.Millisecond
+)
 
-// waitForAllowance waits for an allowance that covers the call.
+// waitForAllowance asks for an allowance that covers the call until there is an answer, as long
+// as the call's objective allows. A customer is over its limit only if that was the answer.
 func (x *exchange) waitForAllowance() (apportioner.Verdict, time.Duration) {
 	c := &x.f.config
-	c.Quotas.AddPending(x.customer.Name, x.cost)
-	defer c.Quotas.RemovePending(x.customer.Name, x.cost)
-	timer := c.Clock.NewTimer(allowanceTimeout)
-	defer timer.Stop()
+	until := x.call.Arrived.Add(max(x.route.Objective, minAllowanceWait))
+	if until.After(x.deadline) {
+		until = x.deadline
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, until.Sub(c.Clock.Now()))
+	defer cancel()
 	for {
-		select {
-		case <-c.RenewAllowances():
-		case <-timer.C():
-			return x.takeQuota()
-		case <-x.ctx.Done():
-			return x.takeQuota()
-		}
-		if verdict, wait := x.takeQuota(); verdict != apportioner.Short {
+		answered := c.AskAllowance(ctx, x.customer.Name, x.cost)
+		verdict, wait := x.takeQuota()
+		if verdict != apportioner.Short || ctx.Err() != nil {
 			return verdict, wait
 		}
+		if !answered && !clock.Sleep(c.Clock, allowanceRetryDelay, ctx.Done()) {
+			return x.takeQuota()
+		}
 	}
 }
 
