--- a/internal/process/keeper/status.go
+++ b/internal/process/keeper/status.go
@@ -53,6 +53,9 @@
 // Term returns the term, the first part of fencing numbers.
 func (l Lease) Term() uint64 { return l.term }
 
+// NewLease returns a lease of a term that ends at a time, for tests of those who use leases.
+func NewLease(term uint64, until time.Time) Lease { return Lease{term: term, until: until} }
+
 // Until returns the end of the lease on this process's clock. Each round of heartbeats extends
 // it, so get the lease again before each action.
 func (l Lease) Until() time.Time { return l.until }
