Replace a keeper at another address in a test of relayed entries

Cause: the depots' story: a machine of the core was swapped for an empty one at another address. No test of real processes had an entry that reports to relays meanwhile. Change: TestReplacedKeeperAtAnotherAddress with calls all the while; a keeper logs each change of the log's members, which the test waits for and operators need (a retired keeper was not logged).

--- a/internal/node/assembler/notices_soak_test.go
+++ b/internal/node/assembler/notices_soak_test.go
@@ -99,6 +99,7 @@
 	d      *deployment
 	group  *sync.WaitGroup
 	stop   chan struct{}
+	want   string // the answer that counts as served
 	served int
 	others map[string]int // other answers
 }
@@ -111,7 +112,7 @@
 			return
 		case <-time.After(3 * time.Millisecond):
 		}
-		if answer := c.d.call("k1"); answer == "served" {
+		if answer := c.d.call("k1"); answer == c.want {
 			c.served++
 		} else {
 			c.others[answer]++
@@ -153,7 +154,7 @@
 	stop := make(chan struct{})
 	var steady []*steadyCaller
 	for range callers {
-		c := &steadyCaller{d: d, group: &group, stop: stop, others: make(map[string]int)}
+		c := &steadyCaller{d: d, want: "served", group: &group, stop: stop, others: make(map[string]int)}
 		steady = append(steady, c)
 		group.Add(1)
 		go c.run()
--- a/internal/node/assembler/relay_test.go
+++ b/internal/node/assembler/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,13 @@
 	require.Eventually(t, func() bool { return strings.Contains(n.text()[from:], text) }, waitTimeout, time.Millisecond)
 }
 
+// lastLine returns the last line of a node's log with a text.
+func (n *testNode) lastLine(text string) string {
+	all := n.text()
+	line, _, _ := strings.Cut(all[max(strings.LastIndex(all, text), 0):], "\n")
+	return line
+}
+
 // relayOf returns the keeper to which the entry reports as a relay.
 func (d *deployment) relayOf(line string) *testNode {
 	for _, k := range d.keepers {
@@ -79,3 +87,48 @@
 	d.stopTwoKeepers()
 	d.requireEventually("k1", string(forwarder.Unready))
 }
+
+// A keeper, which is a seed, is gone for good, and one with an empty disk comes at another
+// address. Callers are served all the while, and what was accepted stays in force when another
+// of the first keepers is lost. The keeper that was gone changes nothing when it comes back.
+func TestReplacedKeeperAtAnotherAddress(t *testing.T) {
+	d := newDeploymentWith(t, 1)
+	d.put(d.keepers[0], ruleset(5, "k1"))
+	d.requireEventually("k1", "answer for masons")
+	d.entry.awaitLog(t, 0, "is_relay=true")
+	var group sync.WaitGroup
+	c := &steadyCaller{d: d, group: &group, stop: make(chan struct{}), want: "answer for masons", others: make(map[string]int)}
+	group.Add(1)
+	go c.run()
+	d.stopKeeper(0)
+	d.keepers = append(d.keepers, d.start(4, "keeper", false))
+	d.put(d.keepers[3], ruleset(6, "k1", "k2"))
+	d.requireEventually("k2", "answer for masons")
+	// The lost keeper leaves the log, so that two of the three others suffice.
+	lost := d.host + ".1"
+	require.Eventually(t, func() bool {
+		_, voters, _ := strings.Cut(d.keepers[3].lastLine("members of the log changed"), "voters=")
+		return strings.Contains(voters, d.host+".4") && !strings.Contains(voters, lost)
+	}, waitTimeout, 10*time.Millisecond)
+	d.stopKeeper(1)
+	d.put(d.keepers[3], ruleset(7, "k1", "k3"))
+	d.requireEventually("k3", "answer for masons")
+	require.Equal(t, string(forwarder.Unauthorized), d.call("k2"))
+	d.keepers[0] = d.start(1, "keeper", false)
+	d.requireEventually("k3", "answer for masons")
+	document, err := d.keepers[2].operators.Document(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, "document 7", string(document))
+	close(c.stop)
+	group.Wait()
+	require.Positive(t, c.served)
+	require.Empty(t, c.others)
+}
+
+// stopKeeper ends a keeper without handing anything over.
+func (d *deployment) stopKeeper(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.keepers[i].node.Stop(ctx)
+	d.keepers[i].node = nil
+}
--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -103,6 +103,7 @@
 	assembler     assembler
 	loggedRole    Role
 	loggedLeader  string
+	loggedMembers []Member
 
 	mu             sync.RWMutex
 	published      published
--- a/internal/process/keeper/loop.go
+++ b/internal/process/keeper/loop.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"hyssoprudder/internal/process/applier"
@@ -46,6 +48,7 @@
 		}
 		k.publish()
 		k.logRoleChange()
+		k.logMemberChange()
 		timer.Stop()
 		timer.Reset(k.untilNextTick())
 	}
@@ -62,6 +65,24 @@
 	k.log.Info("role or leader changed", "role", c.role, "term", c.state.Term, "leader", leader.Name, "commit", c.commit)
 }
 
+// logMemberChange logs a change of the log's members.
+func (k *Keeper) logMemberChange() {
+	members := k.view().members
+	if slices.Equal(members, k.loggedMembers) {
+		return
+	}
+	k.loggedMembers = slices.Clone(members)
+	var voters, learners []string
+	for _, m := range members {
+		if m.Voter {
+			voters = append(voters, m.Name)
+		} else {
+			learners = append(learners, m.Name)
+		}
+	}
+	k.log.Info("members of the log changed", "voters", strings.Join(voters, ","), "learners", strings.Join(learners, ","))
+}
+
 func (k *Keeper) untilNextTick() time.Duration {
 	return max(k.core.NextTick().Sub(k.config.Clock.Now()), time.Millisecond)
 }
