Let relays without entries have no say in the cluster time

Cause: read on review: a relay without entries reported the cluster time that the leader had told it, so that four of them outvoted three entries and a wrong cluster time stayed. With all other relays lost the interval of a group's reports grew beyond the time for which rules are confirmed and entries count. A new leader and its relays tell a low number of entries at first, which gave each entry a larger part of the retry budget and of the endpoints' connections. Change: such relays report no clock; the interval is bounded by a second; a lower number of entries counts after 4 s. Relay and leader keep reports in one type.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -283,7 +283,7 @@
 	e.clusterOffset = time.Unix(0, d.ClusterTime).Sub(e.node.bootClock.Now())
 	if d.IsPartial {
 		e.mu.Unlock()
-		e.forwarder.SetEntries(d.Entries)
+		e.forwarder.SetEntries(d.Entries, now)
 		return d.RulesetNumber > 0 && e.forwarder.Table().Number() >= d.RulesetNumber
 	}
 	known := e.listID
@@ -298,7 +298,7 @@
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
-	e.forwarder.SetEntries(d.Entries)
+	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
 	age := e.node.bootClock.Now().Sub(sentAt)
 	e.quotas.SetAllowances(d.Sequence, d.Allowances, now.Add(d.AllowanceLifetime-age))
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -61,6 +61,11 @@
 	isSummed    bool          // its loads are included in the sums
 }
 
+// newNode returns a node that reported at now.
+func newNode(r *Report, now time.Time) *node {
+	return &node{report: *r, receivedAt: now, clockOffset: time.Unix(0, r.WallClock).Sub(now)}
+}
+
 // entries returns the number of entries on whose behalf the node reports.
 func (n *node) entries() int {
 	switch {
@@ -282,7 +287,7 @@
 func (c *Core) replaceReport(r *Report, now time.Time) {
 	last := c.nodes[r.Node]
 	c.removeLoads(last)
-	n := &node{report: *r, receivedAt: now, clockOffset: time.Unix(0, r.WallClock).Sub(now)}
+	n := newNode(r, now)
 	c.entries += n.entries()
 	if last != nil {
 		c.entries -= last.entries()
@@ -373,7 +378,7 @@
 func (c *Core) ClusterTimeOffset(now time.Time) time.Duration {
 	var offsets []time.Duration
 	for _, n := range c.nodes {
-		if now.Sub(n.receivedAt) < maxClockAge {
+		if n.report.WallClock != 0 && now.Sub(n.receivedAt) < maxClockAge {
 			offsets = append(offsets, n.clockOffset)
 		}
 	}
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// minGroupInterval is the shortest time between two reports of an entry to a relay, and
-	// perMemberInterval is what each entry of the group adds to it.
+	// minGroupInterval and maxGroupInterval bound the time between two reports of an entry to a
+	// relay, and perMemberInterval is what each entry of the group adds to it.
 	minGroupInterval  = 250 * time.Millisecond
+	maxGroupInterval  = time.Second
 	perMemberInterval = 16 * time.Millisecond
 	// maxUsageAge is how long after its end the usage of a window is passed on.
 	maxUsageAge = 30 * time.Second
@@ -28,14 +29,6 @@
 	Window time.Duration
 }
 
-// member is the last report of an entry of the group.
-type member struct {
-	report      Report
-	receivedAt  time.Time
-	clockOffset time.Duration
-	isSummed    bool
-}
-
 // usageKey identifies the usage that an incarnation of an entry counted in a window.
 type usageKey struct {
 	node        string
@@ -55,7 +48,7 @@
 // state machine without input or output and not safe for concurrent use.
 type GroupCore struct {
 	config  GroupConfig
-	members map[string]*member
+	members map[string]*node
 	seen    map[string]time.Time // entries that were sent on to the leader
 	sums    loadSums             // over the entries
 	pool    *divider.Pool
@@ -74,7 +67,7 @@
 // NewGroupCore returns the state of a relay that has not reported yet.
 func NewGroupCore(c GroupConfig) *GroupCore {
 	return &GroupCore{
-		config: c, members: make(map[string]*member), seen: make(map[string]time.Time), pool: divider.NewPool(c.Incarnation),
+		config: c, members: make(map[string]*node), seen: make(map[string]time.Time), pool: divider.NewPool(c.Incarnation),
 		usage: make(map[usageKey]*usageRecord), refused: make(map[string]uint64), list: newList(0),
 	}
 }
@@ -129,7 +122,7 @@
 
 // interval returns the time between two reports of an entry.
 func (g *GroupCore) interval() time.Duration {
-	return max(minGroupInterval, time.Duration(len(g.members))*perMemberInterval)
+	return min(max(minGroupInterval, time.Duration(len(g.members))*perMemberInterval), maxGroupInterval)
 }
 
 func (g *GroupCore) isListComplete() bool {
@@ -152,7 +145,7 @@
 			}
 		}
 	}
-	m := &member{report: *r, receivedAt: now, clockOffset: time.Unix(0, r.WallClock).Sub(now)}
+	m := newNode(r, now)
 	g.members[r.Node] = m
 	if r.ListID.Term == g.list.version.Term {
 		m.isSummed = true
@@ -161,7 +154,7 @@
 	}
 }
 
-func (g *GroupCore) removeLoads(m *member) {
+func (g *GroupCore) removeLoads(m *node) {
 	if m != nil && m.isSummed {
 		m.isSummed = false
 		g.sums.subtract(m.report.Loads)
@@ -169,14 +162,6 @@
 	}
 }
 
-// summedLoads returns the loads of the entry that are included in the sums.
-func (m *member) summedLoads() []Load {
-	if !m.isSummed {
-		return nil
-	}
-	return m.report.Loads
-}
-
 // sweep removes the entries whose reports are too old.
 func (g *GroupCore) sweep(now time.Time) {
 	if now.Sub(g.sweptAt) < reviewInterval {
@@ -236,10 +221,13 @@
 	g.sweep(now)
 	pool := g.pool.Report(now)
 	r := &Report{
-		Node: g.config.Node, Incarnation: g.config.Incarnation, ListID: g.list.version, Received: g.received, WallClock: now.Add(g.clockOffset()).UnixNano(),
+		Node: g.config.Node, Incarnation: g.config.Incarnation, ListID: g.list.version, Received: g.received,
 		Demand: pool.Demand, Unspent: pool.Unspent, Sequence: pool.Sequence, Refused: maps.Clone(g.refused), MovesID: g.leader.MovesID,
 		Group: &Group{Address: g.config.Address.Address, Domain: g.config.Address.Domain, Entries: len(g.members) + len(g.seen), Interval: g.interval(), Held: pool.Held},
 	}
+	if offset, ok := g.clockOffset(); ok {
+		r.WallClock = now.Add(offset).UnixNano()
+	}
 	r.Loads = g.sums.all()
 	r.Group.Usage = g.endedUsage(now.Add(g.clusterOffset))
 	evidence := newEvidence()
@@ -253,17 +241,18 @@
 	return r
 }
 
-// clockOffset returns the median of the entries' wall clocks relative to the relay's clock.
-func (g *GroupCore) clockOffset() time.Duration {
+// clockOffset returns the median of the entries' wall clocks relative to the relay's clock. ok is
+// false if there are no entries: the relay has no clock of its own to add.
+func (g *GroupCore) clockOffset() (offset time.Duration, ok bool) {
 	var offsets []time.Duration
 	for _, m := range g.members {
 		offsets = append(offsets, m.clockOffset)
 	}
 	if len(offsets) == 0 {
-		return g.clusterOffset
+		return 0, false
 	}
 	slices.Sort(offsets)
-	return offsets[len(offsets)/2]
+	return offsets[len(offsets)/2], true
 }
 
 // endedUsage returns the usage of ended windows that the present leader has not confirmed.
--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -394,3 +394,41 @@
 		r.reportTo(t, leader, start, false)
 	}
 }
+
+// Relays without entries gave the leader's own cluster time back to it: with more of them than
+// entries it could never be corrected.
+func TestRelaysWithoutEntriesDoNotVoteOnTheClusterTime(t *testing.T) {
+	now := start.Add(time.Minute)
+	leader := coordinator.NewCore(3, start, allowanceLifetime, window)
+	relays := make([]*relayNode, 4)
+	for i := range relays {
+		relays[i] = newRelayNode(fmt.Sprint("r", i), uint64(1+i))
+	}
+	ahead := map[string]time.Duration{"a": time.Hour, "b": time.Hour + time.Millisecond, "c": time.Hour - time.Millisecond}
+	for range 10 {
+		now = now.Add(300 * time.Millisecond)
+		for _, r := range relays {
+			r.reportTo(t, leader, now, false)
+		}
+		for name, offset := range ahead {
+			leader.HandleReport(report(name, now.Add(offset)), now)
+		}
+	}
+	require.Equal(t, time.Hour, leader.ClusterTimeOffset(now))
+}
+
+// All other relays are lost: the interval of a large group stays shorter than the time after
+// which its entries count as gone, and than that for which their rules are confirmed.
+func TestIntervalOfALargeGroupIsBounded(t *testing.T) {
+	now := start.Add(time.Minute)
+	leader := coordinator.NewCore(3, start, allowanceLifetime, window)
+	r := newRelayNode("r", 1)
+	r.reportTo(t, leader, now, false)
+	var d coordinator.Directive
+	for i := range 400 {
+		e := report(fmt.Sprint("e", i), now)
+		e.IsRedirected = true
+		d, _ = r.core.HandleReport(e, now)
+	}
+	require.LessOrEqual(t, d.ReportInterval, time.Second)
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -152,7 +152,8 @@
 	// order.
 	ListID   ListID `msgpack:"t"`
 	Received int    `msgpack:"g,omitempty"`
-	// WallClock is the node's wall clock, in nanoseconds since 1970.
+	// WallClock is the node's wall clock, in nanoseconds since 1970. A relay reports the median of
+	// its entries' clocks, and 0 without entries.
 	WallClock int64  `msgpack:"w"`
 	Loads     []Load `msgpack:"l,omitempty"`
 	// Demand is what customers with limits request a second. Unspent is what the node has
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -97,6 +97,8 @@
 	started      time.Time
 	table        atomic.Pointer[registrar.Table]
 	entries      atomic.Int64
+	entriesMu    sync.Mutex
+	entriesAt    time.Time // when as many entries were told last
 	refused      refusals
 	rulesWaiters atomic.Int64 // calls that wait for confirmed rules
 	longestWaits sync.Map     // *longestWait by route name
@@ -114,8 +116,18 @@
 // Table returns the rules in force, or nil.
 func (f *Forwarder) Table() *registrar.Table { return f.table.Load() }
 
-// SetEntries sets the number of nodes that share the endpoints.
-func (f *Forwarder) SetEntries(n int) {
+// fewerEntriesDelay is how long a lower number of entries must have been told until it counts. A
+// new leader, and its relays, hear of the entries one after the other.
+const fewerEntriesDelay = 4 * time.Second
+
+// SetEntries sets the number of nodes that share the endpoints, as it was told at now.
+func (f *Forwarder) SetEntries(n int, now time.Time) {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	if n < f.Entries() && now.Sub(f.entriesAt) < fewerEntriesDelay {
+		return
+	}
+	f.entriesAt = now
 	f.entries.Store(int64(n))
 	f.config.Budget.SetNodes(n)
 }
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -86,7 +86,7 @@
 	situations := map[string]func(t *testing.T, f *fixture){
 		"only endpoint": func(_ *testing.T, f *fixture) { f.placer.SetEndpoints(f.endpoints[:1]) },
 		"retry budget spent": func(_ *testing.T, f *fixture) {
-			f.forwarder.SetEntries(1)
+			f.forwarder.SetEntries(1, time.Now())
 			for f.budget.AllowRepeat("desk", time.Now()) {
 			}
 		},
