Check that a relay's grants are not returned to the leader

Cause: the guard for it had no test; its mutant was not caught. Change: TestUnspentOfARelayIsNotReturnedToTheLeader. Result: passes; without the guard it fails.

--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -432,3 +432,16 @@
 	}
 	require.LessOrEqual(t, d.ReportInterval, time.Second)
 }
+
+// The same holds for an entry that comes from a relay to the leader.
+func TestUnspentOfARelayIsNotReturnedToTheLeader(t *testing.T) {
+	for granter, want := range map[uint64]float64{0: 80, 9: 30} {
+		leader := coordinator.NewCore(1, start, allowanceLifetime, window)
+		leader.SetLimits(map[string]divider.Limit{customer: {Rate: 1e-3, Burst: 1000, Initial: 30}}, start)
+		e := report("e", start)
+		e.Granter, e.Unspent = granter, map[string]float64{customer: 50}
+		leader.HandleReport(e, start)
+		reply := leader.Take(&coordinator.AllowanceRequest{Node: "f", Shortages: map[string]coordinator.Shortage{customer: {Amount: 900, Least: 1}}}, start)
+		require.InDelta(t, want, reply.Granted[customer], 1e-6)
+	}
+}
