Close the listener of a stand-in that is killed as it starts

Traced: the connect to a killed service succeeded, and was reset after the request was written (5 times in three processes, once in 58 runs of a single one, so that another process on the freed port is not the cause). http.Server.Close closes only a listener that Serve has begun with; on a busy machine the goroutine had not run yet, and the port went on accepting until it did. Change: Kill closes the listener itself.

--- a/internal/standin/hoster/hoster.go
+++ b/internal/standin/hoster/hoster.go
@@ -63,9 +63,11 @@
 // Done returns a channel that is closed when the host is killed or has stopped.
 func (h *Host) Done() <-chan struct{} { return h.done }
 
-// Kill closes the listener and all connections at once.
+// Kill closes the listener and all connections at once. The server closes only a listener that
+// it has begun to serve, which it may not have yet.
 func (h *Host) Kill() {
 	h.closeDone.Do(func() { close(h.done) })
+	_ = h.listener.Close()
 	_ = h.server.Close()
 }
 
