Take nothing back for an entry that was granted elsewhere meanwhile

Cause: read on review. Change: a report says whether another divider granted what the node has; then only debts are taken over, and the last grant made here counts as spent. The rule stands in the divider, once for leader and relays.

--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -167,11 +167,9 @@
 		return d
 	}
 	c.attribute(r, &d, now)
-	unspent := r.Unspent
-	if r.Granter != 0 {
-		unspent = debts(unspent)
+	report := divider.Report{
+		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: r.Unspent, Demand: r.Demand, IsForeign: r.Granter != 0,
 	}
-	report := divider.Report{Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: unspent, Demand: r.Demand}
 	if r.Group != nil {
 		report.Held = r.Group.Held
 	}
@@ -227,18 +225,6 @@
 	}
 }
 
-// debts returns the negative amounts. Positive ones were granted by another node, to which they
-// may have been returned too.
-func debts(unspent map[string]float64) map[string]float64 {
-	out := make(map[string]float64)
-	for customer, amount := range unspent {
-		if amount < 0 {
-			out[customer] = amount
-		}
-	}
-	return out
-}
-
 // Take grants a node what waiting calls need beyond its allowances.
 func (c *Core) Take(r *AllowanceRequest, now time.Time) AllowanceReply {
 	reply := AllowanceReply{Granted: make(map[string]float64), Waits: make(map[string]time.Duration), Lifetime: c.divider.AllowanceLifetime()}
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -110,12 +110,8 @@
 
 // grant renews the allowances of an entry.
 func (g *GroupCore) grant(r *Report, d *Directive, now time.Time) {
-	unspent := r.Unspent
-	if r.Granter != g.config.Incarnation {
-		unspent = debts(unspent)
-	}
 	grant, lifetime := g.pool.Renew(&divider.Report{
-		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: unspent, Demand: r.Demand,
+		Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Unspent: r.Unspent, Demand: r.Demand, IsForeign: r.Granter != g.config.Incarnation,
 	}, now)
 	d.Allowances, d.Sequence, d.AllowanceLifetime, d.Granter = grant.Allowances, grant.Sequence, lifetime, g.config.Incarnation
 }
--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -445,3 +445,39 @@
 		require.InDelta(t, want, reply.Granted[customer], 1e-6)
 	}
 }
+
+// An entry spends what a relay granted, reports to another one, and comes back: the first relay
+// took its grant for lost, since the entry names a later one, and gave it out again.
+func TestGrantIsNotReturnedByAnEntryThatComesBack(t *testing.T) {
+	now := start.Add(time.Minute)
+	leader := coordinator.NewCore(1, start, allowanceLifetime, window)
+	leader.SetLimits(map[string]divider.Limit{customer: {Rate: 1e-3, Burst: 1000, Initial: 1000}}, start)
+	relays := []*relayNode{newRelayNode("r0", 1<<32), newRelayNode("r1", 2<<32)}
+	for _, r := range relays {
+		r.reportTo(t, leader, now, false)
+		r.ask(leader, map[string]coordinator.Shortage{customer: {Amount: 400, Least: 400}}, now, false)
+	}
+	e := newEntryNode("e", 1, map[string]float64{customer: 1000})
+	passed := 0.0
+	for i := range 20 {
+		r := relays[i%2]
+		report := e.report(now)
+		report.Demand = map[string]float64{customer: 100}
+		d, ok := r.core.HandleReport(report, now)
+		require.True(t, ok)
+		e.apply(t, &d, now)
+		for {
+			if verdict, _ := e.quotas.Take(customer, 1, now); verdict != apportioner.Passed {
+				break
+			}
+			passed++
+		}
+	}
+	require.Positive(t, passed)
+	require.LessOrEqual(t, passed, 1000.0)
+	left := 0.0
+	for _, r := range relays {
+		left += r.core.Report(now).Unspent[customer]
+	}
+	require.LessOrEqual(t, passed+left, 800.0+1e-6, "both relays together had 800")
+}
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -139,6 +139,24 @@
 	Demand  map[string]float64
 	// Held is what the node has passed on to a group of nodes and cannot return yet.
 	Held map[string]float64
+	// IsForeign is true if another divider granted what the node has. It may have been returned
+	// there, so that only debts are taken over, and says nothing of the last grant made here,
+	// which counts as spent.
+	IsForeign bool
+}
+
+// returned returns what the report gives back.
+func (r *Report) returned() map[string]float64 {
+	if !r.IsForeign {
+		return r.Unspent
+	}
+	debts := make(map[string]float64)
+	for customer, amount := range r.Unspent {
+		if amount < 0 {
+			debts[customer] = amount
+		}
+	}
+	return debts
 }
 
 // Grant replaces the unspent allowance of a node.
@@ -152,12 +170,12 @@
 	if now.Sub(d.sweptAt) >= sweepInterval {
 		d.sweep(r.Node, now)
 	}
-	last := d.lastOf(r.Node, r.Incarnation)
-	d.returnUnspent(last, r)
+	last, returned := d.lastOf(r.Node, r.Incarnation), r.returned()
+	d.takeBack(last, last != nil && !r.IsForeign && last.sequence != r.Sequence, returned)
 	d.sequence++
 	n := &nodeState{
 		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(r.Demand)),
-		held: r.Held, unspentBefore: r.Unspent, expires: now.Add(d.lifetime),
+		held: r.Held, unspentBefore: returned, expires: now.Add(d.lifetime),
 	}
 	if last != nil {
 		d.addDemand(last, -1)
@@ -279,19 +297,18 @@
 	delete(d.nodes, name)
 }
 
-// returnUnspent returns to the buckets what a node has not spent. If the node did not receive
-// its last grant, that is returned in full, and what was returned before that grant is taken
-// out again: it stayed with the node and may have been spent since.
-func (d *Divider) returnUnspent(n *nodeState, r *Report) {
-	grantLost := n != nil && n.sequence != r.Sequence
+// takeBack returns to the buckets what a node has not spent. If the node did not receive its
+// last grant, that is returned in full, and what was returned before that grant is taken out
+// again: it stayed with the node and may have been spent since.
+func (d *Divider) takeBack(n *nodeState, isGrantLost bool, returned map[string]float64) {
 	for name, b := range d.buckets {
 		if n != nil {
 			b.outstanding -= n.outstanding(name)
 		}
-		if grantLost {
+		if isGrantLost {
 			b.level += n.granted[name] - n.unspentBefore[name]
 		}
-		b.level += r.Unspent[name]
+		b.level += returned[name]
 		b.clip()
 	}
 }
