Count what a node may have kept though its answer was lost

Cause: read on review. A node returns what it has, the answer is lost, and it spends that while the bucket grants it to others; corrected only if the node reports again here. Since grants follow the demand, the lost one may be nothing, and an entry that gets no answer goes to another relay. Change: when such a node's allowance expires, or it was granted elsewhere meanwhile, what it had returned beyond its last grant counts as spent. Result: TestReturnedAllowanceWithLostAnswerIsNotGrantedTwice fails before in both cases, passes now.

--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -171,7 +171,7 @@
 		d.sweep(r.Node, now)
 	}
 	last, returned := d.lastOf(r.Node, r.Incarnation), r.returned()
-	d.takeBack(last, last != nil && !r.IsForeign && last.sequence != r.Sequence, returned)
+	d.takeBack(last, r, returned)
 	d.sequence++
 	n := &nodeState{
 		incarnation: r.Incarnation, sequence: d.sequence, demand: r.Demand, granted: make(map[string]float64, len(r.Demand)),
@@ -293,19 +293,30 @@
 func (d *Divider) evict(name string, n *nodeState) {
 	for customer, b := range d.buckets {
 		b.outstanding -= n.outstanding(customer)
+		b.level -= n.maybeKept(customer)
 	}
 	delete(d.nodes, name)
 }
 
+// maybeKept returns how much more than its last grant a node may have spent: if the grant did not
+// reach it, it kept what it had returned before.
+func (n *nodeState) maybeKept(customer string) float64 {
+	return max(n.unspentBefore[customer]-n.granted[customer], 0)
+}
+
 // takeBack returns to the buckets what a node has not spent. If the node did not receive its
 // last grant, that is returned in full, and what was returned before that grant is taken out
 // again: it stayed with the node and may have been spent since.
-func (d *Divider) takeBack(n *nodeState, isGrantLost bool, returned map[string]float64) {
+func (d *Divider) takeBack(n *nodeState, r *Report, returned map[string]float64) {
 	for name, b := range d.buckets {
 		if n != nil {
 			b.outstanding -= n.outstanding(name)
 		}
-		if isGrantLost {
+		switch {
+		case n == nil:
+		case r.IsForeign:
+			b.level -= n.maybeKept(name)
+		case n.sequence != r.Sequence:
 			b.level += n.granted[name] - n.unspentBefore[name]
 		}
 		b.level += returned[name]
