Grant more only to nodes whose holdings are known

Cause: TestSpendingStaysWithinTheLimit failed at 20,000 sequences (trace: node 0 holds 63.75 of a leader; another leads; 0.9 s later the node takes 116.50 of its bucket, which has filled meanwhile, and spends both, 180.25 of 180). A report returns what a node has before it gets more; Take does not. Change: Take names the last grant that the node received. If that is not the last one made here, the node has to report first, and does so at once.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -309,11 +309,18 @@
 func (e *entry) askAllowance(ctx context.Context, customer string, cost float64) bool {
 	sentAt := e.node.bootClock.Now()
 	reply, ok := e.node.reporter.Take(ctx, &coordinator.AllowanceRequest{
-		Node: e.node.settings.ID(), Incarnation: e.node.incarnation, Shortages: map[string]coordinator.Shortage{customer: {Amount: cost, Least: cost}},
+		Node: e.node.settings.ID(), Incarnation: e.node.incarnation, Sequence: e.quotas.Sequence(), Shortages: map[string]coordinator.Shortage{customer: {Amount: cost, Least: cost}},
 	})
 	if !ok {
 		return false
 	}
+	if reply.MustReport {
+		select {
+		case <-e.node.reporter.ReportNow():
+		case <-ctx.Done():
+		}
+		return false
+	}
 	now := e.node.clock.Now()
 	if granted := reply.Granted[customer]; granted > 0 {
 		e.quotas.Add(customer, granted, now, now.Add(reply.Lifetime-e.node.bootClock.Now().Sub(sentAt)))
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -228,8 +228,11 @@
 // Take grants a node what waiting calls need beyond its allowances.
 func (c *Core) Take(r *AllowanceRequest, now time.Time) AllowanceReply {
 	reply := AllowanceReply{Granted: make(map[string]float64), Waits: make(map[string]time.Duration), Lifetime: c.divider.AllowanceLifetime()}
+	if reply.MustReport = !c.divider.Knows(r.Node, r.Incarnation, r.Sequence); reply.MustReport {
+		return reply
+	}
 	for customer, s := range r.Shortages {
-		request := divider.Request{Node: r.Node, Incarnation: r.Incarnation, Customer: customer, Amount: s.Amount, Least: s.Least}
+		request := divider.Request{Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Customer: customer, Amount: s.Amount, Least: s.Least}
 		granted, wait := c.divider.Take(&request, now)
 		switch {
 		case granted > 0:
--- a/internal/process/coordinator/crest_test.go
+++ b/internal/process/coordinator/crest_test.go
@@ -102,9 +102,11 @@
 // take answers an entry at its relay, at once or after the leader's answer.
 func (c *crest) take(e *entryNode, r *crestRelay, name string, cost float64, isFirst bool, until, now time.Time) {
 	shortage := coordinator.Shortage{Amount: cost, Least: cost}
-	reply, missing := r.core.Take(&coordinator.AllowanceRequest{Node: e.name, Incarnation: 1, Shortages: map[string]coordinator.Shortage{name: shortage}}, now)
+	reply, missing := r.core.Take(&coordinator.AllowanceRequest{Node: e.name, Incarnation: 1, Sequence: e.quotas.Sequence(), Shortages: map[string]coordinator.Shortage{name: shortage}}, now)
 	i := c.indexOf(e)
 	switch {
+	case reply.MustReport: // a report is under way
+		c.at(now.Add(latency+20*time.Millisecond), func(later time.Time) { c.call(i, name, cost, until, later) })
 	case len(missing) == 0:
 		c.at(now.Add(latency), func(answered time.Time) {
 			e.quotas.Add(name, reply.Granted[name], answered, answered.Add(reply.Lifetime))
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -191,9 +191,12 @@
 // Otherwise it returns what the relay has to ask the leader for.
 func (g *GroupCore) Take(r *AllowanceRequest, now time.Time) (AllowanceReply, map[string]Shortage) {
 	reply, missing := AllowanceReply{Granted: make(map[string]float64)}, make(map[string]Shortage)
+	if reply.MustReport = !g.pool.Knows(r.Node, r.Incarnation, r.Sequence); reply.MustReport {
+		return reply, nil
+	}
 	for customer, s := range r.Shortages {
 		granted, lifetime := g.pool.Take(&divider.Request{
-			Node: r.Node, Incarnation: r.Incarnation, Customer: customer, Amount: s.Amount, Least: s.Least,
+			Node: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, Customer: customer, Amount: s.Amount, Least: s.Least,
 		}, now)
 		if granted <= 0 {
 			missing[customer] = s
@@ -204,6 +207,11 @@
 	return reply, missing
 }
 
+// Request returns the request to the leader for what waiting calls need.
+func (g *GroupCore) Request(shortages map[string]Shortage) *AllowanceRequest {
+	return &AllowanceRequest{Node: g.config.Node, Incarnation: g.config.Incarnation, Sequence: g.pool.Sequence(), Shortages: shortages, IsRelay: true}
+}
+
 // AddGranted adds what the leader granted for waiting calls, as the answer to a request sent
 // at sentAt.
 func (g *GroupCore) AddGranted(reply *AllowanceReply, sentAt time.Time) {
--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -40,7 +40,7 @@
 
 // ask asks the leader for what waiting calls need.
 func (r *relayNode) ask(leader *coordinator.Core, shortages map[string]coordinator.Shortage, now time.Time, isLost bool) coordinator.AllowanceReply {
-	reply := leader.Take(&coordinator.AllowanceRequest{Node: r.name, Incarnation: r.incarnation, Shortages: shortages, IsRelay: true}, now)
+	reply := leader.Take(r.core.Request(shortages), now)
 	if !isLost {
 		r.core.AddGranted(&reply, now)
 	}
@@ -169,7 +169,7 @@
 
 // takeFor asks a relay, and that the leader, for a call of an entry.
 func (s *twoSteps) takeFor(e *entryNode, r *relayNode, cost float64, isLost bool) {
-	request := &coordinator.AllowanceRequest{Node: e.name, Incarnation: e.incarnation, Shortages: map[string]coordinator.Shortage{customer: {Amount: cost, Least: cost}}}
+	request := &coordinator.AllowanceRequest{Node: e.name, Incarnation: e.incarnation, Sequence: e.quotas.Sequence(), Shortages: map[string]coordinator.Shortage{customer: {Amount: cost, Least: cost}}}
 	reply, missing := r.core.Take(request, s.now)
 	if len(missing) > 0 {
 		r.ask(s.leader, missing, s.now, s.random.IntN(6) == 0)
@@ -441,7 +441,9 @@
 		e := report("e", start)
 		e.Granter, e.Unspent = granter, map[string]float64{customer: 50}
 		leader.HandleReport(e, start)
-		reply := leader.Take(&coordinator.AllowanceRequest{Node: "f", Shortages: map[string]coordinator.Shortage{customer: {Amount: 900, Least: 1}}}, start)
+		other := report("f", start)
+		sequence := leader.HandleReport(other, start).Sequence
+		reply := leader.Take(&coordinator.AllowanceRequest{Node: "f", Incarnation: other.Incarnation, Sequence: sequence, Shortages: map[string]coordinator.Shortage{customer: {Amount: 900, Least: 1}}}, start)
 		require.InDelta(t, want, reply.Granted[customer], 1e-6)
 	}
 }
--- a/internal/process/coordinator/relay.go
+++ b/internal/process/coordinator/relay.go
@@ -125,7 +125,9 @@
 	case <-timer.C():
 	case <-r.quit:
 	}
-	rest, _, _ := r.take(&AllowanceRequest{Node: request.Node, Incarnation: request.Incarnation, Shortages: missing}, false)
+	rest, _, _ := r.take(&AllowanceRequest{
+		Node: request.Node, Incarnation: request.Incarnation, Sequence: request.Sequence, Shortages: missing,
+	}, false)
 	return mergeReplies(reply, rest)
 }
 
@@ -186,7 +188,9 @@
 		if !r.config.Clock.Now().Before(due) {
 			due = r.config.Clock.Now().Add(r.report())
 		}
-		r.ask()
+		if r.ask() {
+			due = r.config.Clock.Now()
+		}
 		if !clock.Sleep(r.config.Clock, askInterval, r.quit) {
 			return
 		}
@@ -255,18 +259,19 @@
 	}
 }
 
-// ask asks the leader for the allowances that are wanted.
-func (r *Relay) ask() {
+// ask asks the leader for the allowances that are wanted. It reports whether the relay has to
+// report before it gets any.
+func (r *Relay) ask() (mustReport bool) {
 	r.mu.Lock()
 	wanted, answered := r.wanted, r.answered
 	if len(wanted) == 0 {
 		r.mu.Unlock()
-		return
+		return false
 	}
 	r.wanted, r.answered = make(map[string]Shortage), make(chan struct{})
+	request := r.core.Request(wanted)
 	r.mu.Unlock()
 	defer close(answered)
-	request := &AllowanceRequest{Node: r.config.Node, Incarnation: r.config.Incarnation, Shortages: wanted, IsRelay: true}
 	sent := r.config.Clock.Now()
 	reply, ok := r.config.Local.Take(request)
 	if !ok {
@@ -274,7 +279,7 @@
 		ok = isKnown && r.call(leader, TakeMethod, request, &reply) && reply.Lifetime > 0
 	}
 	if !ok {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -283,4 +288,5 @@
 	for customer, wait := range reply.Waits {
 		r.exhausted[customer] = exhaustion{least: wanted[customer].Least, availableAt: now.Add(wait), until: now.Add(min(wait, maxExhaustion))}
 	}
+	return reply.MustReport
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -26,9 +26,11 @@
 
 // AllowanceRequest asks for amounts beyond a node's allowances, for calls that wait.
 type AllowanceRequest struct {
-	Node        string              `msgpack:"n"`
-	Incarnation uint64              `msgpack:"i"`
-	Shortages   map[string]Shortage `msgpack:"s"` // by customer
+	Node        string `msgpack:"n"`
+	Incarnation uint64 `msgpack:"i"`
+	// Sequence is the number of the last grant that the node received.
+	Sequence  uint64              `msgpack:"q"`
+	Shortages map[string]Shortage `msgpack:"s"` // by customer
 	// IsRelay is true if a relay asks the leader on behalf of its group.
 	IsRelay bool `msgpack:"r,omitempty"`
 }
@@ -42,6 +44,8 @@
 
 // AllowanceReply answers an AllowanceRequest. What is in neither map is not known yet.
 type AllowanceReply struct {
+	// MustReport is true if the node has to report before it is granted more.
+	MustReport bool `msgpack:"m,omitempty"`
 	// Granted are amounts that are valid for Lifetime from when the request was sent.
 	Granted  map[string]float64 `msgpack:"g,omitempty"`
 	Lifetime time.Duration      `msgpack:"t,omitempty"`
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -222,17 +222,27 @@
 type Request struct {
 	Node        string
 	Incarnation uint64
-	Customer    string
-	Amount      float64
+	// Sequence is the number of the last grant that the node received.
+	Sequence uint64
+	Customer string
+	Amount   float64
 	// Least is the smallest amount that is of use.
 	Least float64
 }
 
+// Knows reports whether it is known what a node has: the last grant that it received was the
+// last one made here. Otherwise it has to report before it may take more, since it may hold
+// what another divider granted, which the buckets do not account for.
+func (d *Divider) Knows(node string, incarnation, sequence uint64) bool {
+	n := d.nodes[node]
+	return n != nil && n.incarnation == incarnation && n.sequence == sequence
+}
+
 // Take grants a part of what is left of a customer's limit, at least r.Least. If there is not
-// that much, it returns the time until there will be.
+// that much, it returns the time until there will be. A node that is not known gets neither.
 func (d *Divider) Take(r *Request, now time.Time) (granted float64, wait time.Duration) {
 	b := d.buckets[r.Customer]
-	if b == nil {
+	if b == nil || !d.Knows(r.Node, r.Incarnation, r.Sequence) {
 		return 0, 0
 	}
 	b.fill(now)
@@ -241,11 +251,7 @@
 	if granted <= 0 {
 		return 0, b.timeUntil(r.Least)
 	}
-	n := d.lastOf(r.Node, r.Incarnation)
-	if n == nil {
-		n = &nodeState{incarnation: r.Incarnation}
-		d.nodes[r.Node] = n
-	}
+	n := d.nodes[r.Node]
 	if n.taken == nil {
 		n.taken = make(map[string]float64)
 	}
--- a/internal/process/divider/divider_test.go
+++ b/internal/process/divider/divider_test.go
@@ -119,7 +119,7 @@
 				// A call that is larger than the bucket passes when that is full, beyond the limit.
 				amount := rapid.Float64Range(1, limit.Burst).Draw(t, "amount")
 				granted, _ := leader.Take(&divider.Request{
-					Node: n.name, Incarnation: n.incarnation, Customer: "masons", Amount: amount, Least: amount * rapid.Float64Range(0.1, 1).Draw(t, "least"),
+					Node: n.name, Incarnation: n.incarnation, Sequence: n.sequence, Customer: "masons", Amount: amount, Least: amount * rapid.Float64Range(0.1, 1).Draw(t, "least"),
 				}, now)
 				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 					n.add(granted, now)
@@ -208,14 +208,15 @@
 			now := time.Unix(1000, 0)
 			d := divider.New(1, lifetime)
 			d.SetLimits(map[string]divider.Limit{"masons": {Rate: 1e-3, Burst: 150, Initial: 100}}, now)
-			granted, _ := d.Take(&divider.Request{Node: "a", Customer: "masons", Amount: 60, Least: 60}, now)
+			sequence := d.Renew(&divider.Report{Node: "a"}, now).Sequence
+			granted, _ := d.Take(&divider.Request{Node: "a", Sequence: sequence, Customer: "masons", Amount: 60, Least: 60}, now)
 			require.InDelta(t, 60, granted, 1e-9)
 			// Without demand it is granted nothing; this does not reach it, and it spends the 60.
-			d.Renew(&divider.Report{Node: "a", Unspent: map[string]float64{"masons": 60}}, now)
+			d.Renew(&divider.Report{Node: "a", Sequence: sequence, Unspent: map[string]float64{"masons": 60}}, now)
 			goOn(d, now)
 			now = now.Add(2 * lifetime)
-			d.Renew(&divider.Report{Node: "b"}, now)
-			rest, _ := d.Take(&divider.Request{Node: "b", Customer: "masons", Amount: 150, Least: 1}, now)
+			sequence = d.Renew(&divider.Report{Node: "b"}, now).Sequence
+			rest, _ := d.Take(&divider.Request{Node: "b", Sequence: sequence, Customer: "masons", Amount: 150, Least: 1}, now)
 			require.LessOrEqual(t, rest, 40.1)
 		})
 	}
@@ -242,7 +243,7 @@
 			sum += n.unspent
 			n.unspent = 0
 			n.accept(leader.Renew(n.report(now, 1), now), now)
-			granted, _ := leader.Take(&divider.Request{Node: n.name, Incarnation: n.incarnation, Customer: "masons", Amount: limit.Burst, Least: 1}, now)
+			granted, _ := leader.Take(&divider.Request{Node: n.name, Incarnation: n.incarnation, Sequence: n.sequence, Customer: "masons", Amount: limit.Burst, Least: 1}, now)
 			n.unspent += granted
 		}
 	}
--- a/internal/process/divider/pool.go
+++ b/internal/process/divider/pool.go
@@ -77,6 +77,14 @@
 	return p.divider.Renew(r, now), p.divider.lifetime
 }
 
+// Sequence returns the number of the leader's last grant.
+func (p *Pool) Sequence() uint64 { return p.sequence }
+
+// Knows reports whether it is known what a node of the group has.
+func (p *Pool) Knows(node string, incarnation, sequence uint64) bool {
+	return p.divider.Knows(node, incarnation, sequence)
+}
+
 // Take grants a part of what is left, at least r.Least, or nothing. The grant is valid for the
 // returned time.
 func (p *Pool) Take(r *Request, now time.Time) (granted float64, validFor time.Duration) {
--- a/internal/request/apportioner/apportioner.go
+++ b/internal/request/apportioner/apportioner.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// Sequence returns the number of the last grant.
+func (q *Quotas) Sequence() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sequence
+}
+
 // Add adds what was granted for a waiting call, valid until a time.
 func (q *Quotas) Add(customer string, amount float64, now, until time.Time) {
 	q.mu.Lock()
