Keep the largest counts of usage, and relay from 80 entries on

An entry that has left a relay is still in that relay's counts, and these replaced later ones at the leader. Change: the ledger keeps the largest count of each customer by incarnation and window, since counts only grow. Result: TestEarlierCountsDoNotReplaceLaterOnes fails before, passes now.

--- a/internal/process/accountant/accountant.go
+++ b/internal/process/accountant/accountant.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// Add sets the current counts of a node, which replace earlier ones of the same incarnation.
+// Add takes over the counts of a node. Those of one incarnation only grow, but earlier ones may
+// arrive after later ones, from a relay that the node has left.
 func (l *Ledger) Add(node string, incarnation uint64, windows []Counts) {
 	for _, w := range windows {
 		if w.Window < l.first || l.done[w.Window] {
@@ -96,10 +97,23 @@
 		if l.counts[w.Window] == nil {
 			l.counts[w.Window] = make(map[source]map[string]int)
 		}
-		l.counts[w.Window][source{node, incarnation}] = w.Calls
+		key := source{node, incarnation}
+		l.counts[w.Window][key] = largest(l.counts[w.Window][key], w.Calls)
 	}
 }
 
+// largest returns the larger count of each customer.
+func largest(a, b map[string]int) map[string]int {
+	if len(a) == 0 {
+		return b
+	}
+	out := maps.Clone(a)
+	for customer, n := range b {
+		out[customer] = max(out[customer], n)
+	}
+	return out
+}
+
 // Due returns the windows that ended before t and are not done, oldest first.
 func (l *Ledger) Due(t time.Time) []int64 {
 	var out []int64
--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -63,3 +63,16 @@
 	}
 	require.Len(t, c.Windows(), 5)
 }
+
+// A node has moved from one relay to another. What the first one knew arrives after what the
+// second one knows.
+func TestEarlierCountsDoNotReplaceLaterOnes(t *testing.T) {
+	at := time.Unix(1000, 0)
+	l := accountant.NewLedger(5*time.Second, at)
+	w := accountant.Window(at, 5*time.Second)
+	l.Add("a", 1, []accountant.Counts{{Window: w, Calls: map[string]int{"masons": 12, "depots": 3}}})
+	l.Add("a", 1, []accountant.Counts{{Window: w, Calls: map[string]int{"masons": 7}}})
+	require.Equal(t, map[string]int{"masons": 12, "depots": 3}, l.Sum(w))
+	l.Add("a", 2, []accountant.Counts{{Window: w, Calls: map[string]int{"masons": 5}}})
+	require.Equal(t, map[string]int{"masons": 17, "depots": 3}, l.Sum(w))
+}
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -38,7 +38,7 @@
 	maxLoads = 256
 	// defaultRelayed is the number of entries from which on they report to relays, unless it is
 	// configured. Below directFraction of that they report to the leader again.
-	defaultRelayed = 24
+	defaultRelayed = 80
 	directFraction = 0.7
 	// relayInterval is the time between two reports of a relay, and idleRelayInterval the time
 	// while entries report to the leader.
--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -347,6 +347,7 @@
 func TestLeaderSendsEntriesToRelays(t *testing.T) {
 	now := start.Add(time.Minute)
 	leader := coordinator.NewCore(3, start, allowanceLifetime, window)
+	leader.SetRelayed(24)
 	r := newRelayNode("r", 1)
 	r.reportTo(t, leader, now, false)
 	direct, partial := 0, 0
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -261,7 +261,7 @@
 	defaultExposure    = 0.1
 	defaultRollback    = 5 * time.Second
 	defaultRate        = 10.0 // reads per second
-	defaultRelayed     = 24
+	defaultRelayed     = 80
 	defaultLag         = time.Second
 
 	maxBound = time.Hour // maximum of a duration
