Add review case 3: a path that begins with two slashes

The target of a request is passed to net/http as an opaque URL, which net/http writes in absolute form if it begins with two slashes: the first segment becomes a host.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(r *record, trouble bool) result{
 	"rolling":  rolling,
 	"rollouts": rollouts,
+	"slashes":  slashes,
 }
 
 func main() {
--- a/review/standins/parties.go
+++ b/review/standins/parties.go
@@ -77,13 +77,15 @@
 	slowWork                   time.Duration
 	record                     *record
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu      sync.Mutex
+	runs    map[string]int
+	targets map[string]string // request targets of what ran
 }
 
 // newServer starts a sound server and doesn't list it yet.
 func newServer(f *fleet, id, service, zone, version string, work time.Duration) (*server, error) {
-	s := &server{id: id, service: service, zone: zone, version: version, state: "ready", work: work, record: f.record, runs: make(map[string]int)}
+	s := &server{id: id, service: service, zone: zone, version: version, state: "ready", work: work, record: f.record}
+	s.runs, s.targets = make(map[string]int), make(map[string]string)
 	var err error
 	s.address, err = serve(fmt.Sprintf("%s.%d", f.prefix, 240+rand.Intn(5)), s)
 	return s, err
@@ -125,6 +127,7 @@
 	}
 	s.mu.Lock()
 	s.runs[id]++
+	s.targets[id] = r.RequestURI
 	s.mu.Unlock()
 	s.record.add("server %s runs %s: %s %s, %d bytes of body", s.id, id, r.Method, r.RequestURI, len(body))
 	work := s.work
