Add review case 3: a token count that overflows lifts a limit

The two numbers of a token count are added as integers. With the largest integer the sum is negative, so the call passes and adds to the allowance of the node, and with its next report to the leader's bucket.

The case is a script.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -28,6 +28,7 @@
 	"rolling":  rolling,
 	"rollouts": rollouts,
 	"slashes":  slashes,
+	"tokens":   tokens,
 }
 
 func main() {
--- a/review/standins/parties.go
+++ b/review/standins/parties.go
@@ -353,7 +353,11 @@
 }
 
 // request sends one request on a new connection and returns the status, 0 if there is none.
-func request(m *machine, method, path, id string, r *record) int {
+func request(m *machine, method, path, id string, r *record, headers ...string) int {
+	extra := ""
+	for _, h := range headers {
+		extra += h + "\r\n"
+	}
 	conn, err := net.DialTimeout("tcp", m.front(), time.Second)
 	if err != nil {
 		r.add("client: %s to %s: no connection", id, m.name)
@@ -362,7 +366,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2500 * time.Millisecond))
 	r.add("client sends %s to %s: %s %s", id, m.name, method, path)
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: 2500\r\nAuthorization: Bearer key1\r\nContent-Length: 0\r\n\r\n", method, path, id)
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: 2500\r\nAuthorization: Bearer key1\r\nContent-Length: 0\r\n%s\r\n", method, path, id, extra)
 	answer, err := readAnswer(conn)
 	if err != nil {
 		r.add("client: %s has no answer: %v", id, err)
