Have the scripts of the review write their records themselves

The scripts left record.txt to the program that they start, and wrote none if it was missing. Each now begins its record, states why it could not run, and ends it with its exit code, also after a signal.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -33,10 +32,10 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-standins CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-standins CASE RECORD")
 		os.Exit(int(notRun))
 	}
-	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	r, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(int(notRun))
--- a/review/standins/parties.go
+++ b/review/standins/parties.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,8 +23,9 @@
 	started time.Time
 }
 
+// newRecord returns a record that is appended to a file.
 func newRecord(path string) (*record, error) {
-	f, err := os.Create(path)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	return &record{file: f, started: time.Now()}, err
 }
 
@@ -98,6 +100,13 @@
 	c.servers = append(c.servers, servers...)
 }
 
+// remove takes servers off the platform's list.
+func (c *cloud) remove(servers ...*server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool { return slices.Contains(servers, s) })
+}
+
 // drain lists servers as draining.
 func (c *cloud) drain(servers ...*server) {
 	c.mu.Lock()
--- a/review/standins/running.go
+++ b/review/standins/running.go
@@ -41,10 +41,14 @@
 	if before[200] < 20 || beforeAdded[200] < 20 {
 		return notRun
 	}
-	if trouble && !d.operator.rollout("status", "v1", 12*time.Second) {
-		return notRun
+	ordered := time.Now()
+	if trouble {
+		if !d.operator.rollout("status", "v1", 12*time.Second) {
+			return notRun
+		}
+		d.alongside("status", "v1")
 	}
-	time.Sleep(20 * time.Second)
+	time.Sleep(time.Until(ordered.Add(30 * time.Second)))
 	state, target := d.operator.state("status")
 	r.add("roll-out of status: state %q, target %q", state, target)
 	old.take()
@@ -61,7 +65,7 @@
 	}
 	oldShare, _ := share(first20)
 	addedShare, n := share(added20)
-	r.add("CONFIG: from 20 to 40 s after the order: first route %v, added route %v", first20, added20)
+	r.add("CONFIG: from 30 to 50 s after the order: first route %v, added route %v", first20, added20)
 	fmt.Printf("the first route is served %.2f, the added one %.2f of %d\n", oldShare, addedShare, n)
 	if n < 20 || oldShare == 0 {
 		return notRun
@@ -71,3 +75,30 @@
 	}
 	return held
 }
+
+// alongside does what the platform does for a roll-out: it starts servers of the version beside the
+// old ones, and drains them some seconds after the roll-out was rolled back.
+func (d *deployment) alongside(service, version string) {
+	var started []*server
+	for i, zone := range zones {
+		s, err := newServer(d.fleet, fmt.Sprintf("i-new-%d", i), service, zone, version, 15*time.Millisecond)
+		if err != nil {
+			d.record.add("not started: %v", err)
+			return
+		}
+		started = append(started, s)
+	}
+	d.cloud.list(started...)
+	d.record.add("the platform has started three servers of %s, version %s", service, version)
+	for range 40 {
+		time.Sleep(500 * time.Millisecond)
+		if state, _ := d.operator.state(service); state == "rolled_back" {
+			d.record.add("rolled back; the new servers drain in 4 s and are gone 4 s later")
+			time.Sleep(4 * time.Second)
+			d.cloud.drain(started...)
+			time.Sleep(4 * time.Second)
+			d.cloud.remove(started...)
+			return
+		}
+	}
+}
