Remove keepers that are gone before the next one may be lost

Cause: a successor at another address is an additional voter at once, and the voter that it replaces stayed until it had been silent for 15 s, counted anew by each leader. Four of eight voters were gone then.

Change: a silent keeper leaves the log after half of the time to catch up, which the platform states, if twice the tolerated losses plus one respond. Silent learners leave too. The own composition removes keepers that were replaced under another name.

--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -31,9 +31,10 @@
 const (
 	// journalName is the name of the replicated log of rulesets, moves and duties.
 	journalName = "main"
-	// retireAfter is how long a keeper may be unreachable before it is removed from the
-	// log's members. It is longer than a machine freezes or takes to be replaced.
-	retireAfter = 15 * time.Second
+	// retireFraction is the fraction of the time to catch up after which an unreachable keeper
+	// is removed from the log's members. Elections before it and changes of the members after
+	// it take the rest: keepers that are gone leave the log before the next one may be lost.
+	retireFraction = 0.5
 	// electionTimeout and heartbeatInterval are shorter than the defaults, since the
 	// latency between keepers is about a millisecond and calls wait while there is no leader.
 	electionTimeout   = 500 * time.Millisecond
@@ -134,10 +135,14 @@
 		peers = append(peers, keeper.Peer{Name: name, Address: self})
 		addresses = append(addresses, self)
 	}
+	retireAfter := time.Duration(retireFraction * float64(n.settings.Bounds().CatchUp()))
+	minVoters := 2*n.settings.Tolerated() + 1
+	n.log.Info("opening the log", "retire_after", retireAfter, "min_voters", minVoters)
 	var err error
 	k.keeper, err = k.open(keeper.Config{
 		Journal: journalName, Name: name, Folder: n.settings.Data(), Peers: peers, JoinOnly: !isSeed || !n.settings.IsFirstStart(),
-		RetireAfter: retireAfter, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, Clock: n.bootClock, Log: n.log.With("part", "keeper"), Call: n.call, Register: n.messenger.Register,
+		RetireAfter: retireAfter, MinVoters: minVoters, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
+		Clock: n.bootClock, Log: n.log.With("part", "keeper"), Call: n.call, Register: n.messenger.Register,
 		Applier: k.state,
 	})
 	if err != nil {
--- a/internal/node/runner/state.go
+++ b/internal/node/runner/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 
 	"hyssoprudder/internal/connection/messenger"
 	"hyssoprudder/internal/connection/provisioner"
@@ -16,6 +17,11 @@
 // journalName is the name of the replicated log of rules, moves, intents and claims.
 const journalName = "main"
 
+// retireAfter is how long a keeper may be unreachable before it is removed from the log's
+// members, so that keepers that were replaced under another name don't count in quorums. It is
+// longer than a restart takes.
+const retireAfter = 15 * time.Second
+
 // stateComponents holds the components of a node that read and write the replicated state
 // and the endpoint list.
 type stateComponents struct {
@@ -51,7 +57,7 @@
 	r.state.offerer = newOfferer(r)
 	state.OnRevision(r.state.offerer.put)
 	r.state.keeper, err = keeper.New(keeper.Config{
-		Journal: journalName, Name: r.settings.ID(), Folder: r.settings.Data(), Peers: peers,
+		Journal: journalName, Name: r.settings.ID(), Folder: r.settings.Data(), Peers: peers, RetireAfter: retireAfter,
 		Clock: r.clock, Log: r.log.With("part", "keeper"), Call: r.messenger.Call, Register: r.messenger.Register,
 		Applier: state,
 	})
--- a/internal/process/keeper/core.go
+++ b/internal/process/keeper/core.go
@@ -60,8 +60,9 @@
 	Rand              *rand.Rand
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	// RetireAfter is described in Config.
+	// RetireAfter and MinVoters are described in Config.
 	RetireAfter time.Duration
+	MinVoters   int
 }
 
 // ReadDone reports that the read with the given ID may proceed, or, if OK is false, must be
@@ -125,6 +126,7 @@
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
 	retireAfter       time.Duration
+	minVoters         int
 
 	state       journaler.State
 	log         entryLog
@@ -169,7 +171,8 @@
 		c.HeartbeatInterval = DefaultHeartbeatInterval
 	}
 	core := &Core{
-		id: c.State.Identity, rand: c.Rand, electionTimeout: c.ElectionTimeout, heartbeatInterval: c.HeartbeatInterval, retireAfter: c.RetireAfter,
+		id: c.State.Identity, rand: c.Rand, electionTimeout: c.ElectionTimeout, heartbeatInterval: c.HeartbeatInterval,
+		retireAfter: c.RetireAfter, minVoters: max(c.MinVoters, minVoters),
 		state: c.State, role: RoleFollower, peers: make(map[string]*progress),
 	}
 	core.log.reset(c.Snapshot.Index, c.Snapshot.Term)
--- a/internal/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -51,9 +51,12 @@
 	// DefaultHeartbeatInterval.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
-	// RetireAfter is the time without a reply after which the leader removes a voter from the
-	// log, if enough others remain; 0 means never. A removed keeper that returns joins again.
+	// RetireAfter is the time without a reply after which the leader removes a member from the
+	// log; 0 means never. A removed keeper that returns joins again.
 	RetireAfter time.Duration
+	// MinVoters is the number of responsive voters that must remain when another one is
+	// removed: twice the number of keepers that may be lost at once, plus one. It is at least 3.
+	MinVoters int
 	// SnapshotEvery is the number of entries between two snapshots; the default is
 	// DefaultSnapshotEvery.
 	SnapshotEvery uint64
@@ -190,7 +193,8 @@
 	k.self = Member{ID: state.Identity, Name: self.Name, Address: self.Address}
 	k.core = NewCore(CoreConfig{
 		State: state, Snapshot: snapshot, Entries: k.journal.LoadedEntries(), Now: k.config.Clock.Now(),
-		Rand: k.config.Rand, ElectionTimeout: k.config.ElectionTimeout, HeartbeatInterval: k.config.HeartbeatInterval, RetireAfter: k.config.RetireAfter,
+		Rand: k.config.Rand, ElectionTimeout: k.config.ElectionTimeout, HeartbeatInterval: k.config.HeartbeatInterval,
+		RetireAfter: k.config.RetireAfter, MinVoters: k.config.MinVoters,
 	})
 	k.config.ElectionTimeout, k.config.HeartbeatInterval = k.core.electionTimeout, k.core.heartbeatInterval
 	k.publish()
--- a/internal/process/keeper/members.go
+++ b/internal/process/keeper/members.go
@@ -119,30 +119,33 @@
 	c.retireUnresponsive(now)
 }
 
-// minVoters is the number of responsive voters required to retire another one. With three
-// voters left, two are a quorum, so one more may fail.
+// minVoters is the least value of Config.MinVoters. With three voters left, two are a quorum, so
+// one more may fail.
 const minVoters = 3
 
-// retireUnresponsive removes a voter that has not replied for the retirement time, so that
-// instances that are gone for good do not count in quorums forever. It requires minVoters
-// responsive voters, which can decide without the removed one.
+// retireUnresponsive removes a member that has not replied for the retirement time, so that
+// instances that are gone for good do not count in quorums forever. A voter is removed only
+// if enough responsive ones remain, which can decide without it; the one that has been silent
+// longest goes first.
 func (c *Core) retireUnresponsive(now time.Time) {
 	if c.retireAfter == 0 {
 		return
 	}
-	responsive, unresponsive := 1, ""
+	responsive, retired := 1, Member{}
 	for _, m := range c.members() {
 		p := c.peers[m.ID]
 		switch {
-		case !m.Voter || p == nil:
+		case p == nil:
 		case now.Sub(p.lastReply) > c.retireAfter:
-			unresponsive = m.ID
-		case now.Sub(p.lastReply) < c.electionTimeout:
+			if retired.ID == "" || p.lastReply.Before(c.peers[retired.ID].lastReply) {
+				retired = m
+			}
+		case m.Voter && now.Sub(p.lastReply) < c.electionTimeout:
 			responsive++
 		}
 	}
-	if unresponsive != "" && responsive >= minVoters {
-		c.removeMember(now, unresponsive)
+	if retired.ID != "" && (!retired.Voter || responsive >= c.minVoters) {
+		c.removeMember(now, retired.ID)
 	}
 }
 
--- a/internal/process/keeper/model_test.go
+++ b/internal/process/keeper/model_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -65,26 +66,38 @@
 	wiped          map[string]bool
 	changes        int
 	revision       uint64
+	retireAfter    time.Duration
+	minVoters      int
 }
 
 func newModel(t *rapid.T) *model {
-	m := &model{
+	m := newEmptyModel(t)
+	m.networkPercent = rapid.SampledFrom([]int{10, 25, 60}).Draw(t, "chaos")
+	m.retireAfter = rapid.SampledFrom([]time.Duration{0, modelRetire}).Draw(t, "retire")
+	m.create(rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"))
+	return m
+}
+
+// newEmptyModel returns a model without replicas.
+func newEmptyModel(t *rapid.T) *model {
+	return &model{
 		t: t, reads: make(map[uint64]uint64), leaders: make(map[uint64]string),
 		granted: make(map[string]string), wiped: make(map[string]bool),
 		partitioned: make(map[[2]string]bool), names: make(map[string]string),
 	}
-	m.networkPercent = rapid.SampledFrom([]int{10, 25, 60}).Draw(t, "chaos")
-	size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
+}
+
+// create makes a log of that many replicas.
+func (m *model) create(size int) {
 	var members []Member
 	for i := range size {
-		r := &replica{name: fmt.Sprint("k", i), clockRate: 1 + float64(rapid.SampledFrom([]int{-DriftPercent, 0, DriftPercent}).Draw(t, "drift"))/100}
+		r := &replica{name: fmt.Sprint("k", i), clockRate: 1 + float64(rapid.SampledFrom([]int{-DriftPercent, 0, DriftPercent}).Draw(m.t, "drift"))/100}
 		m.replicas = append(m.replicas, r)
 		m.boot(r)
 		members = append(members, Member{ID: r.state.Identity, Name: r.name, Voter: true})
 	}
 	m.replicas[0].core.Create(m.now(m.replicas[0]), "cluster", members)
 	m.execute(m.replicas[0], noCrash)
-	return m
 }
 
 func (m *model) now(r *replica) time.Time {
@@ -104,7 +117,8 @@
 	}
 	r.core = NewCore(CoreConfig{
 		State: r.state, Snapshot: r.snapshot, Entries: slices.Clone(r.entries), Now: m.now(r),
-		Rand: rand.New(rand.NewPCG(uint64(r.name[1]), uint64(m.elapsed))), ElectionTimeout: modelElection, HeartbeatInterval: modelHeartbeat,
+		Rand: rand.New(rand.NewPCG(xxhash.Sum64String(r.name), uint64(m.elapsed))), ElectionTimeout: modelElection, HeartbeatInterval: modelHeartbeat,
+		RetireAfter: m.retireAfter, MinVoters: m.minVoters,
 	})
 }
 
--- a/internal/process/keeper/network_test.go
+++ b/internal/process/keeper/network_test.go
@@ -125,6 +125,7 @@
 	election, heartbeat time.Duration
 	clock               clock.Clock
 	clocks              map[string]clock.Clock // by name; overrides clock
+	retireAfter         time.Duration
 }
 
 func newDeployment(t testing.TB, size int) *deployment {
@@ -160,7 +161,7 @@
 	k, err := New(Config{
 		Journal: "rules", Name: name, Folder: filepath.Join(d.folder, name), Peers: d.peers, Clock: keeperClock,
 		Log: log.New(io.Discard), Rand: rand.New(rand.NewPCG(1, uint64(self.Port()))), Applier: applier.New(),
-		ElectionTimeout: d.election, HeartbeatInterval: d.heartbeat, SnapshotEvery: d.snapshotEvery,
+		ElectionTimeout: d.election, HeartbeatInterval: d.heartbeat, SnapshotEvery: d.snapshotEvery, RetireAfter: d.retireAfter,
 		Call: func(ctx context.Context, to netip.AddrPort, _ string, args, reply any) error {
 			if d.net.isTooSlow(ctx, args) {
 				return context.DeadlineExceeded
--- a/internal/process/keeper/retire_test.go
+++ b/internal/process/keeper/retire_test.go
@@ -75,3 +75,54 @@
 		})
 	}
 }
+
+// Learners that are gone stayed members for ever, and nodes were told to ask them.
+func TestSilentLearnersAreRetired(t *testing.T) {
+	c, members, now := newLeader(t, 3, time.Second)
+	now = runHeartbeats(c, members, now, time.Second, 2)
+	require.True(t, c.Join(now, Member{ID: "x", Name: "x"}))
+	now = runHeartbeats(c, members, now, time.Second/2, 2)
+	require.Len(t, c.Members(), 4)
+	runHeartbeats(c, members, now, 2*time.Second, 2)
+	require.Len(t, c.Members(), 3)
+}
+
+// With two losses tolerated, five responsive voters must remain: the loss of two of three would
+// lose what was acknowledged.
+func TestVotersForToleratedLossesRemain(t *testing.T) {
+	cases := map[string]struct{ voters, responsive, wantMembers int }{
+		"five of nine": {9, 4, 5},
+		"five of six":  {6, 4, 5},
+		"four of six":  {6, 3, 6},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, members, now := newLeader(t, tc.voters, time.Second)
+			c.minVoters = 5
+			runHeartbeats(c, members, now, 20*time.Second, tc.responsive)
+			require.Len(t, c.Members(), tc.wantMembers)
+		})
+	}
+}
+
+// A keeper that was cut off for longer than the retirement time is a voter again afterwards.
+func TestRetiredKeeperJoinsAgain(t *testing.T) {
+	d := newDeployment(t, 5)
+	d.retireAfter = 2 * d.election
+	d.startAll()
+	d.applyRules(0, 5)
+	d.requireVoters(5)
+	lost := d.names[0]
+	d.isolate(lost, true)
+	d.eventually("the removal", func() bool {
+		for _, k := range d.keepers {
+			if _, ok := k.Lease(); ok && k.config.Name != lost {
+				return len(k.Status().Members) == 4
+			}
+		}
+		return false
+	})
+	d.isolate(lost, false)
+	d.requireVoters(5)
+	d.requireRevision(5)
+}
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -31,6 +31,7 @@
 	metrics    netip.AddrPort
 	seeds      []netip.AddrPort
 	relayed    int
+	tolerated  int
 	provider   Provider
 	bounds     Bounds
 }
@@ -58,6 +59,7 @@
 // Bounds are the guarantees of the deployment as a whole.
 type Bounds struct {
 	contact     time.Duration
+	catchUp     time.Duration
 	drain       time.Duration
 	grace       time.Duration
 	change      time.Duration
@@ -79,6 +81,9 @@
 // Contact returns how long a node must have been undisturbed before the bounds hold for it.
 func (b Bounds) Contact() time.Duration { return b.contact }
 
+// CatchUp returns how long a keeper that is back, or new, counts as lost after its start.
+func (b Bounds) CatchUp() time.Duration { return b.catchUp }
+
 // Drain returns how long a leaving endpoint may still get calls.
 func (b Bounds) Drain() time.Duration { return b.drain }
 
@@ -156,6 +161,9 @@
 // leader.
 func (m *Managed) Relayed() int { return m.relayed }
 
+// Tolerated returns the number of keepers that may be lost at once.
+func (m *Managed) Tolerated() int { return m.tolerated }
+
 // IsFirstStart reports whether the deployment as a whole starts for the first time.
 func (m *Managed) IsFirstStart() bool { return m.firstStart }
 
@@ -197,6 +205,7 @@
 	First    value         `toml:"first"`
 	Seeds    value         `toml:"seeds"`
 	Relayed  value         `toml:"relayed"`
+	Tolerate value         `toml:"tolerate"`
 	Log      fileLog       `toml:"log"`
 	Listen   managedListen `toml:"listen"`
 	Provider fileProvider  `toml:"provider"`
@@ -220,6 +229,7 @@
 
 type fileBounds struct {
 	Contact     value `toml:"contact"`
+	CatchUp     value `toml:"catchup"`
 	Drain       value `toml:"drain"`
 	Grace       value `toml:"grace"`
 	Change      value `toml:"change"`
@@ -238,16 +248,17 @@
 	Rollback    value `toml:"rollback"`
 }
 
-var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "log.level",
+var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "tolerate", "log.level",
 	"listen.callers", "listen.ready", "listen.nodes", "listen.control", "listen.metrics",
 	"provider.address", "provider.rate", "provider.lag", "provider.duties",
-	"bounds.contact", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
+	"bounds.contact", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
 	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
 	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback"}
 
 // Defaults of settings that the file omits, and limits of their values.
 const (
 	defaultContact     = 3 * time.Second
+	defaultCatchUp     = 4 * time.Second
 	defaultDrain       = 3 * time.Second
 	defaultGrace       = 8 * time.Second
 	defaultChange      = 2 * time.Second
@@ -262,10 +273,12 @@
 	defaultRollback    = 5 * time.Second
 	defaultRate        = 10.0 // reads per second
 	defaultRelayed     = 80
+	defaultTolerated   = 1
 	defaultLag         = time.Second
 
-	maxBound = time.Hour // maximum of a duration
-	maxCount = 1e12      // maximum of a number
+	maxBound     = time.Hour // maximum of a duration
+	maxCount     = 1e12      // maximum of a number
+	maxTolerated = 1000
 )
 
 // LoadManaged reads and validates the settings file of a managed node. The error is
@@ -303,8 +316,9 @@
 	m := &Managed{
 		file: r.path, id: r.text("id", f.ID, true), domain: r.text("domain", f.Domain, true),
 		domains: r.texts("domains", f.Domains), data: r.filePath(r.text("data", f.Data, false)),
-		relayed: int(r.number("relayed", f.Relayed, defaultRelayed)),
-		secret:  r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
+		relayed:   int(r.number("relayed", f.Relayed, defaultRelayed)),
+		tolerated: r.count("tolerate", f.Tolerate, defaultTolerated, maxTolerated),
+		secret:    r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
 		callers: r.address("listen.callers", f.Listen.Callers, false),
 		ready:   r.address("listen.ready", f.Listen.Ready, false),
 		nodes:   r.address("listen.nodes", f.Listen.Nodes, true),
@@ -333,6 +347,7 @@
 func (r *reader) bounds(f *fileBounds) Bounds {
 	return Bounds{
 		contact:     r.bound("bounds.contact", f.Contact, defaultContact),
+		catchUp:     r.bound("bounds.catchup", f.CatchUp, defaultCatchUp),
 		drain:       r.bound("bounds.drain", f.Drain, defaultDrain),
 		grace:       r.bound("bounds.grace", f.Grace, defaultGrace),
 		change:      r.bound("bounds.change", f.Change, defaultChange),
@@ -377,6 +392,19 @@
 	return n
 }
 
+// count reads an integer from 0 to limit.
+func (r *reader) count(key string, v value, fallback, limit int) int {
+	if !v.set {
+		return fallback
+	}
+	n, ok := v.raw.(int64)
+	if !ok || n < 0 || n > int64(limit) {
+		r.fault(key, fmt.Sprintf("must be an integer from 0 to %d, not %v", limit, v.raw))
+		return fallback
+	}
+	return int(n)
+}
+
 // checkManaged validates settings that depend on each other.
 func (r *reader) checkManaged(m *Managed) {
 	if m.domain != "" && len(m.domains) > 0 && !slices.Contains(m.domains, m.domain) {
--- a/internal/process/settings/managed_test.go
+++ b/internal/process/settings/managed_test.go
@@ -40,6 +40,8 @@
 	require.True(t, m.Provider().Has("usage"))
 	require.False(t, m.Provider().Has("scaling"))
 	require.Equal(t, 3*time.Second, m.Bounds().Drain(), "omitted bounds have defaults")
+	require.Equal(t, 4*time.Second, m.Bounds().CatchUp())
+	require.Equal(t, 1, m.Tolerated())
 }
 
 func TestLoadManagedFaults(t *testing.T) {
@@ -47,6 +49,7 @@
 		"unknown key":     {"revoke", "revoek", "bounds.revoek", `did you mean "bounds.revoke"?`},
 		"wrong type":      {`secret = "s"`, "secret = 1", "secret", "must be text in quotes"},
 		"no number":       {"110000", `"many"`, "bounds.quotaslack", "must be a number"},
+		"half a loss":     {`secret = "s"`, "secret = \"s\"\ntolerate = 0.5", "tolerate", "must be an integer from 0 to"},
 		"below 0":         {"= 0.2", "= -0.2", "bounds.retryratio", "out of range"},
 		"unlisted domain": {`domain = "adjud"`, `domain = "iasi"`, "domain", "not in domains"},
 		"no callers":      {`callers = "10.0.0.9:8221"`, "", "listen", "needed on a node"},
