Serve from the version that runs when it is ordered

Cause: entries keep calls from the version of a move but for its share, and from all of it after a roll-back. Nothing recorded which version ran before.

Change: the leader records it when it plans the move. A move to that version is in place: no call is kept away, and it is done when as many new instances are ready as ran before. Until it is planned, a version is avoided rather than forbidden. In the own interface such a rule is done at once.

--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -305,6 +305,21 @@
 	require.Equal(t, 6, total)
 }
 
+// A rule that names the version that runs as the new one took all calls from its instances.
+func TestMoveToTheRunningVersionIsDone(t *testing.T) {
+	by := start.Add(5 * time.Minute)
+	s := newTestbed(t, sizedRules+"move pumice from=11 to=12 by="+by.Format(time.RFC3339)+" share=5 # desk, Vrancea\n")
+	s.addInstances(6)
+	s.run(s.controller(), 5)
+	state, err := mover.Decode(s.state.Move("pumice").Body)
+	require.NoError(t, err)
+	require.Equal(t, mover.Done, state.Phase)
+	total, _ := s.count("12")
+	require.Equal(t, 6, total)
+	former, _ := s.count("11")
+	require.Zero(t, former)
+}
+
 // A version that was rolled back could get calls again after a later move.
 func TestRolledBackVersionStaysRejected(t *testing.T) {
 	rules := sizedRules + "move pumice from=12 to=14 by=" + start.Add(5*time.Minute).Format(time.RFC3339) + " share=5 # desk, Vrancea\n"
--- a/internal/process/controller/core.go
+++ b/internal/process/controller/core.go
@@ -157,8 +157,13 @@
 		Service: rule.Service(), From: rule.From(), To: rule.To(), Deadline: rule.Deadline(), Share: rule.Share() / 100,
 		Routes: routesOf(s.Rules, rule.Service()), Size: max(len(f.of(rule.From())), 1),
 	}, s.Now, s.Term)
+	isRejected := false
 	if previous != nil {
 		next = next.Replace(*previous, s.Now)
+		isRejected = previous.IsRejected(rule.To()) || previous.To == rule.To() && previous.Effective(s.Now).Phase == mover.RolledBack
+	}
+	if !isRejected && len(f.of(rule.From())) == 0 && len(f.of(rule.To())) > 0 {
+		return next.Complete(s.Now) // the service runs that version already
 	}
 	return next
 }
--- a/internal/version/mover/mover.go
+++ b/internal/version/mover/mover.go
@@ -190,6 +190,9 @@
 	if s.Final() {
 		return s
 	}
+	if s.IsInPlace() {
+		return m.nextInPlace(s, o)
+	}
 	verdict := m.verdict(s)
 	if !o.Now.Before(s.Expiry) {
 		return s.Effective(o.Now)
@@ -218,6 +221,30 @@
 	return s
 }
 
+// inPlaceFactor is the number of instances, as a multiple of those that ran before, at which a move in place is
+// done.
+const inPlaceFactor = 2
+
+// nextInPlace decides a move in place. There is nothing to judge, since the version runs already. Instances that ran
+// before may be terminated when it is done, so that waits for as many new ones.
+func (m *Mover) nextInPlace(s State, o Observation) State {
+	switch {
+	case !o.Now.Before(s.Expiry):
+		return s.Effective(o.Now)
+	case o.Withdrawn:
+		return s.rollBack(o.Now, Withdrawn)
+	case o.Ready >= inPlaceFactor*s.Size:
+		return s.Complete(o.Now)
+	case o.Now.Add(m.config.MaxCommitTime).After(s.Expiry):
+		return s.rollBack(o.Now, InsufficientTime)
+	}
+	if s.Term != m.term {
+		s.Term = m.term
+		s.LeaderChanges++
+	}
+	return s
+}
+
 func (m *Mover) verdict(s State) judge.Verdict {
 	if m.tally.Epoch() != s.Epoch {
 		m.tally.Reset(s.Epoch)
