Bound stated sizes before they are charged

Cause: the two stated sizes were added as integers. The overflown cost was negative, passed any allowance and raised it.

Change: sizes are bounded where they come in, sums are not made of integers, and a call that the limit can never allow is refused at once, at the entry and at the leader. Sizes that can't be read are refused; they counted as 0. Estimates, limits and weights of a document and delays of endpoints are bounded too.

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -274,6 +274,9 @@
 	_ = c.client.Close()
 }
 
+// maxKeepAlive is the longest time in seconds that is accepted in a Keep-Alive header.
+const maxKeepAlive = 24 * 60 * 60
+
 // keepAlive returns how long an idle connection may be kept, given the endpoint's
 // Keep-Alive header.
 func keepAlive(h http.Header) (time.Duration, bool) {
@@ -281,7 +284,7 @@
 		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(text)
 		if strings.EqualFold(name, "timeout") && err == nil {
-			return max(time.Duration(seconds)*time.Second-idleMargin, idleMargin/2), true
+			return max(time.Duration(min(seconds, maxKeepAlive))*time.Second-idleMargin, idleMargin/2), true
 		}
 	}
 	return 0, false
--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -254,6 +254,9 @@
 	return nil
 }
 
+// maxRetryAfter is the longest delay in seconds that is accepted from the provider.
+const maxRetryAfter = 60 * 60
+
 func responseError(response *http.Response) error {
 	switch status := response.StatusCode; {
 	case status < 300:
@@ -264,10 +267,10 @@
 		return ErrNoCapacity
 	case status == http.StatusTooManyRequests:
 		seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
-		if err != nil || seconds < 0 {
+		if err != nil {
 			seconds = 0
 		}
-		return &RateLimitedError{retryAfter: time.Duration(seconds) * time.Second}
+		return &RateLimitedError{retryAfter: time.Duration(min(max(seconds, 0), maxRetryAfter)) * time.Second}
 	default:
 		return &StatusError{status: status}
 	}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -98,7 +98,7 @@
 		Node: n.settings.ID(), Clock: n.clock, Log: n.log.With("part", "retriever"), Call: n.call, Apply: e.setRuleset,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, AskAllowance: e.askAllowance, ReportAnswered: n.reporter.Answered,
+		Clock: n.clock, BootClock: n.bootClock, Log: n.log, Domain: n.settings.Domain(), IsConfirmed: e.isConfirmed, ServesUntil: e.servesUntil, LargestCall: func(c *registrar.Customer) float64 { return largestCall(b, c) }, AskAllowance: e.askAllowance, ReportAnswered: n.reporter.Answered,
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -23,6 +23,7 @@
 	"hyssoprudder/internal/process/keeper"
 	"hyssoprudder/internal/process/proposer"
 	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/settings"
 	"hyssoprudder/internal/process/submitter"
 	"hyssoprudder/internal/version/conductor"
 	"hyssoprudder/internal/version/mover"
@@ -269,15 +270,33 @@
 		if c.Rate <= 0 {
 			continue
 		}
-		tolerated := b.QuotaOver() * (c.Rate*b.QuotaWindow().Seconds() + c.Burst)
-		if c.CountsTokens {
-			tolerated += b.QuotaSlack()
+		tolerated := toleratedExcess(b, &c)
+		out[c.Name] = divider.Limit{
+			Rate: c.Rate, Burst: c.Burst + burstFraction*tolerated, Initial: initialFraction * tolerated, Largest: largestCall(b, &c),
 		}
-		out[c.Name] = divider.Limit{Rate: c.Rate, Burst: c.Burst + burstFraction*tolerated, Initial: initialFraction * tolerated}
 	}
 	return out
 }
 
+// toleratedExcess returns by how much a customer may exceed its limit in a window.
+func toleratedExcess(b settings.Bounds, c *registrar.Customer) float64 {
+	tolerated := b.QuotaOver() * (c.Rate*b.QuotaWindow().Seconds() + c.Burst)
+	if c.CountsTokens {
+		tolerated += b.QuotaSlack()
+	}
+	return tolerated
+}
+
+// largestCall returns the largest cost of a single call that a customer's limit allows. A call
+// that is larger than the bucket leaves a debt, so in each window a limit lets through its rate
+// and the larger of its burst and its largest call.
+func largestCall(b settings.Bounds, c *registrar.Customer) float64 {
+	if !c.CountsTokens {
+		return 1
+	}
+	return c.Burst + (1-initialFraction)*toleratedExcess(b, c)
+}
+
 // put proposes a ruleset. One that is not newer than the accepted one changes nothing.
 func (k *keeperRole) put(ctx context.Context, r *registrar.Ruleset, document []byte) error {
 	body, err := r.Encode()
--- a/internal/process/divider/divider.go
+++ b/internal/process/divider/divider.go
@@ -40,6 +40,8 @@
 	Rate    float64
 	Burst   float64
 	Initial float64
+	// Largest is the largest amount for a single call, 0 if there is no bound.
+	Largest float64
 }
 
 // bucket is the token bucket of one limit. Its level is below 0 after a call that is larger
@@ -246,6 +248,9 @@
 		return 0, 0
 	}
 	b.fill(now)
+	if b.limit.Largest > 0 && r.Least > b.limit.Largest {
+		return 0, b.timeUntil(r.Least) // no wait helps; its size says nothing about others
+	}
 	b.typical += typicalSmoothing * (r.Least - b.typical)
 	granted = b.maxGrant(r.Amount, r.Least)
 	if granted <= 0 {
@@ -265,12 +270,16 @@
 // minWait is the shortest time to wait that is returned, since 0 means that there is none.
 const minWait = time.Millisecond
 
+// maxWait is the longest time to wait that is returned: longer ones may exceed a duration.
+const maxWait = time.Hour
+
 // timeUntil returns the time until an amount is available.
 func (b *bucket) timeUntil(amount float64) time.Duration {
 	if b.limit.Rate <= 0 {
 		return minWait
 	}
-	return max(minWait, time.Duration((min(amount, b.limit.Burst)-b.level)/b.limit.Rate*float64(time.Second)))
+	seconds := (min(amount, b.limit.Burst) - b.level) / b.limit.Rate
+	return max(minWait, time.Duration(min(seconds, maxWait.Seconds())*float64(time.Second)))
 }
 
 // sweep evicts nodes whose allowances have expired, except the one that reports, and sums up
--- a/internal/process/divider/divider_test.go
+++ b/internal/process/divider/divider_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -249,3 +250,24 @@
 	}
 	require.LessOrEqual(t, sum, limit.Burst+1e-6)
 }
+
+// A call that is larger than the limit ever allows was let through as soon as the bucket was full, and the customer had
+// nothing left for years. Calls of that size that were refused kept others from their allowances.
+func TestCallsBeyondTheLargestAreNeverGranted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	bounded := limit
+	bounded.Largest = 200
+	d := divider.New(1, lifetime)
+	d.SetLimits(map[string]divider.Limit{"masons": bounded}, now)
+	now = now.Add(10 * time.Second) // the bucket is full
+	sequence := d.Renew(&divider.Report{Node: "a"}, now).Sequence
+	for _, amount := range []float64{201, 1e12, math.MaxInt64, math.Inf(1)} {
+		granted, wait := d.Take(&divider.Request{Node: "a", Sequence: sequence, Customer: "masons", Amount: amount, Least: amount}, now)
+		require.Zero(t, granted)
+		require.Positive(t, wait)
+	}
+	g := d.Renew(&divider.Report{Node: "a", Sequence: sequence, Demand: map[string]float64{"masons": 50}}, now)
+	require.Positive(t, g.Allowances["masons"])
+	granted, _ := d.Take(&divider.Request{Node: "a", Sequence: g.Sequence, Customer: "masons", Amount: 60, Least: 60}, now)
+	require.InDelta(t, 60, granted, 1e-9)
+}
--- a/internal/process/registrar/ruleset.go
+++ b/internal/process/registrar/ruleset.go
@@ -152,6 +152,9 @@
 	return errors.Join(errs...)
 }
 
+// maxWeight bounds the weights of a route, so that their sum can't overflow.
+const maxWeight = 1 << 40
+
 func (r *Route) check(services map[string]bool, nameByPath map[string]string) []error {
 	var errs []error
 	hostAndPrefix := strings.ToLower(r.Host) + " " + r.Prefix
@@ -170,8 +173,11 @@
 		if !services[share.Service] {
 			errs = append(errs, fmt.Errorf("route %q names the service %q, which is not defined", r.Name, share.Service))
 		}
-		if share.Weight < 0 {
+		switch {
+		case share.Weight < 0:
 			errs = append(errs, fmt.Errorf("route %q: a weight is below 0", r.Name))
+		case share.Weight > maxWeight:
+			errs = append(errs, fmt.Errorf("route %q: a weight is above %d", r.Name, maxWeight))
 		}
 		sum += share.Weight
 	}
--- a/internal/request/apportioner/apportioner.go
+++ b/internal/request/apportioner/apportioner.go
@@ -172,9 +172,14 @@
 	}
 	if now.Before(b.exhaustedUntil) && cost >= b.exhaustedCost {
 		b.requested += cost
-		return Over, b.availableAt.Sub(now) + time.Duration((cost-b.exhaustedCost)/b.rate*float64(time.Second))
+		return Over, b.availableAt.Sub(now) + b.timeFor(cost-b.exhaustedCost)
 	}
-	return Short, time.Duration(cost / b.rate * float64(time.Second))
+	return Short, b.timeFor(cost)
+}
+
+// timeFor returns the time in which the limit lets an amount through, an hour at most.
+func (b *bucket) timeFor(amount float64) time.Duration {
+	return time.Duration(min(amount/b.rate, time.Hour.Seconds()) * float64(time.Second))
 }
 
 // Return refunds the cost of a call that did not run.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -27,11 +27,13 @@
 	MaxWait time.Duration
 	Arrived time.Time
 	// Blocks are the blocks of the prompt. Prompt and Answer are sizes in tokens,
-	// which are stated if IsSized.
+	// which are stated if IsSized. IsMissized reports that sizes are stated that can't
+	// be read.
 	Blocks         []placer.PromptBlock
 	Prompt         int
 	Answer         int
 	IsSized        bool
+	IsMissized     bool
 	ExpectedAnswer int // estimated size of the answer in tokens, 0 if not stated
 	// After is the ID of the last event that the caller has received.
 	After string
@@ -89,6 +91,10 @@
 	Malformed Refusal = "malformed request"
 	// TooLarge means that the body exceeds the limit.
 	TooLarge Refusal = "body too large"
+	// Missized means that the sizes of the call can't be read.
+	Missized Refusal = "malformed sizes; state two whole numbers of tokens, such as 1460,80"
+	// Oversized means that the prompt is larger than the memory of an endpoint.
+	Oversized Refusal = "prompt larger than an endpoint's memory"
 	// Unauthorized means that the key is missing or unknown.
 	Unauthorized Refusal = "unknown key"
 	// NoRoute means that no route matches.
@@ -97,6 +103,8 @@
 	Stopping Refusal = "the node is stopping"
 	// OverQuota means that the customer is over its limit.
 	OverQuota Refusal = "over the limit"
+	// BeyondQuota means that the call alone is larger than the customer's limit ever allows.
+	BeyondQuota Refusal = "larger than the limit; state a smaller size"
 	// AllowanceUnknown means that no keeper said in time whether the customer is within its
 	// limit.
 	AllowanceUnknown Refusal = "allowance unknown"
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -55,6 +55,8 @@
 	// ServesUntil returns the time by which a call that arrives now must end, or the zero
 	// time if the node isn't stopping.
 	ServesUntil func() time.Time
+	// LargestCall returns the largest cost of a call that the customer's limit allows.
+	LargestCall func(customer *registrar.Customer) float64
 	// AskAllowance asks for what a call costs, beyond the allowances of this node, and passes
 	// the answer to Quotas. It reports false if there was no answer.
 	AskAllowance func(ctx context.Context, customer string, cost float64) bool
@@ -216,12 +218,26 @@
 	if until := f.config.ServesUntil(); !until.IsZero() && x.deadline.After(until) {
 		return Stopping, f.retryAfter(minRetryAfter)
 	}
+	if refusal := x.checkSize(); refusal != None {
+		return refusal, 0
+	}
 	if refusal, after := x.readBody(table.Limits().BodyBytes); refusal != None {
 		return refusal, after
 	}
 	return x.charge()
 }
 
+// checkSize refuses a call that no endpoint can serve as it is stated.
+func (x *exchange) checkSize() Refusal {
+	switch model := x.service.Model; {
+	case x.call.IsMissized:
+		return Missized
+	case x.call.IsSized && model != nil && model.KVSize > 0 && x.call.Prompt > model.KVSize:
+		return Oversized
+	}
+	return None
+}
+
 // charge charges the call to the customer's limit.
 func (x *exchange) charge() (Refusal, time.Duration) {
 	if x.customer == nil || x.customer.Rate <= 0 {
@@ -231,8 +247,13 @@
 	if x.customer.CountsTokens {
 		x.cost = x.customer.DefaultTokens
 		if x.call.IsSized {
-			x.cost = float64(x.call.Prompt + x.call.Answer)
+			x.cost = float64(x.call.Prompt) + float64(x.call.Answer)
 		}
+		x.cost = max(x.cost, 0)
+	}
+	if x.cost > x.f.config.LargestCall(x.customer) {
+		x.cost = 0
+		return BeyondQuota, 0
 	}
 	verdict, wait := x.takeQuota()
 	if verdict == apportioner.Short {
@@ -358,11 +379,19 @@
 	priorityStep = 0.3
 )
 
-// answerSize estimates the size of the answer in tokens.
+// minTokenTime is the shortest time in which an endpoint generates a token of one call.
+const minTokenTime = time.Millisecond
+
+// answerSize estimates the size of the answer in tokens: no more than what the caller states as
+// the maximum, and what can be generated in the remaining time.
 func (x *exchange) answerSize() int {
+	expected := min(x.call.ExpectedAnswer, int(max(x.remaining(), 0)/minTokenTime))
+	if x.call.IsSized {
+		expected = min(expected, x.call.Answer)
+	}
 	switch {
-	case x.call.ExpectedAnswer > 0:
-		return x.call.ExpectedAnswer
+	case expected > 0:
+		return expected
 	case x.call.IsSized:
 		return min(x.call.Answer, maxAssumedAnswer)
 	}
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -51,11 +51,13 @@
 	ask        func() bool   // answers a request for an allowance; by default the limit is spent
 	lapseAfter int           // number of checks after which the rules are not confirmed; 0 for never
 	budget     *forwarder.Budget
+	decode     func(call *forwarder.Call) // called with each call as it arrives
 }
 
 const (
-	allowance = 10              // the customer's allowance
-	drain     = 3 * time.Second // the time to drain
+	allowance   = 10 // the customer's allowance
+	largestCall = 1e6
+	drain       = 3 * time.Second // the time to drain
 )
 
 func newFixture(t *testing.T, endpoints ...*endpoint) *fixture {
@@ -75,7 +77,7 @@
 	f.pool = pool
 	f.forwarder = forwarder.New(forwarder.Config{
 		Clock: clock.System{}, BootClock: f.boot, Log: log.New(io.Discard), IsConfirmed: f.isConfirmed, ServesUntil: func() time.Time { return time.Time{} }, Encode: encode, Decode: decode, Refuse: refuse,
-		AskAllowance: f.askAllowance, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
+		LargestCall: func(*registrar.Customer) float64 { return largestCall }, AskAllowance: f.askAllowance, ReportAnswered: f.reportAnswered, CallBegan: func(string) { f.locked(func() { f.usage++ }) },
 		CallEnded: func(_ *forwarder.Call, r *forwarder.Result) { f.locked(func() { f.results = append(f.results, *r) }) },
 		IsIsolated: func(string, []placer.PromptBlock, func() uint64) bool {
 			f.hook(&f.placing)
@@ -190,6 +192,9 @@
 			return body, forwarder.None
 		},
 	}
+	if f.decode != nil {
+		f.decode(call)
+	}
 	f.forwarder.Serve(r.Context(), w, call)
 }
 
