Let keepers go on after their disks were full

Seen by other operators: disks were full for seconds, one after the other; long after the last had room again, no change was acknowledged, while all processes ran.

Cause: only a write that found no space was waited for. A lack of space at a sync, at a new segment, while a torn record was cut or segments were removed stopped the keeper for good. In the own composition its process went on without it.

--- a/internal/process/journaler/journaler.go
+++ b/internal/process/journaler/journaler.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -37,6 +38,14 @@
 // isFull reports whether a file system refused a write for lack of space.
 func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
 
+// asFull returns err, wrapped with ErrFull if the file system lacks space.
+func asFull(err error) error {
+	if isFull(err) {
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	}
+	return err
+}
+
 // Kind is the kind of an entry.
 type Kind uint8
 
@@ -108,6 +117,8 @@
 	current     File
 	currentSize int64
 	nextRecord  uint64 // number of the next record
+	isTorn      bool   // something may follow the last complete record of the current segment
+	isUnnamed   bool   // the folder is not synced since the current segment was created
 	buf         []byte
 	failed      error
 }
@@ -222,20 +233,15 @@
 	if err != nil {
 		return err
 	}
-	if j.current == nil || j.currentSize >= j.segmentSize {
-		if err := j.rotate(); err != nil {
-			return fmt.Errorf("start segment: %w", err)
-		}
+	if err := j.prepareSegment(); err != nil {
+		return err
 	}
 	j.buf = appendRecord(j.buf[:0], j.nextRecord, payload)
-	if _, err := j.current.Write(j.buf); isFull(err) {
+	if err := j.writeRecord(); isFull(err) {
 		return j.truncate(err)
 	} else if err != nil {
 		return fmt.Errorf("append: %w", err)
 	}
-	if err := j.current.Sync(); err != nil {
-		return fmt.Errorf("sync: %w", err)
-	}
 	j.currentSize += int64(len(j.buf))
 	j.nextRecord++
 	seg := &j.segments[len(j.segments)-1]
@@ -243,38 +249,78 @@
 	return nil
 }
 
+// prepareSegment makes the current segment ready for the next record. It continues what an
+// earlier call found no space for.
+func (j *Journal) prepareSegment() error {
+	if j.isTorn {
+		if err := j.reopen(); err != nil {
+			return err
+		}
+	}
+	if j.current == nil || j.currentSize >= j.segmentSize {
+		if err := j.rotate(); err != nil {
+			return fmt.Errorf("start segment: %w", err)
+		}
+	}
+	if j.isUnnamed {
+		if err := asFull(j.files.SyncFolder(j.folder)); err != nil {
+			return fmt.Errorf("start segment: %w", err)
+		}
+		j.isUnnamed = false
+	}
+	return nil
+}
+
+func (j *Journal) writeRecord() error {
+	if _, err := j.current.Write(j.buf); err != nil {
+		return err
+	}
+	// A disk may also run full at a sync, since it allocates space late.
+	return j.current.Sync()
+}
+
 // truncate removes the part of a record for which there was no space.
 func (j *Journal) truncate(cause error) error {
-	if err := j.current.Close(); err != nil {
+	j.isTorn = true
+	if err := j.reopen(); err != nil && !errors.Is(err, ErrFull) {
 		return fmt.Errorf("append: %w", errors.Join(cause, err))
 	}
+	return fmt.Errorf("append: %w: %w", ErrFull, cause)
+}
+
+// reopen opens the current segment without what follows its last complete record.
+func (j *Journal) reopen() error {
+	if j.current != nil {
+		err := j.current.Close()
+		j.current = nil
+		if err != nil && !isFull(err) {
+			return fmt.Errorf("close segment: %w", err)
+		}
+	}
 	f, err := j.files.Append(j.segments[len(j.segments)-1].path, j.currentSize)
 	if err != nil {
-		j.current = nil
-		return fmt.Errorf("append: %w", errors.Join(cause, err))
+		return fmt.Errorf("reopen segment: %w", asFull(err))
 	}
-	j.current = f
-	return fmt.Errorf("append: %w: %w", ErrFull, cause)
+	j.current, j.isTorn = f, false
+	return nil
 }
 
 func (j *Journal) rotate() error {
 	if j.current != nil {
-		if err := j.current.Close(); err != nil {
+		if err := j.current.Close(); err != nil && !isFull(err) {
 			return err
 		}
 		j.current = nil
 	}
 	path := filepath.Join(j.folder, fmt.Sprintf("%016x%s", j.nextRecord, segmentSuffix))
 	f, err := j.files.Create(path)
-	switch {
-	case isFull(err):
-		return fmt.Errorf("%w: %w", ErrFull, err)
-	case err != nil:
-		return err
+	if err != nil {
+		return asFull(err)
 	}
 	j.current, j.currentSize = f, 0
 	j.segments = append(j.segments, segment{path: path, firstRecord: j.nextRecord})
-	return j.files.SyncFolder(j.folder)
+	j.isUnnamed = true
+	return nil
 }
 
 // WriteSnapshot makes a snapshot durable. It changes only the snapshot file; the log stays as
@@ -301,14 +347,15 @@
 		return j.failed
 	}
 	j.snapshot.Index = max(j.snapshot.Index, index)
-	n := 0
-	for n < len(j.segments)-1 && j.segments[n].lastIndex <= index {
-		if err := j.files.Remove(j.segments[n].path); err != nil {
+	for len(j.segments) > 1 && j.segments[0].lastIndex <= index {
+		err := j.files.Remove(j.segments[0].path)
+		if isFull(err) {
+			return fmt.Errorf("remove segment: %w", asFull(err))
+		} else if err != nil {
 			return j.fail(fmt.Errorf("remove segment: %w", err))
 		}
-		n++
+		j.segments = slices.Clone(j.segments[1:])
 	}
-	j.segments = append([]segment(nil), j.segments[n:]...)
 	return nil
 }
 
@@ -319,26 +366,29 @@
 		return j.failed
 	}
 	j.snapshot.Index, j.last = index, index
-	if err := j.dropSegments(); err != nil {
-		return j.fail(err)
+	err := j.dropSegments()
+	if err == nil || errors.Is(err, ErrFull) {
+		return err
 	}
-	return nil
+	return j.fail(err)
 }
 
 func (j *Journal) dropSegments() error {
 	if j.current != nil {
-		if err := j.current.Close(); err != nil {
+		if err := j.current.Close(); err != nil && !isFull(err) {
 			return err
 		}
 		j.current = nil
 	}
-	for i := len(j.segments) - 1; i >= 0; i-- {
-		if err := j.files.Remove(j.segments[i].path); err != nil {
-			return err
+	for len(j.segments) > 0 {
+		last := len(j.segments) - 1
+		if err := j.files.Remove(j.segments[last].path); err != nil {
+			return asFull(err)
 		}
+		j.segments = j.segments[:last]
 	}
-	j.segments = nil
-	return j.files.SyncFolder(j.folder)
+	j.isTorn, j.isUnnamed = false, false
+	return asFull(j.files.SyncFolder(j.folder))
 }
 
 // Close closes the files and unlocks the folder.
--- a/internal/process/keeper/disk_test.go
+++ b/internal/process/keeper/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -13,10 +14,12 @@
 	"hyssoprudder/internal/process/journaler"
 )
 
-// brokenDisk makes all syncs fail once broken is set, and all writes while it is full.
+// brokenDisk makes all syncs fail once broken is set, and all writes while it is full. While it is
+// crowded, syncs and changes of names find no space either.
 type brokenDisk struct {
-	broken atomic.Bool
-	full   atomic.Bool
+	broken  atomic.Bool
+	full    atomic.Bool
+	crowded atomic.Bool
 }
 
 type brokenFile struct {
@@ -30,6 +33,9 @@
 	if f.disk.broken.Load() {
 		return errDisk
 	}
+	if f.disk.crowded.Load() {
+		return syscall.ENOSPC
+	}
 	return f.File.Sync()
 }
 
@@ -46,19 +52,34 @@
 	files := journaler.SystemFiles()
 	create, appendTo, replace := files.Create, files.Append, files.Replace
 	files.Create = func(path string) (journaler.File, error) {
+		if b.crowded.Load() {
+			return nil, syscall.ENOSPC
+		}
 		f, err := create(path)
 		return &brokenFile{File: f, disk: b}, err
 	}
 	files.Append = func(path string, size int64) (journaler.File, error) {
+		if b.crowded.Load() {
+			return nil, syscall.ENOSPC
+		}
 		f, err := appendTo(path, size)
 		return &brokenFile{File: f, disk: b}, err
 	}
 	files.Replace = func(path string, data []byte) error {
-		if b.full.Load() {
+		if b.full.Load() || b.crowded.Load() {
 			return syscall.ENOSPC
 		}
 		return replace(path, data)
 	}
+	for _, change := range []*func(string) error{&files.Remove, &files.SyncFolder} {
+		system := *change
+		*change = func(path string) error {
+			if b.crowded.Load() {
+				return syscall.ENOSPC
+			}
+			return system(path)
+		}
+	}
 	return files
 }
 
@@ -113,6 +134,39 @@
 	d.applyRules(base, base+3)
 }
 
+// Disks were full for a moment, one after the other. After two of three, no change was acknowledged any more, although all
+// had space again and all processes ran.
+func TestChangesAreAcknowledgedAfterDisksWereFullInTurn(t *testing.T) {
+	d, disks := newDeploymentOnDisks(t)
+	for name := range disks {
+		options := d.options[name]
+		options.SegmentSize = 256
+		d.kill(name)
+		d.options[name] = options
+		d.start(name)
+	}
+	d.snapshotEvery = 10
+	random := rand.New(rand.NewPCG(1, 1))
+	base := uint64(3)
+	for range 4 {
+		for _, name := range d.names {
+			disk := disks[name]
+			d.requireVoters(3)
+			disk.full.Store(random.IntN(2) == 0)
+			disk.crowded.Store(!disk.full.Load() || random.IntN(2) == 0)
+			d.applyRules(base, base+6) // by the two others
+			base += 6
+			disk.full.Store(false)
+			disk.crowded.Store(false)
+		}
+	}
+	d.requireVoters(3)
+	d.requireRevision(base)
+	for _, k := range d.keepers {
+		require.NoError(t, k.Err())
+	}
+}
+
 func TestKeeperWithFailingDiskAcknowledgesNothing(t *testing.T) {
 	d, disks := newDeploymentOnDisks(t)
 	old := d.leader()
