Bound the memory that answers take together

Seen by other operators: a faulty engine sent bytes without end, in heads and bodies; the node that had called it kept them all and ran out of memory.

Cause: each answer was bounded, but not all of them together: 256 KB and their buffers at an entry, 8 MB on the own interface, for each call.

Change: answers hold reservations of a common memory. When it is used up, a long answer is passed on as it arrives, or its attempt ends. Heads and reports have smaller bounds.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -16,15 +16,23 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"hyssoprudder/internal/process/reserver"
 )
 
 const (
-	connectTimeout  = time.Second
-	idleTimeout     = time.Minute
-	maxConns        = 256
-	maxIdleConns    = 64
-	maxAnswerBytes  = 8 << 20
-	maxHeaderBytes  = 64 << 10
+	connectTimeout = time.Second
+	idleTimeout    = time.Minute
+	maxConns       = 256
+	maxIdleConns   = 64
+	maxAnswerBytes = 8 << 20
+	maxHeaderBytes = 16 << 10
+	// maxReportBytes bounds the answers that nodes ask for themselves, in bytes.
+	maxReportBytes = 1 << 20
+	// maxAnswerMemory bounds the memory for all answers that are being read, in bytes, besides
+	// freeAnswer bytes for each of them.
+	maxAnswerMemory = 24 << 20
+	freeAnswer      = 16 << 10
 	headerRequest   = "Request"
 	headerOutcome   = "Outcome"
 	headerKey       = "Idempotency-Key"
@@ -37,7 +45,8 @@
 // ErrNotRun is returned if the endpoint itself reported that it did not run the call.
 var ErrNotRun = errors.New("the endpoint did not run the call")
 
-// ErrTooLarge is returned if an answer is larger than maxAnswerBytes.
+// ErrTooLarge is returned if an answer is larger than maxAnswerBytes, or than the memory that is
+// left for answers.
 var ErrTooLarge = errors.New("the answer of the endpoint is too large")
 
 // SendError is the error of a call that failed before its answer was received completely.
@@ -75,12 +84,13 @@
 // Dialer calls endpoints over pooled connections. It is safe for concurrent use.
 type Dialer struct {
 	client *http.Client
+	memory *reserver.Memory
 }
 
 // New returns a dialer without open connections.
 func New() *Dialer {
 	connect := &net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
-	return &Dialer{client: &http.Client{
+	return &Dialer{memory: reserver.New(maxAnswerMemory, freeAnswer), client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialTracked(connect),
 			MaxConnsPerHost:        maxConns,
@@ -145,7 +155,7 @@
 	if resp.StatusCode < http.StatusOK {
 		return Answer{}, &SendError{sent: true, err: fmt.Errorf("the answer has no final status: %d", resp.StatusCode)}
 	}
-	content, err := readAll(resp.Body)
+	content, err := d.readAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -170,12 +180,14 @@
 	return resp, *used.Load(), nil
 }
 
-func readAll(body io.Reader) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+func (d *Dialer) readAll(body io.Reader, limit int) ([]byte, error) {
+	memory := d.memory.Reserve()
+	defer memory.Release()
+	content, isWhole, err := memory.ReadAll(body, limit)
 	if err != nil {
 		return nil, &SendError{sent: true, err: err}
 	}
-	if len(content) > maxAnswerBytes {
+	if !isWhole {
 		return nil, ErrTooLarge
 	}
 	return content, nil
@@ -213,7 +225,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	content, err := readAll(resp.Body)
+	content, err := d.readAll(resp.Body, maxReportBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -35,7 +35,7 @@
 	// as lost. It must be shorter than any limit on how long a faulty node may disturb calls.
 	ackTimeout = 2 * time.Second
 	// maxAnswerHeader is the maximum size of the header of an answer, in bytes.
-	maxAnswerHeader = 64 << 10
+	maxAnswerHeader = 16 << 10
 )
 
 // ErrFull is returned by Get if the limit of connections to the endpoint is reached.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -16,12 +16,14 @@
 
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/request/placer"
 )
 
 const (
 	// maxBufferedAnswer is the size in bytes up to which an answer is buffered before
-	// it is sent to the caller. Longer answers are streamed.
+	// it is sent to the caller. Longer answers are streamed, and shorter ones too if the
+	// memory for answers is used up.
 	maxBufferedAnswer = 256 << 10
 	// maxRejectionBody bounds how much of the body of a rejection is read, in bytes, and
 	// rejectionTimeout for how long.
@@ -43,13 +45,17 @@
 
 // attempt sends the call to one endpoint.
 func (x *exchange) attempt(to *secured) step {
-	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned}
+	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned, memory: x.f.answerMemory.Reserve()}
 	// Deferred, so that it also runs when a panic aborts the caller's connection.
 	defer a.end()
 	return a.run()
 }
 
 func (a *attempt) end() {
+	if a.x.stream != nil {
+		a.x.stream.partial = nil // what no other attempt continues
+	}
+	a.memory.Release()
 	now := a.x.f.config.Clock.Now()
 	a.x.f.config.Placer.End(a.choice, a.outcome, now)
 	a.report(now)
@@ -78,6 +84,7 @@
 	lastEventAt time.Time // last event of a stream
 	deliveries  int       // writes of stream events to the caller
 	events      eventReader
+	memory      reserver.Reservation // for the answer
 }
 
 // run sends the call and delivers the answer.
@@ -306,7 +313,7 @@
 		return a.unusableAnswer("the endpoint did not resume the stream: status " + strconv.Itoa(a.response.StatusCode))
 	}
 	a.waitUntil(a.bodyDeadline())
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedAnswer+1))
+	body, isWhole, err := a.memory.ReadAll(a.response.Body, maxBufferedAnswer)
 	a.endWait()
 	if err != nil {
 		a.isBroken = a.isConnectionLost(err)
@@ -314,7 +321,7 @@
 	}
 	a.recordFirstByte()
 	x.countUsage()
-	if len(body) > maxBufferedAnswer {
+	if !isWhole {
 		return a.copyAnswer(body)
 	}
 	a.release(true)
@@ -323,7 +330,7 @@
 		a.outcome = placer.Failed
 		if x.route.IsRepeatable() {
 			// Another endpoint may succeed; if none does, this answer is delivered.
-			x.buffered = answer
+			x.keep(answer, &a.memory)
 			return stepLost
 		}
 	} else {
@@ -333,6 +340,13 @@
 	return stepDone
 }
 
+// keep keeps an answer, with the memory reserved for it, until the call ends.
+func (x *exchange) keep(answer *bufferedAnswer, memory *reserver.Reservation) {
+	x.bufferedMemory.Release()
+	x.buffered, x.bufferedMemory = answer, *memory
+	*memory = x.f.answerMemory.Reserve()
+}
+
 // deliver sends the buffered answer to the caller.
 func (h *bufferedAnswer) deliver(x *exchange) {
 	copyHeader(x.w.Header(), h.header)
@@ -362,7 +376,11 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
 	x.writeHeader(a.response.StatusCode)
-	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(start), a.response.Body))
+	_, err := x.w.Write(start)
+	a.memory.Release() // start is not used any more
+	if err == nil {
+		_, err = io.Copy(x.w, a.response.Body)
+	}
 	if err != nil {
 		a.conn.Close()
 		x.result.Refusal, x.result.Detail = Unknown, "the answer broke off: "+err.Error()
--- a/internal/request/forwarder/bodies.go
+++ b/internal/request/forwarder/bodies.go
@@ -6,6 +6,11 @@
 	// maxBodyMemory bounds the memory for the bodies of all calls of a node, in
 	// bytes. It is less than half of the memory of the users' smallest entries.
 	maxBodyMemory = 64 << 20
+	// maxAnswerMemory bounds the memory for all answers of a node, in bytes, besides freeAnswer
+	// bytes for each of them. Together with maxBodyMemory, it is less than half of the memory of
+	// the users' smallest entries. Nearly all answers and events are smaller than freeAnswer.
+	maxAnswerMemory = 16 << 20
+	freeAnswer      = 8 << 10
 	// defaultMaxBody bounds one body if the rules set no bound, in bytes.
 	defaultMaxBody = 4 << 20
 	// bodyMemoryRetryAfter is the retry delay for callers that are refused since the
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/request/apportioner"
 	"hyssoprudder/internal/request/placer"
 )
@@ -105,11 +106,12 @@
 	rulesWaiters atomic.Int64 // calls that wait for confirmed rules
 	longestWaits sync.Map     // *longestWait by route name
 	bodyBytes    atomic.Int64 // bytes reserved for bodies
+	answerMemory *reserver.Memory
 }
 
 // New returns a forwarder without rules.
 func New(c Config) *Forwarder {
-	return &Forwarder{config: c, started: c.Clock.Now()}
+	return &Forwarder{config: c, started: c.Clock.Now(), answerMemory: reserver.New(maxAnswerMemory, freeAnswer)}
 }
 
 // SetTable sets the rules in force.
@@ -163,6 +165,7 @@
 	isBudgeted     bool     // the call was recorded in the retry budget
 	isUsageCounted bool     // the call was counted in the customer's usage
 	buffered       *bufferedAnswer
+	bufferedMemory reserver.Reservation // for it
 	stream         *stream
 	result         Result
 }
@@ -184,6 +187,7 @@
 func (x *exchange) end() {
 	x.releaseNext()
 	x.f.bodyBytes.Add(-x.reserved)
+	x.bufferedMemory.Release()
 	x.result.Took = x.f.config.Clock.Now().Sub(x.call.Arrived)
 	x.f.config.CallEnded(x.call, &x.result)
 }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -38,7 +38,6 @@
 		return a.unusableAnswer("the endpoint did not resume the stream: its answer holds no events")
 	}
 	a.events = eventReader{sequence: &x.stream.sequence, isResumed: x.stream.isStarted}
-	x.stream.partial = x.stream.partial[:0]
 	a.bodyBy = a.bodyDeadline()
 	a.lastEventAt = x.f.config.Clock.Now()
 	buffer := make([]byte, streamBuffer)
@@ -49,6 +48,10 @@
 			a.endWait()
 		}
 		if n > 0 {
+			var hasMemory bool
+			if x.stream.partial, hasMemory = a.memory.Grow(x.stream.partial, n); !hasMemory {
+				return a.unusableAnswer("the memory for answers is used up")
+			}
 			isStream, failed := a.forwardEvents(buffer[:n])
 			if failed != nil {
 				return a.abortForwarding(failed)
