Reject versions that were replaced before they were planned

Callers would see: a version whose move was ordered and replaced within the leader's first round gets calls like an old one once its instances start, without a verdict.

Cause: such a version was taken for the one that might have run before, also when that is known. Found on reading; TestOrdersInAnySequence asked too little and failed as soon as it asked that only the running, the new and earlier completed versions get calls.

Change: it is rejected as soon as the version that ran before is known.

--- a/internal/version/mover/order.go
+++ b/internal/version/mover/order.go
@@ -57,7 +57,7 @@
 	if p.Phase != Done && !p.IsInPlace() {
 		s = s.without(p.To)
 		s.Rejected = append(s.Rejected, Rejection{
-			Version: p.To, Ordered: p.CreatedAt, Deadline: p.Deadline, Faulty: p.Reason == Faulty, Unplanned: !p.isPlanned(),
+			Version: p.To, Ordered: p.CreatedAt, Deadline: p.Deadline, Faulty: p.Reason == Faulty, Unplanned: p.Avoided() != nil,
 		})
 	}
 	s = s.without(s.To)
@@ -72,6 +72,9 @@
 // has planned the move.
 func (s State) Plan(config Config, base string, routes []Route, size int) State {
 	s = s.without(base)
+	for i := range s.Rejected {
+		s.Rejected[i].Unplanned = false // it is known now that another version ran before
+	}
 	s.Base = base
 	s.Steps = steps(config, Request{Routes: routes})
 	s.Size = size
--- a/internal/version/mover/order_test.go
+++ b/internal/version/mover/order_test.go
@@ -226,7 +226,7 @@
 func TestOrdersInAnySequence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t)
-		running := "v1"
+		running, completed := "v1", []string{"v1"}
 		failed := make(map[string]bool) // not ordered again since
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
@@ -256,6 +256,7 @@
 				}
 				if isGood {
 					running = f.state.To
+					completed = append(completed, running)
 				} else if f.state.To != running {
 					failed[f.state.To] = true
 				}
@@ -275,6 +276,9 @@
 			}
 			if f.state != nil && f.state.Size > 0 {
 				require.True(t, slices.Contains(serving, running) || slices.Equal(serving, []string{f.state.To}), "%v of %v: %+v", serving, f.listed, f.state)
+				for _, version := range serving {
+					require.Contains(t, append([]string{running, f.state.To}, completed...), version, "%+v", f.state)
+				}
 			}
 		}
 	})
