Add the fields that cold endpoints, reported load and machines need

Nothing uses them yet: services state how long endpoints are cold and how many calls a second they tolerate, endpoints until when they are cold, loads what was measured of the prefill and how much of it waits by priority, and settings the bounds of warm-up and evacuation and the size of the machine. Loads accept more fields than an earlier release sends; trailing zeros are left out, so that such a release still reads them.

Guarded by TestLoadsOfOtherReleases.

--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -95,6 +94,9 @@
 	// not known. Both are in cluster time, in milliseconds since 1970.
 	LeavingSince int64 `msgpack:"ls,omitempty"`
 	Born         int64 `msgpack:"b,omitempty"`
+	// ColdUntil is when the endpoint stops to be cold after its start, in cluster time, in
+	// milliseconds since 1970; 0 if it is warm.
+	ColdUntil int64 `msgpack:"cu,omitempty"`
 }
 
 // Change sets the endpoint at a position of the list. The position becomes empty if the
@@ -112,35 +114,76 @@
 	Waiting        uint16
 	PendingPrefill uint32
 	KVTokens       uint32
+	// PrefillTokens is a number of prompt tokens that the endpoint has processed lately, and
+	// PrefillTime how long it took, in milliseconds.
+	PrefillTokens uint32
+	PrefillTime   uint32
+	// PendingFirst is the part of PendingPrefill of calls with priority 0, and PendingSecond
+	// that of calls with priority 1.
+	PendingFirst  uint32
+	PendingSecond uint32
 }
 
-// loadFieldCount is the number of fields of a load on the wire.
-const loadFieldCount = 5
+// The number of fields of a load on the wire: those that are always sent, and all.
+const (
+	minLoadFields = 5
+	maxLoadFields = 9
+)
+
+// maxDecodedLoadFields bounds the fields of a load that are skipped if a later release sends
+// more than are known.
+const maxDecodedLoadFields = 64
+
+// fieldCount returns the number of fields that are sent: trailing ones that are 0 are left out.
+func (l *Load) fieldCount() int {
+	switch {
+	case l.PendingSecond > 0:
+		return maxLoadFields
+	case l.PendingFirst > 0:
+		return maxLoadFields - 1
+	case l.PrefillTokens > 0 || l.PrefillTime > 0:
+		return minLoadFields + 2
+	}
+	return minLoadFields
+}
 
 // EncodeMsgpack writes the fields as an array, in their order. Loads are most of the data
 // exchanged between nodes, so they are encoded without field names and without reflection.
 func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
-	return errors.Join(
-		enc.EncodeArrayLen(loadFieldCount), enc.EncodeUint(uint64(l.Position)), enc.EncodeUint(uint64(l.InFlight)),
-		enc.EncodeUint(uint64(l.Waiting)), enc.EncodeUint(uint64(l.PendingPrefill)), enc.EncodeUint(uint64(l.KVTokens)),
-	)
+	fields := [maxLoadFields]uint32{
+		uint32(l.Position), uint32(l.InFlight), uint32(l.Waiting), l.PendingPrefill, l.KVTokens,
+		l.PrefillTokens, l.PrefillTime, l.PendingFirst, l.PendingSecond,
+	}
+	n := l.fieldCount()
+	err := enc.EncodeArrayLen(n)
+	for _, field := range fields[:n] {
+		if err == nil {
+			err = enc.EncodeUint(uint64(field))
+		}
+	}
+	return err
 }
 
-// DecodeMsgpack reads what EncodeMsgpack wrote.
+// DecodeMsgpack reads what EncodeMsgpack wrote. Fields that are missing are 0, and those that a
+// later release has added are skipped.
 func (l *Load) DecodeMsgpack(dec *msgpack.Decoder) error {
+	*l = Load{}
 	n, err := dec.DecodeArrayLen()
-	if err == nil && n != loadFieldCount {
-		err = fmt.Errorf("decode load: got %d fields, want %d", n, loadFieldCount)
+	if err == nil && (n < minLoadFields || n > maxDecodedLoadFields) {
+		err = fmt.Errorf("decode load: got %d fields, want at least %d", n, minLoadFields)
 	}
 	for _, field := range []*uint16{&l.Position, &l.InFlight, &l.Waiting} {
 		if err == nil {
 			*field, err = dec.DecodeUint16()
 		}
 	}
-	for _, field := range []*uint32{&l.PendingPrefill, &l.KVTokens} {
-		if err == nil {
-			*field, err = dec.DecodeUint32()
+	long := []*uint32{&l.PendingPrefill, &l.KVTokens, &l.PrefillTokens, &l.PrefillTime, &l.PendingFirst, &l.PendingSecond}
+	for i := 3; i < n && err == nil; i++ {
+		if i-3 < len(long) {
+			*long[i-3], err = dec.DecodeUint32()
+			continue
 		}
+		err = dec.Skip()
 	}
 	return err
 }
--- a/internal/process/registrar/ruleset.go
+++ b/internal/process/registrar/ruleset.go
@@ -73,6 +73,10 @@
 	Model *Model `msgpack:"m,omitempty"`
 	// Capacity is set for services whose number of instances the system decides.
 	Capacity *Capacity `msgpack:"s,omitempty"`
+	// ColdStart is how long an endpoint is cold after its start, and ColdRate the number of
+	// calls a second that it tolerates meanwhile; 0 if endpoints need no warm-up.
+	ColdStart time.Duration `msgpack:"cs,omitempty"`
+	ColdRate  float64       `msgpack:"cr,omitempty"`
 }
 
 // Model describes the endpoints of a service that generates text.
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -34,6 +34,7 @@
 	tolerated  int
 	provider   Provider
 	bounds     Bounds
+	machine    Machine
 }
 
 // Provider describes the API that lists endpoints and accepts orders for capacity.
@@ -77,6 +78,9 @@
 	exposure    float64
 	exposed     float64
 	rollback    time.Duration
+	coldOver    float64
+	coldSlack   float64
+	evacuation  time.Duration
 }
 
 // Contact returns how long a node must have been undisturbed before the bounds hold for it.
@@ -140,6 +144,29 @@
 // more calls.
 func (b Bounds) Rollback() time.Duration { return b.rollback }
 
+// ColdOver returns the multiple of the calls a second that a cold endpoint tolerates up to which it
+// may get calls from all nodes.
+func (b Bounds) ColdOver() float64 { return b.coldOver }
+
+// ColdSlack returns how many calls a second a cold endpoint may get in addition to ColdOver.
+func (b Bounds) ColdSlack() float64 { return b.coldSlack }
+
+// Evacuation returns the time after the acknowledgement of an evacuation from which on no endpoint of
+// the failure domain gets a call.
+func (b Bounds) Evacuation() time.Duration { return b.evacuation }
+
+// Machine describes the machine of a node. Values are 0 if they are not configured.
+type Machine struct {
+	memory      int64
+	descriptors int
+}
+
+// Memory returns the memory of the machine in bytes.
+func (m Machine) Memory() int64 { return m.memory }
+
+// Descriptors returns the number of file descriptors that the process may have.
+func (m Machine) Descriptors() int { return m.descriptors }
+
 // File returns the path of the settings file.
 func (m *Managed) File() string { return m.file }
 
@@ -198,6 +225,9 @@
 // Bounds returns the guarantees of the deployment.
 func (m *Managed) Bounds() Bounds { return m.bounds }
 
+// Machine returns what the machine of the node has.
+func (m *Managed) Machine() Machine { return m.machine }
+
 // managedFile is the TOML layout of a managed node's settings file.
 type managedFile struct {
 	ID       value         `toml:"id"`
@@ -214,6 +244,7 @@
 	Listen   managedListen `toml:"listen"`
 	Provider fileProvider  `toml:"provider"`
 	Bounds   fileBounds    `toml:"bounds"`
+	Machine  fileMachine   `toml:"machine"`
 }
 
 type managedListen struct {
@@ -251,6 +282,14 @@
 	Exposure    value `toml:"exposure"`
 	Exposed     value `toml:"exposed"`
 	Rollback    value `toml:"rollback"`
+	ColdOver    value `toml:"coldover"`
+	ColdSlack   value `toml:"coldslack"`
+	Evacuation  value `toml:"evacuation"`
+}
+
+type fileMachine struct {
+	Memory      value `toml:"memory"`
+	Descriptors value `toml:"descriptors"`
 }
 
 var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "tolerate", "log.level",
@@ -258,7 +297,8 @@
 	"provider.address", "provider.rate", "provider.lag", "provider.duties",
 	"bounds.contact", "bounds.acknowledge", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
 	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
-	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback"}
+	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback", "bounds.coldover", "bounds.coldslack", "bounds.evacuation",
+	"machine.memory", "machine.descriptors"}
 
 // Defaults of settings that the file omits, and limits of their values.
 const (
@@ -277,6 +317,8 @@
 	defaultUsageLate   = 10 * time.Second
 	defaultExposure    = 0.1
 	defaultRollback    = 5 * time.Second
+	defaultColdOver    = 1.0
+	defaultEvacuation  = 5 * time.Second
 	defaultRate        = 10.0 // reads per second
 	defaultRelayed     = 80
 	defaultTolerated   = 1
@@ -285,6 +327,9 @@
 	maxBound     = time.Hour // maximum of a duration
 	maxCount     = 1e12      // maximum of a number
 	maxTolerated = 1000
+
+	maxMachineMemory = 1 << 24 // MB
+	maxDescriptors   = 1 << 24
 )
 
 // LoadManaged reads and validates the settings file of a managed node. The error is
@@ -337,6 +382,10 @@
 			duties:  r.texts("provider.duties", f.Provider.Duties),
 		},
 		bounds: r.bounds(&f.Bounds),
+		machine: Machine{
+			memory:      int64(r.count("machine.memory", f.Machine.Memory, 0, maxMachineMemory)) << 20,
+			descriptors: r.count("machine.descriptors", f.Machine.Descriptors, 0, maxDescriptors),
+		},
 	}
 	for _, name := range r.texts("roles", f.Roles) {
 		m.roles = append(m.roles, r.role(name))
@@ -371,6 +420,9 @@
 		exposure:    r.number("bounds.exposure", f.Exposure, defaultExposure),
 		exposed:     r.number("bounds.exposed", f.Exposed, 0),
 		rollback:    r.bound("bounds.rollback", f.Rollback, defaultRollback),
+		coldOver:    r.number("bounds.coldover", f.ColdOver, defaultColdOver),
+		coldSlack:   r.number("bounds.coldslack", f.ColdSlack, 0),
+		evacuation:  r.bound("bounds.evacuation", f.Evacuation, defaultEvacuation),
 	}
 }
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -75,6 +75,11 @@
 	IsLeaving bool
 	// Pause is how long the endpoint wants no calls from this node; 0 if it does not say.
 	Pause time.Duration
+	// Load is the load that the endpoint reports of itself; nil if it does not say.
+	Load *placer.ReportedLoad
+	// ColdRemaining is how long the endpoint is still cold after its start; 0 if it is warm
+	// or does not say.
+	ColdRemaining time.Duration
 }
 
 // Refusal is the reason why the system itself ended a call.
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -20,6 +20,9 @@
 	// depends on neither: notices do.
 	LeavingSince int64
 	Born         int64
+	// ColdUntil is when the endpoint stops to be cold after its start, in cluster time, in
+	// milliseconds since 1970; 0 if it is warm.
+	ColdUntil int64
 }
 
 // PromptBlock is a hashed block of a prompt. Prompts that begin with the same blocks
@@ -41,6 +44,15 @@
 	KVTokens int
 }
 
+// ReportedLoad is the load that an endpoint reports of itself in an answer.
+type ReportedLoad struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowdown is how long work takes at this moment, relative to the usual time; 1 is usual.
+	Slowdown float64
+}
+
 // Request describes a call for which an endpoint is to be chosen.
 type Request struct {
 	Service string
