--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -197,8 +196,9 @@
 	if x.stream != nil && x.stream.lastEventID != "" {
 		metadata.After = x.stream.lastEventID
 	}
+	target, _ := targetURL(a.choice.Endpoint().Address.String(), x.call.Target) // admit has refused targets without one
 	r := &http.Request{
-		Method: x.call.Method, URL: &url.URL{Scheme: "http", Host: a.choice.Endpoint().Address.String(), Opaque: x.call.Target},
+		Method: x.call.Method, URL: target,
 		Host: x.call.Host, Header: x.f.config.Encode(x.call, metadata), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(x.body) > 0 {
--- /dev/null
+++ b/internal/request/forwarder/export_test.go
@@ -0,0 +1,4 @@
+package forwarder
+
+// TargetURL makes targetURL available to tests.
+var TargetURL = targetURL
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -214,6 +214,9 @@
 		// On an open route, a known key identifies the customer.
 		x.customer = table.Customer(call.Key)
 	}
+	if _, ok := targetURL("", call.Target); !ok {
+		return Malformed, 0
+	}
 	x.service = table.Service(route.Pick(rand.Float64()))
 	x.deadline = call.Arrived.Add(route.Timeout)
 	if call.MaxWait > 0 {
