--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -83,7 +83,8 @@
 	k.coordinator = coordinator.New(coordinator.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "coordinator"), Lease: k.keeper.CaughtUpLease, Leader: k.leader,
 		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.state.Moves, Limits: k.limits, AllowanceLifetime: b.Revoke(), Window: b.UsageWindow(),
-		Relayed: n.settings.Relayed(),
+		Relayed: n.settings.Relayed(), ListLag: n.settings.Provider().Lag(),
+		WarmupBound: func(rate float64) float64 { return rate*b.ColdOver() + b.ColdSlack() },
 	})
 	k.relay = coordinator.NewRelay(coordinator.RelayConfig{
 		GroupConfig: coordinator.GroupConfig{
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -91,6 +91,7 @@
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
 	said map[noticeKey]said // what listed endpoints said to nodes
+	warmth warmth
 
 	sums              loadSums // over all nodes
 	relays            []RelayAddress
@@ -108,7 +109,7 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said), relayed: defaultRelayed,
+		said: make(map[noticeKey]said), warmth: newWarmth(now), relayed: defaultRelayed,
 	}
 }
 
@@ -130,13 +131,10 @@
 	return c.list.byPosition, c.list.isLoaded()
 }
 
-// SetEndpoints replaces the list of endpoints. It reports whether the list changed.
+// SetEndpoints replaces the list of endpoints by one that was read at now. It reports whether the
+// list changed.
 func (c *Core) SetEndpoints(endpoints []Endpoint, now time.Time) bool {
-	if !c.list.update(c.withNotices(endpoints), now) {
-		return false
-	}
-	c.sums.extend(len(c.list.byPosition))
-	return true
+	return c.ReadEndpoints(endpoints, now, now)
 }
 
 // SetLimits replaces the limits of customers.
@@ -181,6 +179,7 @@
 			d.ReportInterval = pageInterval
 		}
 		d.Loads = c.sums.except(c.nodes[r.Node].summedLoads())
+		c.grantWarmups(r, &d, now)
 	}
 	return d
 }
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -8,6 +8,7 @@
 	"hyssoprudder/internal/process/accountant"
 	"hyssoprudder/internal/process/attributor"
 	"hyssoprudder/internal/process/divider"
+	"hyssoprudder/internal/process/warmer"
 )
 
 const (
@@ -62,13 +63,14 @@
 	received      int
 	total         loadSums // with the loads of the nodes of other groups
 	sweptAt       time.Time
+	warmth        groupWarmth
 }
 
 // NewGroupCore returns the state of a relay that has not reported yet.
 func NewGroupCore(c GroupConfig) *GroupCore {
 	return &GroupCore{
 		config: c, members: make(map[string]*node), seen: make(map[string]time.Time), pool: divider.NewPool(c.Incarnation),
-		usage: make(map[usageKey]*usageRecord), refused: make(map[string]uint64), list: newList(0),
+		usage: make(map[usageKey]*usageRecord), refused: make(map[string]uint64), list: newList(0), warmth: groupWarmth{granter: warmer.NewGranter(time.Time{})},
 	}
 }
 
@@ -104,6 +106,7 @@
 			d.ReportInterval = pageInterval
 		}
 		d.Loads = g.total.except(g.members[r.Node].summedLoads())
+		g.grantWarmups(r, &d, now)
 	}
 	return d, true
 }
@@ -303,6 +306,7 @@
 		g.total.add(d.Loads)
 		g.total.review()
 	}
+	g.applyWarmups(d, sentAt, now)
 	g.leader, g.confirmedAt = *d, sentAt
 	return err
 }
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -15,6 +15,7 @@
 	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
 	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/warmer"
 )
 
 // Config configures a Coordinator.
@@ -39,6 +40,10 @@
 	Window time.Duration
 	// Relayed is the number of entries from which on they report to relays; 0 for the default.
 	Relayed int
+	// WarmupBound returns how many calls a second a cold endpoint may get that tolerates the given
+	// rate, and ListLag is by how much the provider's list may lag.
+	WarmupBound func(rate float64) float64
+	ListLag     time.Duration
 }
 
 // Coordinator answers the reports of all nodes while this node is the leader. It is safe for
@@ -124,10 +129,8 @@
 
 // Take grants what waiting calls need, if this node is the leader.
 func (c *Coordinator) Take(r *AllowanceRequest) (AllowanceReply, bool) {
-	ruleset := c.config.Ruleset()
 	var reply AllowanceReply
 	ok := c.Do(func(core *Core, _ keeper.Lease, now time.Time) {
-		c.setLimits(ruleset, now)
 		reply = core.Take(r, now)
 	})
 	return reply, ok
@@ -194,10 +197,23 @@
 		return
 	}
 	c.core.SetLimits(c.config.Limits(decoded), now)
+	c.core.SetWarming(c.warming(decoded), c.config.ListLag)
+}
+
+// warming returns the services whose endpoints warm up.
+func (c *Coordinator) warming(r *registrar.Ruleset) map[string]Warming {
+	out := make(map[string]Warming)
+	for i := range r.Services {
+		if s := &r.Services[i]; s.ColdRate > 0 && c.config.WarmupBound != nil {
+			out[s.Name] = Warming{Leases: warmer.Holders(c.config.WarmupBound(s.ColdRate))}
+		}
+	}
+	return out
 }
 
 // Do runs f with the state of the term if this node is the leader. f must not block.
 func (c *Coordinator) Do(f func(core *Core, lease keeper.Lease, now time.Time)) bool {
+	ruleset := c.config.Ruleset()
 	lease, ok := c.config.Lease()
 	if !ok {
 		return false
@@ -206,6 +222,7 @@
 	defer c.mu.Unlock()
 	now := c.config.Clock.Now()
 	c.enterTerm(lease, now)
+	c.setLimits(ruleset, now)
 	f(c.core, lease, now)
 	return true
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -95,7 +95,8 @@
 	LeavingSince int64 `msgpack:"ls,omitempty"`
 	Born         int64 `msgpack:"b,omitempty"`
 	// ColdUntil is when the endpoint stops to be cold after its start, in cluster time, in
-	// milliseconds since 1970; 0 if it is warm.
+	// milliseconds since 1970; 0 if it is warm. In the list as the provider sends it, it is the
+	// remaining time in milliseconds.
 	ColdUntil int64 `msgpack:"cu,omitempty"`
 }
 
@@ -316,6 +317,13 @@
 	Suspects      []attributor.Suspect   `msgpack:"su,omitempty"`
 	Isolations    []attributor.Isolation `msgpack:"is,omitempty"`
 	HasIsolations bool                   `msgpack:"hi,omitempty"`
+	// Warmups are the positions of the cold endpoints for which the node holds a warm-up lease, for
+	// WarmupLifetime from when the report was sent. A relay that may pass several on gets a position as
+	// often. ListRead is when the reading of the list began, in cluster time, in nanoseconds since 1970; 0
+	// if no service has endpoints that warm up.
+	Warmups        []uint16      `msgpack:"wu,omitempty"`
+	WarmupLifetime time.Duration `msgpack:"wl,omitempty"`
+	ListRead       int64         `msgpack:"lr,omitempty"`
 	// Entries is the number of nodes that serve callers.
 	Entries int `msgpack:"m"`
 	// ReportInterval is how long the node waits before its next report.
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -187,6 +187,7 @@
 func (s *listReader) read() {
 	ctx, cancel := context.WithTimeout(s.ctx, listTimeout)
 	defer cancel()
+	readAt := s.config.Clock.Now()
 	list, err := s.config.List(ctx)
 	if err != nil {
 		if !s.failing {
@@ -200,7 +201,7 @@
 	}
 	s.failing = false
 	s.config.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) {
-		if core.SetEndpoints(list, now) {
+		if core.ReadEndpoints(list, readAt, now) {
 			s.config.Log.Debug("list of endpoints changed", "endpoints", len(list))
 		}
 	})
