--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -46,6 +46,7 @@
 	clock     clock.Clock
 	transport *http.Transport
 	opened    atomic.Uint64
+	lost      func(address netip.AddrPort)
 
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]*host
@@ -68,6 +69,17 @@
 	}
 }
 
+// SetLost sets the function that is called when an idle connection is found closed by the endpoint before
+// its idle timeout. It must not use the pool. SetLost must be called before the pool is used.
+func (p *Pool) SetLost(lost func(address netip.AddrPort)) { p.lost = lost }
+
+// checkLost reports a closed idle connection that is not expired.
+func (p *Pool) checkLost(c *Conn, now time.Time) {
+	if p.lost != nil && c.client.Err() != nil && now.Sub(c.idleSince) < c.idleTimeout {
+		p.lost(c.address)
+	}
+}
+
 // Conn is one connection. It is not safe for concurrent use.
 type Conn struct {
 	pool        *Pool
@@ -112,6 +124,7 @@
 			c.isFresh = false
 			return c, nil
 		}
+		p.checkLost(c, now)
 		h.open--
 		c.closeClient()
 	}
@@ -195,6 +208,7 @@
 				kept = append(kept, c)
 				continue
 			}
+			p.checkLost(c, now)
 			h.open--
 			expired = append(expired, c)
 		}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,9 +83,10 @@
 		isolator: isolator.New(),
 	}
 	n.entry = e
+	e.pool.SetLost(func(address netip.AddrPort) { e.placer.LoseContact(address, n.bootClock.Now()) })
 	e.placer.SetDrain(b.Drain())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e})
+	n.registry.MustRegister(&notices{e}, &warmups{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -180,6 +182,7 @@
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
 		s.pool.Sweep(s.placer.IsWanted)
 		(&notices{s.entry}).expire()
+		(&warmups{s.entry}).log()
 		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
@@ -295,6 +298,7 @@
 		(&notices{e}).hear(endpoints)
 	}
 	if isCurrent {
+		(&warmups{e}).apply(d, sentAt)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
@@ -347,6 +351,9 @@
 		e.node.log.Error("endpoint list can't be applied; the previous list stays in use", "err", err)
 		return false
 	}
+	if e.listID.Term != d.ListID.Term {
+		e.placer.DoubtCold(e.node.bootClock.Now())
+	}
 	e.listID, e.endpoints, e.received = d.ListID, endpoints, d.Received
 	e.placer.SetEndpoints(endpointsOf(endpoints))
 	return true
@@ -362,6 +369,7 @@
 	}
 	t := registrar.NewTable(r)
 	e.quotas.SetRates(ratesOf(t))
+	(&warmups{e}).setRules(r)
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
 		"bytes", len(body), "took", e.node.clock.Now().Sub(started))
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -90,7 +90,7 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
-	said map[noticeKey]said // what listed endpoints said to nodes
+	said   map[noticeKey]said // what listed endpoints said to nodes
 	warmth warmth
 
 	sums              loadSums // over all nodes
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -213,7 +213,10 @@
 
 // Do runs f with the state of the term if this node is the leader. f must not block.
 func (c *Coordinator) Do(f func(core *Core, lease keeper.Lease, now time.Time)) bool {
-	ruleset := c.config.Ruleset()
+	var ruleset applier.Ruleset
+	if c.config.Ruleset != nil {
+		ruleset = c.config.Ruleset()
+	}
 	lease, ok := c.config.Lease()
 	if !ok {
 		return false
--- a/internal/process/warmer/warmer.go
+++ b/internal/process/warmer/warmer.go
@@ -197,7 +197,7 @@
 	for key, shares := range a.shares {
 		kept := shares[:0]
 		for i, s := range shares {
-			isReplaced := slices.ContainsFunc(shares[i+1:], func(later share) bool { return later.leases >= s.leases })
+			isReplaced := slices.ContainsFunc(shares[i+1:], func(later share) bool { return later.leases >= s.leases && !later.until.Before(s.until) })
 			if !isReplaced && now.Sub(s.until) < CallInterval {
 				kept = append(kept, s)
 			}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -56,6 +56,9 @@
 		a.x.stream.partial = nil // what no other attempt continues
 	}
 	a.memory.Release()
+	if a.isBroken || a.outcome == placer.Unreached {
+		a.x.loseContact(a.choice)
+	}
 	now := a.x.f.config.Clock.Now()
 	a.x.f.config.Placer.End(a.choice, a.outcome, now)
 	a.report(now)
@@ -217,6 +220,9 @@
 	var failure *pooler.Failure
 	if errors.As(err, &failure) && !failure.IsSent() {
 		a.isUnsent = true
+		if a.isConnectionLost(err) {
+			x.loseContact(a.choice)
+		}
 		if a.conn.IsFresh() && x.ctx.Err() == nil {
 			a.outcome = placer.Unreached
 		}
--- a/internal/request/forwarder/notice.go
+++ b/internal/request/forwarder/notice.go
@@ -22,11 +22,23 @@
 	if a.reply.IsLeaving && c.Placer.MarkLeaving(&e, c.BootClock.Now()) {
 		c.Log.Info("endpoint leaving; it gets no new calls from here", "endpoint", e.ID, "service", e.Service, "address", e.Address, "source", "answer")
 	}
+	if a.reply.ColdRemaining > 0 {
+		c.Placer.MarkCold(&e, a.reply.ColdRemaining, c.BootClock.Now())
+	}
 	if a.reply.Pause > 0 && c.Placer.Pause(&e, a.reply.Pause, c.BootClock.Now()) {
 		c.Log.Info("endpoint asks for a pause; it gets no calls from here until then", "endpoint", e.ID, "service", e.Service, "pause", a.reply.Pause, "source", "answer")
 	}
 }
 
+// loseContact records that contact with an endpoint was lost, so that it may be cold when it is reached
+// again.
+func (x *exchange) loseContact(choice *placer.Choice) {
+	e := choice.Endpoint()
+	if x.f.config.Placer.LoseContact(e.Address, x.f.config.BootClock.Now()) {
+		x.f.config.Log.Debug("contact with an endpoint lost; it may be cold", "endpoint", e.ID, "service", e.Service, "address", e.Address)
+	}
+}
+
 // placeLastResort places a call that no other endpoint can serve at one that has said not
 // long ago that it leaves. It returns the refusal that led here if there is none.
 func (x *exchange) placeLastResort(req *placer.Request, refused placer.Refusal, wait time.Duration) (*placer.Choice, placer.Refusal, time.Duration) {
--- a/internal/request/forwarder/silence.go
+++ b/internal/request/forwarder/silence.go
@@ -90,7 +90,11 @@
 	defer cancel()
 	conn, err := x.connect(ctx, choice)
 	if err != nil {
-		c.Placer.End(choice, unreachedOutcome(ctx, err), c.Clock.Now())
+		outcome := unreachedOutcome(ctx, err)
+		if outcome == placer.Unreached {
+			x.loseContact(choice)
+		}
+		c.Placer.End(choice, outcome, c.Clock.Now())
 		return false
 	}
 	x.next = &secured{choice: choice, conn: conn}
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -97,6 +97,8 @@
 	RefusedEmpty Refusal = "no endpoint"
 	// RefusedPaused means that all endpoints of the service asked for a pause.
 	RefusedPaused Refusal = "endpoints paused"
+	// RefusedCold means that all eligible endpoints are cold and get no call from this node now.
+	RefusedCold Refusal = "endpoints cold"
 	// RefusedFull means that all eligible endpoints are full.
 	RefusedFull Refusal = "endpoints full"
 	// RefusedLate means that no endpoint is expected to begin its answer in time.
@@ -115,6 +117,8 @@
 	isOnlyWaiter   bool // no other call was waiting for its first event
 	isLastResort   bool // a leaving endpoint was allowed
 	returning      *returning
+	warm           *warmth   // nil if the endpoint need not warm up
+	chargedAt      time.Time // when MaySend last allowed to send the call, if it warms up
 }
 
 // Endpoint returns the chosen endpoint, as it was listed then.
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -1,9 +1,5 @@
 package placer
 
-import (
-	"math/rand/v2"
-)
-
 // affinity ranks endpoints for a prompt by rendezvous hashing of its shared blocks,
 // so that all nodes send prompts with the same blocks to the same few endpoints
 // without coordination.
@@ -45,7 +41,7 @@
 	for _, e := range list {
 		s := a.score(e)
 		// The score is cheaper than the check, and rules out most endpoints.
-		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
+		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !p.isOpen(e, req.Boot) {
 			continue
 		}
 		switch {
@@ -76,7 +72,7 @@
 		}
 	}
 	for range 2 * sampleSize {
-		out = append(out, list[rand.IntN(len(list))])
+		out = append(out, p.draw(list, req.Boot))
 	}
 	return out
 }
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -145,15 +145,16 @@
 
 // MaySend reports whether a call may still be sent to the endpoint that was chosen for it.
 // It is to be asked right before the call is sent, since the endpoint may have asked for
-// a pause, or said that it leaves, since it was chosen.
+// a pause, said that it leaves, or become cold, since it was chosen. At a cold endpoint the call
+// then counts as sent.
 func (p *Placer) MaySend(c *Choice, boot time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.notices[c.listed.noticeKey()]
-	if n == nil {
-		return true
+	if n != nil && (boot.Before(n.returnAt) || !n.leavingSince.IsZero() && (!c.isLastResort || !p.isLastResort(n, boot))) {
+		return false
 	}
-	return !boot.Before(n.returnAt) && (n.leavingSince.IsZero() || c.isLastResort && p.isLastResort(n, boot))
+	return c.charge(p, boot)
 }
 
 // IsWanted reports whether an endpoint with the address may get calls, so that idle
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -67,6 +67,7 @@
 type endpoint struct {
 	Endpoint
 	notice       *notice // nil if the endpoint has said nothing of itself
+	warm         *warmth // nil if the endpoint need not warm up
 	hash         uint64
 	ownLoad      Load
 	peerLoad     Load
@@ -87,6 +88,7 @@
 	positions    []*endpoint // by position in the endpoint list; nil if empty
 	notices      map[noticeKey]*notice
 	drain        time.Duration
+	warming      warming
 	peersUpdated time.Time
 }
 
@@ -119,6 +121,7 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
+		e.warm = p.warmthOf(&listed)
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
@@ -207,11 +210,15 @@
 	var bestFirst float64
 	refusal := RefusedEmpty
 	soonest := math.Inf(1)
-	aff := newAffinity(req)
+	aff, isCold := newAffinity(req), false
 	for _, e := range p.candidates(req, aff) {
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
+		if !p.isOpen(e, req.Boot) {
+			isCold = true
+			continue
+		}
 		if p.isFull(e, req) {
 			refusal = RefusedFull
 			continue
@@ -230,6 +237,9 @@
 			if wait, isPaused := p.pausedFor(req.Service, req.Boot); isPaused {
 				return nil, RefusedPaused, wait
 			}
+			if isCold {
+				return nil, RefusedCold, p.warmupWait(req)
+			}
 			return nil, RefusedEmpty, 0
 		}
 		if refusal != RefusedLate {
@@ -281,6 +291,10 @@
 	prefill := float64(e.estimatePrefill(req, aff))
 	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
 	first = queue + prefill/e.prefillRate
+	isCold := p.isCold(e, req.Boot)
+	if isCold {
+		queue, first = coldFactor*queue, coldFactor*first
+	}
 	if req.Prompt > 0 {
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
@@ -299,6 +313,9 @@
 	if e.Domain != req.Domain {
 		cost += remotePenalty
 	}
+	if isCold {
+		cost += coldPenalty
+	}
 	return first, cost + req.Random*0.01*float64(e.hash%97), late
 }
 
@@ -330,6 +347,7 @@
 		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
+	c.reserve(p, req.Boot)
 	c.isLastResort = req.IsLastResort
 	e.ownLoad.InFlight++
 	e.ownLoad.Waiting++
@@ -421,6 +439,7 @@
 	c.isOnlyWaiter = c.isOnlyWaiter && outcome == Answered
 	p.recordFirst(c, now)
 	c.endReturn(outcome == Answered)
+	c.releaseWarmup()
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
 	switch outcome {
