--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -336,3 +336,37 @@
 	require.NoError(t, err)
 	require.Equal(t, "ok", string(body))
 }
+
+// Guards against an endpoint that was started again unseen: an idle connection that it closed is the only sign
+// until the next call.
+func TestClosedIdleConnectionIsReported(t *testing.T) {
+	cases := map[string]func(t *testing.T, p *pooler.Pool, e *endpoint){
+		"next call": func(t *testing.T, p *pooler.Pool, e *endpoint) {
+			c, err := p.Get(context.Background(), e.address(), 9)
+			require.NoError(t, err)
+			c.Release()
+		},
+		"sweep": func(_ *testing.T, p *pooler.Pool, _ *endpoint) { p.Sweep(func(netip.AddrPort) bool { return true }) },
+	}
+	for name, look := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(c net.Conn, r *http.Request) {
+				answerOK(c, r)
+				c.Close()
+			})
+			p := pooler.New(clock.System{})
+			defer p.Close()
+			var lost atomic.Int32
+			p.SetLost(func(address netip.AddrPort) {
+				if address == e.address() {
+					lost.Add(1)
+				}
+			})
+			require.NoError(t, call(t, p, e))
+			require.Eventually(t, func() bool {
+				look(t, p, e)
+				return lost.Load() > 0
+			}, 5*time.Second, 5*time.Millisecond)
+		})
+	}
+}
--- a/internal/process/coordinator/warm_test.go
+++ b/internal/process/coordinator/warm_test.go
@@ -37,8 +37,6 @@
 	arrived []time.Time // when they arrived
 }
 
-func (e *coldEndpoint) started() time.Time { return e.starts[len(e.starts)-1] }
-
 // remaining returns how long it is cold from a time on, as it was known then.
 func (e *coldEndpoint) remaining(at time.Time) time.Duration {
 	for i := len(e.starts) - 1; i >= 0; i-- {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -389,6 +389,9 @@
 	}
 	if err != nil {
 		a.conn.Close()
+		if x.ctx.Err() == nil {
+			x.loseContact(a.choice)
+		}
 		x.result.Refusal, x.result.Detail = Unknown, "the answer broke off: "+err.Error()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/request/forwarder/endpoint_test.go
+++ b/internal/request/forwarder/endpoint_test.go
@@ -25,6 +25,7 @@
 
 	headerLeaving = "Leaving"
 	headerPause   = "Pause"
+	headerCold    = "Cold"
 )
 
 // answerFunc answers one request with raw bytes. It returns false to close the
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -211,12 +211,14 @@
 	return forwarder.Reply{
 		ID: r.Header.Get(headerID), IsNotRun: r.Header.Get(headerNotRun) != "", IsSealed: r.Header.Get(headerSeal) != "",
 		IsMisdirected: r.StatusCode == http.StatusMisdirectedRequest, IsClosing: r.Close,
-		IsLeaving: r.Header.Get(headerLeaving) != "", Pause: pauseOf(r),
+		IsLeaving: r.Header.Get(headerLeaving) != "", Pause: pauseOf(r), ColdRemaining: durationOf(r, headerCold),
 	}
 }
 
-func pauseOf(r *http.Response) time.Duration {
-	d, err := time.ParseDuration(r.Header.Get(headerPause))
+func pauseOf(r *http.Response) time.Duration { return durationOf(r, headerPause) }
+
+func durationOf(r *http.Response, header string) time.Duration {
+	d, err := time.ParseDuration(r.Header.Get(header))
 	if err != nil {
 		return 0
 	}
