--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// SetLost sets the function that is called when an idle connection is found closed by the endpoint before
-// its idle timeout. It must not use the pool. SetLost must be called before the pool is used.
+// SetLost sets the function that is called when a connection that no call uses is found closed by the
+// endpoint before its idle timeout. It must not use the pool. SetLost must be called before the pool is used.
 func (p *Pool) SetLost(lost func(address netip.AddrPort)) { p.lost = lost }
 
 // checkLost reports a closed idle connection that is not expired.
@@ -263,6 +263,9 @@
 // to its end.
 func (c *Conn) Release() {
 	if c.closed || c.client.Err() != nil || len(c.refused) >= maxRefusals {
+		if !c.closed && c.client.Err() != nil && c.pool.lost != nil {
+			c.pool.lost(c.address)
+		}
 		c.Close()
 		return
 	}
--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -346,12 +346,15 @@
 			require.NoError(t, err)
 			c.Release()
 		},
-		"sweep": func(_ *testing.T, p *pooler.Pool, _ *endpoint) { p.Sweep(func(netip.AddrPort) bool { return true }) },
+		"sweep":   func(_ *testing.T, p *pooler.Pool, _ *endpoint) { p.Sweep(func(netip.AddrPort) bool { return true }) },
+		"release": func(*testing.T, *pooler.Pool, *endpoint) {},
 	}
 	for name, look := range cases {
 		t.Run(name, func(t *testing.T) {
+			released := make(chan struct{})
 			e := newEndpoint(t, func(c net.Conn, r *http.Request) {
 				answerOK(c, r)
+				<-released
 				c.Close()
 			})
 			p := pooler.New(clock.System{})
@@ -362,7 +365,21 @@
 					lost.Add(1)
 				}
 			})
-			require.NoError(t, call(t, p, e))
+			if name == "release" {
+				c, err := p.Get(context.Background(), e.address(), 9)
+				require.NoError(t, err)
+				response, err := c.Do(get("/a"))
+				require.NoError(t, err)
+				_, err = io.ReadAll(response.Body)
+				require.NoError(t, err)
+				response.Body.Close()
+				close(released)
+				time.Sleep(50 * time.Millisecond) // for the end of the connection to arrive
+				c.Release()
+			} else {
+				require.NoError(t, call(t, p, e))
+				close(released)
+			}
 			require.Eventually(t, func() bool {
 				look(t, p, e)
 				return lost.Load() > 0
