--- a/internal/node/assembler/lives.go
+++ b/internal/node/assembler/lives.go
@@ -58,7 +58,7 @@
 			q = &question{next: e.LeavingSince.Add(l.node.settings.Bounds().Drain() + lifeDelay), interval: lifeDelay}
 		}
 		current[key] = q
-		if now.Before(q.next) || e.IsPaused(now) || started == maxLifeChecks {
+		if now.Before(q.next) || e.IsPaused(now) || started == maxLifeChecks || !l.placer.MayAsk(e.ID, now) {
 			continue
 		}
 		started++
--- a/internal/node/assembler/warmups.go
+++ b/internal/node/assembler/warmups.go
@@ -15,6 +15,11 @@
 	leaseDesc = prometheus.NewDesc("hyssoprudder_warmup_leases", "Warm-up leases for cold endpoints that this node holds.", nil, nil)
 )
 
+// unstatedListAge is the assumed age of the list of a leader of an earlier release, which does not state it.
+// Without it, an endpoint with which contact was lost would get no calls until that leader is replaced. Such a
+// leader reads the list every 0.3 s, and a relay's copy is up to a second old.
+const unstatedListAge = 2 * time.Second
+
 // warmups connects an entry's placer with the rules and directives on cold endpoints, and reports on them.
 type warmups struct {
 	*entry
@@ -59,8 +64,12 @@
 // counted from then, so that the time of its reading is not taken for too late.
 func (w *warmups) apply(d *coordinator.Directive, sentAt time.Time) {
 	leases := &placer.Warmups{Positions: d.Warmups, Until: sentAt.Add(d.WarmupLifetime), Offset: time.Unix(0, d.ClusterTime).Sub(w.node.bootClock.Now())}
-	if d.ListRead > 0 && d.Received >= d.Length {
+	switch {
+	case d.Received < d.Length:
+	case d.ListRead > 0:
 		leases.ListRead = sentAt.Add(-time.Duration(d.ClusterTime - d.ListRead))
+	default:
+		leases.ListRead = sentAt.Add(-unstatedListAge)
 	}
 	w.placer.SetWarmups(leases, w.node.bootClock.Now())
 }
--- a/internal/process/coordinator/releases_test.go
+++ b/internal/process/coordinator/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -9,6 +10,24 @@
 	"hyssoprudder/internal/process/coordinator"
 )
 
+// Guards against directives on cold endpoints that a node of an earlier release can't read.
+func TestDirectivesOfOtherReleases(t *testing.T) {
+	raw, err := msgpack.Marshal(coordinator.Directive{Leads: true, Entries: 3, Warmups: []uint16{4, 4}, WarmupLifetime: time.Second, ListRead: 7})
+	require.NoError(t, err)
+	var earlier struct {
+		Leads   bool `msgpack:"y"`
+		Entries int  `msgpack:"m"`
+	}
+	require.NoError(t, msgpack.Unmarshal(raw, &earlier))
+	require.True(t, earlier.Leads)
+	require.Equal(t, 3, earlier.Entries)
+	raw, err = msgpack.Marshal(earlier)
+	require.NoError(t, err)
+	var d coordinator.Directive
+	require.NoError(t, msgpack.Unmarshal(raw, &d))
+	require.Equal(t, coordinator.Directive{Leads: true, Entries: 3}, d)
+}
+
 // Guards against loads that a node of another release can't read: an earlier release sends and
 // expects five fields, and a later one may send more than are known here.
 func TestLoadsOfOtherReleases(t *testing.T) {
--- a/internal/request/placer/warm.go
+++ b/internal/request/placer/warm.go
@@ -229,6 +229,21 @@
 	return true
 }
 
+// MayAsk reports whether an endpoint may be asked about itself, which counts as a call if it is cold.
+func (p *Placer) MayAsk(id string, boot time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.byID[id]
+	if e == nil || e.warm == nil {
+		return true
+	}
+	if !p.isOpen(e, boot) {
+		return false
+	}
+	e.warm.sentAt = boot
+	return true
+}
+
 // warmupWait returns how long it takes until an endpoint of a service may get a call, if all are cold.
 func (p *Placer) warmupWait(req *Request) time.Duration {
 	wait := coldRetry
