--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -336,3 +336,54 @@
 	require.NoError(t, err)
 	require.Equal(t, "ok", string(body))
 }
+
+// Guards against an endpoint that was started again unseen: an idle connection that it closed is the only sign
+// until the next call.
+func TestClosedIdleConnectionIsReported(t *testing.T) {
+	cases := map[string]func(t *testing.T, p *pooler.Pool, e *endpoint){
+		"next call": func(t *testing.T, p *pooler.Pool, e *endpoint) {
+			c, err := p.Get(context.Background(), e.address(), 9)
+			require.NoError(t, err)
+			c.Release()
+		},
+		"sweep":   func(_ *testing.T, p *pooler.Pool, _ *endpoint) { p.Sweep(func(netip.AddrPort) bool { return true }) },
+		"release": func(*testing.T, *pooler.Pool, *endpoint) {},
+	}
+	for name, look := range cases {
+		t.Run(name, func(t *testing.T) {
+			released := make(chan struct{})
+			e := newEndpoint(t, func(c net.Conn, r *http.Request) {
+				answerOK(c, r)
+				<-released
+				c.Close()
+			})
+			p := pooler.New(clock.System{})
+			defer p.Close()
+			var lost atomic.Int32
+			p.SetLost(func(address netip.AddrPort) {
+				if address == e.address() {
+					lost.Add(1)
+				}
+			})
+			if name == "release" {
+				c, err := p.Get(context.Background(), e.address(), 9)
+				require.NoError(t, err)
+				response, err := c.Do(get("/a"))
+				require.NoError(t, err)
+				_, err = io.ReadAll(response.Body)
+				require.NoError(t, err)
+				response.Body.Close()
+				close(released)
+				time.Sleep(50 * time.Millisecond) // for the end of the connection to arrive
+				c.Release()
+			} else {
+				require.NoError(t, call(t, p, e))
+				close(released)
+			}
+			require.Eventually(t, func() bool {
+				look(t, p, e)
+				return lost.Load() > 0
+			}, 5*time.Second, 5*time.Millisecond)
+		})
+	}
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -55,6 +55,9 @@
 		a.x.stream.partial = nil // what no other attempt continues
 	}
 	a.memory.Release()
+	if a.isBroken || a.outcome == placer.Unreached {
+		a.x.loseContact(a.choice)
+	}
 	now := a.x.f.config.Clock.Now()
 	a.x.f.config.Placer.End(a.choice, a.outcome, now)
 	a.report(now)
@@ -217,6 +220,9 @@
 	var failure *pooler.Failure
 	if errors.As(err, &failure) && !failure.IsSent() {
 		a.isUnsent = true
+		if a.isConnectionLost(err) {
+			x.loseContact(a.choice)
+		}
 		if a.conn.IsFresh() && x.ctx.Err() == nil {
 			a.outcome = placer.Unreached
 		}
@@ -383,6 +389,9 @@
 	}
 	if err != nil {
 		a.conn.Close()
+		if x.ctx.Err() == nil {
+			x.loseContact(a.choice)
+		}
 		x.result.Refusal, x.result.Detail = Unknown, "the answer broke off: "+err.Error()
 		panic(http.ErrAbortHandler)
 	}
