Evacuate failure domains in managed deployments

Operators order an evacuation or its end; the order is committed to the log, the leader tells the entries, and these send no further calls to the endpoints of the domain.

--- a/cmd/hyssoprudder-managed/main.go
+++ b/cmd/hyssoprudder-managed/main.go
@@ -90,6 +90,7 @@
 		OperatorHandler: func(o *assembler.Operators) http.Handler {
 			return platform.Control(&platform.Operators{
 				Log: o.Log, Put: o.Put, Document: o.Document, StartMove: o.StartMove, Move: o.Move,
+				IsDomain: o.IsDomain, SetEvacuated: o.SetEvacuated,
 			})
 		},
 		Encode: platform.Encode, Decode: platform.Decode, Refuse: platform.Refuse,
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -40,6 +40,10 @@
 	StartMove func(ctx context.Context, service, version string, within time.Duration) error
 	// Move returns the state of a service's move; ok is false if no move was ordered.
 	Move func(ctx context.Context, service string) (s mover.State, ok bool, err error)
+	// IsDomain reports whether the deployment has a failure domain.
+	IsDomain func(domain string) bool
+	// SetEvacuated starts or ends the evacuation of a failure domain.
+	SetEvacuated func(ctx context.Context, domain string, evacuated bool) error
 	// Log records operators' requests.
 	Log *log.Logger
 }
@@ -125,7 +129,7 @@
 	if s.Has(settings.RoleEntry) {
 		n.buildEntry()
 	}
-	n.registry.MustRegister(&contact{n})
+	n.registry.MustRegister(&contact{n}, &evacuated{n})
 	return n, nil
 }
 
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -72,6 +72,9 @@
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
 	granter       uint64                 // relay that granted the allowances, 0 for a leader
+	evacuated     []string               // evacuated domains, sorted
+	// evacuationNumber is that of the directive that evacuated came from.
+	evacuationNumber uint64
 }
 
 func (n *Node) buildEntry() {
@@ -275,6 +278,7 @@
 // directive names a ruleset and that ruleset or a newer one is in force at the node.
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
 	now, inForce := e.node.clock.Now(), e.forwarder.Table().Number()
+	e.applyEvacuated(d) // before the list, so that no endpoint of such a domain gets a call
 	if d.RulesetNumber > inForce {
 		e.retriever.Retrieve(d.RulesetNumber, d.Keepers, d.Leader)
 	}
--- /dev/null
+++ b/internal/node/assembler/evacuation.go
@@ -0,0 +1,113 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hyssoprudder/internal/process/applier"
+	"hyssoprudder/internal/process/coordinator"
+)
+
+// errEvacuationUnsupported means that the leader runs a release that does not execute the order.
+var errEvacuationUnsupported = errors.New("the leader does not support evacuations")
+
+// isDomain reports whether the deployment has the failure domain.
+func (k *keeperRole) isDomain(name string) bool {
+	return slices.Contains(k.node.settings.Domains(), name)
+}
+
+// setEvacuated starts or ends the evacuation of a domain. It returns nil once the order is committed. The order
+// carries the number of the state that it was given for, so that a delayed copy of it changes nothing.
+func (k *keeperRole) setEvacuated(ctx context.Context, domain string, evacuated bool) error {
+	list, err := k.proposer.Evacuations(ctx)
+	if err != nil {
+		return err
+	}
+	base := applier.Evacuation{}
+	if i := slices.IndexFunc(list, func(e applier.Evacuation) bool { return e.Domain == domain }); i >= 0 {
+		base = list[i]
+	}
+	if base.Evacuated == evacuated {
+		return nil // an operator who got no answer sends the same order again
+	}
+	command := applier.Command{EvacuationSet: &applier.EvacuationSet{Domain: domain, Evacuated: evacuated, Base: base.Number}}
+	result, err := k.proposer.Propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	if result.Evacuation == nil {
+		return errEvacuationUnsupported
+	}
+	k.node.log.Info("evacuation committed", "domain", domain, "evacuated", evacuated, "number", result.Evacuation.Number)
+	return nil
+}
+
+// isEvacuated reports whether the domain is evacuated according to what this keeper has applied.
+func (k *keeperRole) isEvacuated(domain string) bool {
+	return slices.ContainsFunc(k.state.Evacuations(), func(e applier.Evacuation) bool { return e.Evacuated && e.Domain == domain })
+}
+
+// applyEvacuated passes the evacuated domains of a directive to the placer. A directive from before the last change
+// that the entry knows is ignored, and so is one of a node that knows of no order: an evacuation ends only when its
+// end was ordered.
+func (e *entry) applyEvacuated(d *coordinator.Directive) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d.EvacuationNumber == 0 || d.EvacuationNumber < e.evacuationNumber {
+		return
+	}
+	domains := slices.Clone(d.Evacuated)
+	if d.EvacuationNumber == e.evacuationNumber {
+		domains = append(domains, e.evacuated...)
+	}
+	slices.Sort(domains)
+	domains = slices.Compact(domains)
+	e.evacuationNumber = d.EvacuationNumber
+	if slices.Equal(domains, e.evacuated) {
+		return
+	}
+	e.placer.SetEvacuated(domains)
+	for _, domain := range domains {
+		if !slices.Contains(e.evacuated, domain) {
+			e.node.log.Info("failure domain evacuated; its endpoints get no calls from here", "domain", domain)
+		}
+	}
+	for _, domain := range e.evacuated {
+		if !slices.Contains(domains, domain) {
+			e.node.log.Info("evacuation ended; the domain's endpoints get calls again", "domain", domain)
+		}
+	}
+	e.evacuated = domains
+}
+
+var evacuatedDesc = prometheus.NewDesc("hyssoprudder_evacuated_domains", "Failure domains that are evacuated, as far as this role of the node knows.", []string{"role"}, nil)
+
+// evacuated reports the number of evacuated domains as a metric.
+type evacuated struct {
+	*Node
+}
+
+// Describe sends the description of the metric.
+func (m *evacuated) Describe(out chan<- *prometheus.Desc) { out <- evacuatedDesc }
+
+// Collect sends the metric.
+func (m *evacuated) Collect(out chan<- prometheus.Metric) {
+	if e := m.entry; e != nil {
+		e.mu.Lock()
+		n := len(e.evacuated)
+		e.mu.Unlock()
+		out <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), "entry")
+	}
+	if m.keeper != nil {
+		n := 0
+		for _, e := range m.keeper.state.Evacuations() {
+			if e.Evacuated {
+				n++
+			}
+		}
+		out <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), "keeper")
+	}
+}
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -83,7 +83,7 @@
 	k.coordinator = coordinator.New(coordinator.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "coordinator"), Lease: k.keeper.CaughtUpLease, Leader: k.leader,
 		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.state.Moves, Limits: k.limits, AllowanceLifetime: b.Revoke(), Window: b.UsageWindow(),
-		Relayed: n.settings.Relayed(),
+		Relayed: n.settings.Relayed(), Evacuations: k.state.Evacuations, EvacuationBound: b.Evacuation(),
 	})
 	k.relay = coordinator.NewRelay(coordinator.RelayConfig{
 		GroupConfig: coordinator.GroupConfig{
@@ -108,7 +108,7 @@
 		Clock: n.bootClock, Log: n.log.With("part", "conductor"), WithLeaderState: k.coordinator.Do, Moves: k.state.Moves, Propose: k.keeper.Propose,
 		MoveConfig: k.moveConfig, Routes: func(service string) []mover.Route { return moveRoutes(k.rules(), service) },
 	})
-	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, Log: n.log.With("part", "operator")}
+	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, IsDomain: k.isDomain, SetEvacuated: k.setEvacuated, Log: n.log.With("part", "operator")}
 	k.control = listener.New("operators", &http.Server{
 		Handler: screener.Guard(a.OperatorHandler(operators)), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
 	}, nil, n.log)
--- a/internal/process/applier/applier.go
+++ b/internal/process/applier/applier.go
@@ -84,6 +84,7 @@
 	intents        map[string]Intent
 	claims         *table
 	ruleset        Ruleset
+	evacuations    map[string]Evacuation
 	onRevision     func(Revision)
 }
 
@@ -94,6 +95,7 @@
 		moves:          make(map[string]Move),
 		intents:        make(map[string]Intent),
 		claims:         newTable(),
+		evacuations:    make(map[string]Evacuation),
 	}
 }
 
@@ -151,6 +153,8 @@
 		return Result{Claim: a.claims.finish(c.ClaimFinish, a.now)}
 	case c.ClaimResolve != nil:
 		return Result{Claim: a.claims.resolve(c.ClaimResolve, a.now)}
+	case c.EvacuationSet != nil:
+		return Result{Evacuation: a.setEvacuation(c.EvacuationSet)}
 	}
 	return Result{}
 }
--- a/internal/process/applier/command.go
+++ b/internal/process/applier/command.go
@@ -22,6 +22,8 @@
 	ClaimGrant   *ClaimGrant   `msgpack:"cg,omitempty"`
 	ClaimFinish  *ClaimFinish  `msgpack:"cf,omitempty"`
 	ClaimResolve *ClaimResolve `msgpack:"cr,omitempty"`
+
+	EvacuationSet *EvacuationSet `msgpack:"es,omitempty"`
 }
 
 // Encode returns the command as msgpack.
@@ -128,6 +130,14 @@
 	Answer   *Answer `msgpack:"a,omitempty"`
 }
 
+// EvacuationSet starts or ends the evacuation of a failure domain if the domain's evacuation still has the number
+// Base. An order that finds the domain in the wanted state changes nothing.
+type EvacuationSet struct {
+	Domain    string `msgpack:"d"`
+	Evacuated bool   `msgpack:"e"`
+	Base      uint64 `msgpack:"base"`
+}
+
 // Outcome is how an at-most-once call ended.
 type Outcome string
 
@@ -166,6 +176,8 @@
 	Fence   *Fence         `msgpack:"f,omitempty"`
 	Intent  *IntentResult  `msgpack:"i,omitempty"`
 	Claim   *ClaimResult   `msgpack:"c,omitempty"`
+	// Evacuation is the domain's evacuation after EvacuationSet.
+	Evacuation *Evacuation `msgpack:"e,omitempty"`
 }
 
 // RuleOutcome is whether a change of the rules was accepted.
--- a/internal/process/applier/snapshot.go
+++ b/internal/process/applier/snapshot.go
@@ -20,6 +20,8 @@
 	Intents   []Intent   `msgpack:"intents"`
 	Claims    []*Claim   `msgpack:"claims"`
 	Ruleset   Ruleset    `msgpack:"ruleset"`
+	// Evacuations is missing in the snapshots of former releases.
+	Evacuations []Evacuation `msgpack:"evacuations,omitempty"`
 }
 
 // Encode returns the image as msgpack. Equal states have equal encodings.
@@ -39,15 +41,16 @@
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	image := &Image{
-		Index:     a.index,
-		Now:       a.now,
-		Revisions: append([]Revision(nil), a.revisions...),
-		Changes:   append([]change(nil), a.changes...),
-		Moves:     a.sortedMoves(),
-		Fence:     a.fence,
-		Intents:   a.sortedIntents(),
-		Claims:    make([]*Claim, 0, len(a.claims.records)),
-		Ruleset:   a.ruleset,
+		Index:       a.index,
+		Now:         a.now,
+		Revisions:   append([]Revision(nil), a.revisions...),
+		Changes:     append([]change(nil), a.changes...),
+		Moves:       a.sortedMoves(),
+		Fence:       a.fence,
+		Intents:     a.sortedIntents(),
+		Claims:      make([]*Claim, 0, len(a.claims.records)),
+		Ruleset:     a.ruleset,
+		Evacuations: a.sortedEvacuations(),
 	}
 	for _, c := range a.claims.records {
 		image.Claims = append(image.Claims, c)
@@ -87,6 +90,10 @@
 	for _, in := range image.Intents {
 		a.intents[in.ID] = in
 	}
+	a.evacuations = make(map[string]Evacuation, len(image.Evacuations))
+	for _, e := range image.Evacuations {
+		a.evacuations[e.Domain] = e
+	}
 	a.claims = newTable()
 	for _, c := range image.Claims {
 		key := claimKey{c.Customer, c.Key}
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -90,6 +90,8 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
+	evacuations map[string]*evacuation
+
 	said map[noticeKey]said // what listed endpoints said to nodes
 
 	sums              loadSums // over all nodes
@@ -108,7 +110,7 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said), relayed: defaultRelayed,
+		said: make(map[noticeKey]said), evacuations: make(map[string]*evacuation), relayed: defaultRelayed,
 	}
 }
 
@@ -193,6 +195,7 @@
 	if c.isRelayed {
 		d.Relays = c.relays
 	}
+	d.Evacuated, d.EvacuationNumber = c.evacuated()
 	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
 	if c.Age(now) < startupWindow {
 		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
--- /dev/null
+++ b/internal/process/coordinator/evacuation.go
@@ -0,0 +1,97 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"hyssoprudder/internal/process/applier"
+)
+
+const (
+	// stopFraction is the fraction of the bound on evacuations after which entries are told to
+	// send no more calls to a domain. Capacity elsewhere is ordered at the start, so that some of
+	// it serves when the calls move. Reports, relays and a change of the leader take the rest.
+	stopFraction = 0.3
+	// endedWindow is how long after the end of an evacuation a new leader treats it as one that
+	// ends now, since the former leader may not have done so.
+	endedWindow = 5 * time.Second
+)
+
+// evacuation is what the leader knows of a domain's evacuation.
+type evacuation struct {
+	recorded applier.Evacuation
+	dueAt    time.Time // from when on directives contain the domain, if it is evacuated
+	isTold   bool      // directives contain the domain
+}
+
+// SetEvacuations passes on the recorded evacuations. Entries are told of one after a fraction of
+// the bound. It returns the domains whose entries are told from now on, and those whose evacuation
+// has ended.
+func (c *Core) SetEvacuations(list []applier.Evacuation, bound time.Duration, now time.Time) (told, ended []string) {
+	clusterTime := now.Add(c.clusterTimeOffset).UnixNano()
+	delay := fractionOf(bound, stopFraction)
+	for _, recorded := range list {
+		e := c.evacuations[recorded.Domain]
+		if e == nil || e.recorded.Number != recorded.Number {
+			isEnded := !recorded.Evacuated && (e != nil || clusterTime-recorded.At < int64(endedWindow))
+			age := time.Duration(clusterTime - recorded.At)
+			e = &evacuation{recorded: recorded, dueAt: now.Add(untilTold(age, delay))}
+			c.evacuations[recorded.Domain] = e
+			if isEnded {
+				c.evacuationEnded(recorded.Domain, now)
+				ended = append(ended, recorded.Domain)
+			}
+		}
+		if recorded.Evacuated && !e.isTold && !now.Before(e.dueAt) {
+			e.isTold = true
+			told = append(told, recorded.Domain)
+		}
+	}
+	return told, ended
+}
+
+// untilTold returns the time until entries are told of an order of the given age. The age is a
+// difference between the clocks of two leaders; one that clocks in order do not give is not relied
+// on, so that entries are rather told too early.
+func untilTold(age, delay time.Duration) time.Duration {
+	if age < -delay {
+		return 0
+	}
+	return min(max(delay-age, 0), delay)
+}
+
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
+// evacuationEnded is called once when the evacuation of a domain has ended, and by a new leader
+// for one that ended shortly before.
+func (c *Core) evacuationEnded(_ string, _ time.Time) {}
+
+// evacuated returns the domains whose entries are to send no calls, sorted, and the number of
+// changes that led to this state.
+func (c *Core) evacuated() (domains []string, number uint64) {
+	for domain, e := range c.evacuations {
+		number += e.recorded.Number
+		if e.isTold {
+			domains = append(domains, domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains, number
+}
+
+// setEvacuations passes the recorded evacuations to the core and logs what changes. The lease was
+// checked before, so that they include all that was acknowledged when the report was sent.
+func (c *Coordinator) setEvacuations(now time.Time) {
+	if c.config.Evacuations == nil {
+		return
+	}
+	told, ended := c.core.SetEvacuations(c.config.Evacuations(), c.config.EvacuationBound, now)
+	for _, domain := range told {
+		c.config.Log.Info("evacuation: entries are told to send no calls to the domain", "domain", domain)
+	}
+	for _, domain := range ended {
+		c.config.Log.Info("evacuation ended; the domain serves again", "domain", domain)
+	}
+}
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -93,6 +93,7 @@
 		Leads: true, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
 		ClusterTime: now.Add(g.clusterOffset).UnixNano(), ReportInterval: g.interval(), MovesID: g.leader.MovesID,
 		Suspects: g.leader.Suspects, Isolations: g.leader.Isolations, HasIsolations: g.leader.HasIsolations,
+		Evacuated: g.leader.Evacuated, EvacuationNumber: g.leader.EvacuationNumber,
 	}
 	if r.MovesID != d.MovesID {
 		d.Moves = g.leader.Moves
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -37,6 +37,10 @@
 	AllowanceLifetime time.Duration
 	// Window is the length of a usage window.
 	Window time.Duration
+	// Evacuations returns the recorded evacuations of failure domains; nil if there are none.
+	// EvacuationBound is the time after an order within which entries send no more calls there.
+	Evacuations     func() []applier.Evacuation
+	EvacuationBound time.Duration
 	// Relayed is the number of entries from which on they report to relays; 0 for the default.
 	Relayed int
 }
@@ -106,6 +110,7 @@
 	now := c.config.Clock.Now()
 	c.enterTerm(lease, now)
 	c.setLimits(ruleset, now)
+	c.setEvacuations(now)
 	d := c.core.HandleReport(r, now)
 	for _, i := range c.core.TakeIsolated() {
 		c.logIsolated(i)
@@ -206,6 +211,7 @@
 	defer c.mu.Unlock()
 	now := c.config.Clock.Now()
 	c.enterTerm(lease, now)
+	c.setEvacuations(now)
 	f(c.core, lease, now)
 	return true
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -316,6 +316,11 @@
 	Suspects      []attributor.Suspect   `msgpack:"su,omitempty"`
 	Isolations    []attributor.Isolation `msgpack:"is,omitempty"`
 	HasIsolations bool                   `msgpack:"hi,omitempty"`
+	// Evacuated are the failure domains whose endpoints get no new calls, sorted. EvacuationNumber
+	// counts the changes of evacuations in the log: a node ignores Evacuated if it is lower than
+	// one that it has seen, or 0, with which a node that knows of no order leaves it out.
+	Evacuated        []string `msgpack:"ev,omitempty"`
+	EvacuationNumber uint64   `msgpack:"en,omitempty"`
 	// Entries is the number of nodes that serve callers.
 	Entries int `msgpack:"m"`
 	// ReportInterval is how long the node waits before its next report.
--- a/internal/process/keeper/service.go
+++ b/internal/process/keeper/service.go
@@ -105,6 +105,8 @@
 		reply.Intents = a.Intents()
 	case args.Ruleset:
 		reply.Ruleset = a.Ruleset()
+	case args.Evacuations:
+		reply.Evacuations = a.Evacuations()
 	case args.Claim != nil:
 		if c, ok := a.Claim(args.Claim.Customer, args.Claim.Key); ok {
 			reply.Claim = &c
--- a/internal/process/keeper/wire.go
+++ b/internal/process/keeper/wire.go
@@ -109,13 +109,14 @@
 
 // ReadArgs requests one part of the current state. Exactly one field besides MaxWait is set.
 type ReadArgs struct {
-	MaxWait time.Duration `msgpack:"w"`
-	Rules   bool          `msgpack:"rules,omitempty"`
-	History bool          `msgpack:"history,omitempty"`
-	Moves   bool          `msgpack:"moves,omitempty"`
-	Intents bool          `msgpack:"intents,omitempty"`
-	Ruleset bool          `msgpack:"ruleset,omitempty"`
-	Claim   *ClaimQuery   `msgpack:"claim,omitempty"`
+	MaxWait     time.Duration `msgpack:"w"`
+	Rules       bool          `msgpack:"rules,omitempty"`
+	History     bool          `msgpack:"history,omitempty"`
+	Moves       bool          `msgpack:"moves,omitempty"`
+	Intents     bool          `msgpack:"intents,omitempty"`
+	Ruleset     bool          `msgpack:"ruleset,omitempty"`
+	Claim       *ClaimQuery   `msgpack:"claim,omitempty"`
+	Evacuations bool          `msgpack:"evacuations,omitempty"`
 }
 
 // ClaimQuery identifies one claim.
@@ -126,12 +127,13 @@
 
 // ReadReply carries the part that ReadArgs requested if Answer is AnswerOK.
 type ReadReply struct {
-	Answer  Answer             `msgpack:"a"`
-	Leader  netip.AddrPort     `msgpack:"l"`
-	Rules   applier.Revision   `msgpack:"rules"`
-	History []applier.Revision `msgpack:"history,omitempty"`
-	Moves   []applier.Move     `msgpack:"moves,omitempty"`
-	Intents []applier.Intent   `msgpack:"intents,omitempty"`
-	Claim   *applier.Claim     `msgpack:"claim,omitempty"`
-	Ruleset applier.Ruleset    `msgpack:"ruleset"`
+	Answer      Answer               `msgpack:"a"`
+	Leader      netip.AddrPort       `msgpack:"l"`
+	Rules       applier.Revision     `msgpack:"rules"`
+	History     []applier.Revision   `msgpack:"history,omitempty"`
+	Moves       []applier.Move       `msgpack:"moves,omitempty"`
+	Intents     []applier.Intent     `msgpack:"intents,omitempty"`
+	Claim       *applier.Claim       `msgpack:"claim,omitempty"`
+	Ruleset     applier.Ruleset      `msgpack:"ruleset"`
+	Evacuations []applier.Evacuation `msgpack:"evacuations,omitempty"`
 }
--- a/internal/process/proposer/read.go
+++ b/internal/process/proposer/read.go
@@ -43,6 +43,12 @@
 	return reply.Intents, err
 }
 
+// Evacuations returns the evacuations of all failure domains for which one was ordered.
+func (p *Proposer) Evacuations(ctx context.Context) ([]applier.Evacuation, error) {
+	reply, err := p.read(ctx, keeper.ReadArgs{Evacuations: true})
+	return reply.Evacuations, err
+}
+
 // Claim returns the claim of a customer's key, if there is one.
 func (p *Proposer) Claim(ctx context.Context, customer, key string) (applier.Claim, bool, error) {
 	reply, err := p.read(ctx, keeper.ReadArgs{Claim: &keeper.ClaimQuery{Customer: customer, Key: key}})
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -62,7 +62,7 @@
 		req.Version = ""
 		choice, refused, wait = x.f.config.Placer.Place(req)
 	}
-	if choice == nil && (refused == placer.RefusedEmpty || refused == placer.RefusedPaused) {
+	if choice == nil && (refused == placer.RefusedEmpty || refused == placer.RefusedPaused || refused == placer.RefusedEvacuated) {
 		return x.placeLastResort(req, refused, wait)
 	}
 	return choice, refused, wait
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -97,6 +97,8 @@
 	RefusedEmpty Refusal = "no endpoint"
 	// RefusedPaused means that all endpoints of the service asked for a pause.
 	RefusedPaused Refusal = "endpoints paused"
+	// RefusedEvacuated means that all endpoints of the service are in evacuated domains.
+	RefusedEvacuated Refusal = "endpoints evacuated"
 	// RefusedFull means that all eligible endpoints are full.
 	RefusedFull Refusal = "endpoints full"
 	// RefusedLate means that no endpoint is expected to begin its answer in time.
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -145,10 +145,13 @@
 
 // MaySend reports whether a call may still be sent to the endpoint that was chosen for it.
 // It is to be asked right before the call is sent, since the endpoint may have asked for
-// a pause, or said that it leaves, since it was chosen.
+// a pause, or said that it leaves, or its domain may have been evacuated, since it was chosen.
 func (p *Placer) MaySend(c *Choice, boot time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.evacuated[c.listed.Domain] {
+		return false
+	}
 	n := p.notices[c.listed.noticeKey()]
 	if n == nil {
 		return true
@@ -256,7 +259,7 @@
 func (p *Placer) pausedFor(service string, boot time.Time) (time.Duration, bool) {
 	soonest, found := time.Duration(0), false
 	for _, e := range p.services[service] {
-		if e.isLeaving() {
+		if e.isLeaving() || e.isEvacuated {
 			continue
 		}
 		if e.notice == nil || !boot.Before(e.notice.returnAt) {
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -66,6 +66,7 @@
 // endpoint is the state of an endpoint as seen by this node.
 type endpoint struct {
 	Endpoint
+	isEvacuated  bool    // its failure domain is evacuated
 	notice       *notice // nil if the endpoint has said nothing of itself
 	hash         uint64
 	ownLoad      Load
@@ -86,6 +87,7 @@
 	byID         map[string]*endpoint
 	positions    []*endpoint // by position in the endpoint list; nil if empty
 	notices      map[noticeKey]*notice
+	evacuated    map[string]bool // failure domains
 	drain        time.Duration
 	peersUpdated time.Time
 }
@@ -119,6 +121,7 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
+		e.isEvacuated = p.evacuated[listed.Domain]
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
@@ -165,12 +168,12 @@
 	return out
 }
 
-// HasEndpoint reports whether the service has an endpoint that is not leaving.
+// HasEndpoint reports whether the service has an endpoint that is neither leaving nor evacuated.
 func (p *Placer) HasEndpoint(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.services[service] {
-		if !e.isLeaving() {
+		if !e.isLeaving() && !e.isEvacuated {
 			return true
 		}
 	}
@@ -230,6 +233,9 @@
 			if wait, isPaused := p.pausedFor(req.Service, req.Boot); isPaused {
 				return nil, RefusedPaused, wait
 			}
+			if p.isAllEvacuated(req.Service) {
+				return nil, RefusedEvacuated, evacuationRetryDelay
+			}
 			return nil, RefusedEmpty, 0
 		}
 		if refusal != RefusedLate {
@@ -241,7 +247,7 @@
 }
 
 func (e *endpoint) isEligible(req *Request) bool {
-	if e.Leaving || req.Now.Before(e.ejectedUntil) {
+	if e.Leaving || e.isEvacuated || req.Now.Before(e.ejectedUntil) {
 		return false
 	}
 	if req.Version != "" && e.Version != req.Version || slices.Contains(req.Unwanted, e.Version) {
