--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -72,9 +72,7 @@
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
 	granter       uint64                 // relay that granted the allowances, 0 for a leader
-	evacuated     []string               // evacuated domains, sorted
-	// evacuationNumber is that of the directive that evacuated came from.
-	evacuationNumber uint64
+	evacuated     coordinator.Evacuated
 }
 
 func (n *Node) buildEntry() {
--- a/internal/node/assembler/evacuation.go
+++ b/internal/node/assembler/evacuation.go
@@ -45,42 +45,32 @@
 	return nil
 }
 
-// isEvacuated reports whether the domain is evacuated according to what this keeper has applied.
-func (k *keeperRole) isEvacuated(domain string) bool {
-	return slices.ContainsFunc(k.state.Evacuations(), func(e applier.Evacuation) bool { return e.Evacuated && e.Domain == domain })
+// evacuated returns the domains that are evacuated according to what this keeper has applied.
+func (k *keeperRole) evacuated() []string {
+	var out []string
+	for _, e := range k.state.Evacuations() {
+		if e.Evacuated {
+			out = append(out, e.Domain)
+		}
+	}
+	return out
 }
 
-// applyEvacuated passes the evacuated domains of a directive to the placer. A directive from before the last change
-// that the entry knows is ignored, and so is one of a node that knows of no order: an evacuation ends only when its
-// end was ordered.
+// applyEvacuated passes the evacuated domains of a directive to the placer.
 func (e *entry) applyEvacuated(d *coordinator.Directive) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if d.EvacuationNumber == 0 || d.EvacuationNumber < e.evacuationNumber {
-		return
-	}
-	domains := slices.Clone(d.Evacuated)
-	if d.EvacuationNumber == e.evacuationNumber {
-		domains = append(domains, e.evacuated...)
-	}
-	slices.Sort(domains)
-	domains = slices.Compact(domains)
-	e.evacuationNumber = d.EvacuationNumber
-	if slices.Equal(domains, e.evacuated) {
+	began, ended := e.evacuated.Apply(d)
+	if len(began) == 0 && len(ended) == 0 {
 		return
 	}
-	e.placer.SetEvacuated(domains)
-	for _, domain := range domains {
-		if !slices.Contains(e.evacuated, domain) {
-			e.node.log.Info("failure domain evacuated; its endpoints get no calls from here", "domain", domain)
-		}
+	e.placer.SetEvacuated(e.evacuated.Domains())
+	for _, domain := range began {
+		e.node.log.Info("failure domain evacuated; its endpoints get no calls from here", "domain", domain)
 	}
-	for _, domain := range e.evacuated {
-		if !slices.Contains(domains, domain) {
-			e.node.log.Info("evacuation ended; the domain's endpoints get calls again", "domain", domain)
-		}
+	for _, domain := range ended {
+		e.node.log.Info("evacuation ended; the domain's endpoints get calls again", "domain", domain)
 	}
-	e.evacuated = domains
 }
 
 var evacuatedDesc = prometheus.NewDesc("hyssoprudder_evacuated_domains", "Failure domains that are evacuated, as far as this role of the node knows.", []string{"role"}, nil)
@@ -97,17 +87,11 @@
 func (m *evacuated) Collect(out chan<- prometheus.Metric) {
 	if e := m.entry; e != nil {
 		e.mu.Lock()
-		n := len(e.evacuated)
+		n := len(e.evacuated.Domains())
 		e.mu.Unlock()
 		out <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), "entry")
 	}
 	if m.keeper != nil {
-		n := 0
-		for _, e := range m.keeper.state.Evacuations() {
-			if e.Evacuated {
-				n++
-			}
-		}
-		out <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), "keeper")
+		out <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(len(m.keeper.evacuated())), "keeper")
 	}
 }
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -102,7 +102,7 @@
 		Name: n.settings.ID(), Clock: n.bootClock, Log: n.log.With("part", "submitter"), Do: k.coordinator.Do,
 		Propose: k.keeper.Propose, Intent: k.state.Intent, Table: k.rules, List: a.List, SendUsage: a.SendUsage, SendSize: a.SendSize,
 		Lease: b.Lease(), Window: b.UsageWindow(), DueAfter: b.UsageLate(), HasUsage: a.HasUsage, HasSize: a.HasSize,
-		IsCounted: k.isCounted,
+		IsCounted: k.isCounted, Evacuated: k.evacuated,
 	})
 	k.conductor = conductor.New(conductor.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "conductor"), WithLeaderState: k.coordinator.Do, Moves: k.state.Moves, Propose: k.keeper.Propose,
--- a/internal/process/coordinator/evacuation.go
+++ b/internal/process/coordinator/evacuation.go
@@ -50,6 +50,16 @@
 	return told, ended
 }
 
+// SetSpare states that as many instances as are needed serve outside of the given evacuated domains,
+// so that their calls can move at once.
+func (c *Core) SetSpare(domains []string, now time.Time) {
+	for _, domain := range domains {
+		if e := c.evacuations[domain]; e != nil && e.recorded.Evacuated && now.Before(e.dueAt) {
+			e.dueAt = now
+		}
+	}
+}
+
 // untilTold returns the time until entries are told of an order of the given age. The age is a
 // difference between the clocks of two leaders; one that clocks in order do not give is not relied
 // on, so that entries are rather told too early.
@@ -81,6 +91,39 @@
 	return domains, number
 }
 
+// Evacuated is what an entry knows of evacuated domains.
+type Evacuated struct {
+	domains []string
+	number  uint64
+}
+
+// Domains returns the evacuated domains, sorted.
+func (e *Evacuated) Domains() []string { return e.domains }
+
+// Apply applies a directive and returns the domains whose evacuation began or ended by it. A
+// directive from before the last change that the entry knows is ignored, and so is one of a node
+// that knows of no order: an evacuation ends only by an order. Within a number domains are only
+// added, since a leader tells them some time after the order.
+func (e *Evacuated) Apply(d *Directive) (began, ended []string) {
+	if d.EvacuationNumber == 0 || d.EvacuationNumber < e.number {
+		return nil, nil
+	}
+	domains := slices.Clone(d.Evacuated)
+	if d.EvacuationNumber == e.number {
+		domains = append(domains, e.domains...)
+	}
+	slices.Sort(domains)
+	domains = slices.Compact(domains)
+	began, ended = without(domains, e.domains), without(e.domains, domains)
+	e.domains, e.number = domains, d.EvacuationNumber
+	return began, ended
+}
+
+// without returns the elements of a that are not in b.
+func without(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(s string) bool { return slices.Contains(b, s) })
+}
+
 // setEvacuations passes the recorded evacuations to the core and logs what changes. The lease was
 // checked before, so that they include all that was acknowledged when the report was sent.
 func (c *Coordinator) setEvacuations(now time.Time) {
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -75,6 +75,10 @@
 	// Unusable is the number of further instances, by group, that the provider still counts
 	// but that take no calls: they said that they leave, or asked for a long pause.
 	Unusable map[Group]int
+	// Evacuated are the calls in flight at the instances of each evacuated domain, and
+	// EvacuatedInstances the instances there. They are not included in Serving and Unusable.
+	Evacuated          map[string]int
+	EvacuatedInstances map[Group]int
 	// Waiting is the number of calls that have not returned a token yet, InFlight the number of
 	// all calls in flight, and KVTokens the tokens that these take in KV caches.
 	Waiting  int
@@ -129,7 +133,7 @@
 func (s *Sizer) Decide(m *Market, obs *Observation, now time.Time) []Order {
 	s.measure(m, obs, now)
 	s.detectReclaims(obs, now)
-	want := s.wantReclaimable(m)
+	want := s.wantReclaimable(m, obs)
 	keepServing(obs, want)
 	s.wantOnDemand(m, obs, want, now)
 	var out []Order
@@ -138,6 +142,12 @@
 			continue
 		}
 		last, known := s.ordered[g]
+		if _, ok := obs.Evacuated[g.Domain]; ok {
+			if o, ok := s.reduceEvacuated(g, m, obs); ok {
+				out = append(out, o)
+			}
+			continue
+		}
 		n := replacements(g, m, obs, want)
 		if known && want[g] != last.count || !known && want[g] != obs.Serving[g] || n != last.replacements || s.isOverdue(g, m, obs, now) {
 			out = append(out, Order{Group: g, Count: want[g] + n, replacements: n})
@@ -152,6 +162,9 @@
 // detectReclaims detects domains that lost all their reclaimable instances without an order.
 func (s *Sizer) detectReclaims(obs *Observation, now time.Time) {
 	for g, n := range s.lastServing {
+		if _, ok := obs.Evacuated[g.Domain]; ok {
+			continue
+		}
 		if g.Reclaimable && n > 0 && obs.Serving[g] == 0 && s.ordered[g].count > 0 {
 			s.reclaimedAt = now
 		}
@@ -203,15 +216,16 @@
 // in prefill on average, so r follows from their number.
 func (s *Sizer) measure(m *Market, obs *Observation, now time.Time) {
 	serving := obs.serving()
+	measured := serving + obs.busyEvacuated()
 	if !s.hasTraffic {
 		s.initialize(m, obs)
 	}
 	s.hasTraffic = s.hasTraffic || obs.InFlight > 0
-	if serving == 0 || !s.hasTraffic {
+	if measured == 0 || !s.hasTraffic {
 		s.size, s.minNeeded = max(s.size, 1), max(s.minNeeded, 1)
 		return
 	}
-	n := float64(serving)
+	n := float64(measured)
 	perInstance := float64(obs.Waiting) / n
 	busy := n * perInstance / (1 + perInstance)
 	smoothing := fallSmoothing
@@ -246,7 +260,7 @@
 			onDemand += n
 		}
 	}
-	domains := len(m.Prices)
+	domains := len(domainsByPrice(m, obs))
 	remaining := reclaimable * (domains - 1) / max(domains, 1)
 	s.size = max(s.size, 1, remaining, int(math.Ceil(keptFraction*float64(onDemand))))
 	s.busy = float64(s.size) * targetUtilization
@@ -277,12 +291,12 @@
 // wantReclaimable spreads reclaimable instances evenly over the domains, so many that those of
 // all domains but one suffice. It ignores whether they are available at the moment, so that
 // they return as soon as they are.
-func (s *Sizer) wantReclaimable(m *Market) map[Group]int {
+func (s *Sizer) wantReclaimable(m *Market, obs *Observation) map[Group]int {
 	want := make(map[Group]int)
-	if m.ReclaimablePriceRatio == 0 {
+	domains := domainsByPrice(m, obs)
+	if m.ReclaimablePriceRatio == 0 || len(domains) == 0 {
 		return want
 	}
-	domains := byPrice(m)
 	total := s.size
 	if n := len(domains); n > 1 {
 		total = (s.size*n + n - 2) / (n - 1)
@@ -323,7 +337,7 @@
 // cover. When it adds instances, it counts reclaimable ones that are ordered but not yet
 // serving; when it removes instances, it counts only those that serve.
 func (s *Sizer) wantOnDemand(m *Market, obs *Observation, want map[Group]int, now time.Time) {
-	domains := byPrice(m)
+	domains := domainsByPrice(m, obs)
 	maxOnDemand := s.minNeeded - s.reclaimable(m, obs, domains, now, false)
 	minOnDemand := s.minNeeded - s.reclaimable(m, obs, domains, now, true)
 	have := 0
--- a/internal/process/submitter/size.go
+++ b/internal/process/submitter/size.go
@@ -46,22 +46,32 @@
 	if s.term != h.Fence {
 		s.term, s.services = h.Fence, make(map[string]*serviceState)
 	}
+	var evacuated []string
+	if s.config.Evacuated != nil {
+		evacuated = s.config.Evacuated()
+	}
+	suffices := true
 	for name, service := range table.Services() {
 		if service.Capacity != nil {
-			s.orderService(h, name, service)
+			suffices = s.orderService(h, name, service, evacuated) && suffices
 		}
 	}
+	if suffices && len(evacuated) > 0 {
+		s.config.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) { core.SetSpare(evacuated, now) })
+	}
 }
 
-func (s *sizeManager) orderService(h Holder, name string, service *registrar.Service) {
+// orderService orders what the service needs. It reports whether as many instances as it needs
+// serve outside of the evacuated domains.
+func (s *sizeManager) orderService(h Holder, name string, service *registrar.Service, evacuated []string) bool {
 	state := s.services[name]
 	if state == nil {
 		state = &serviceState{sizer: sizer.New()}
 		s.services[name] = state
 	}
-	obs, ok := s.observe(name, service, state)
+	obs, ok := s.observe(name, service, state, evacuated)
 	if !ok {
-		return
+		return false
 	}
 	market := &sizer.Market{
 		Min: service.Capacity.Min, Max: service.Capacity.Max, StartupTime: service.Capacity.StartupTime,
@@ -69,9 +79,10 @@
 	}
 	for _, o := range state.sizer.Decide(market, obs, s.config.Clock.Now()) {
 		if !s.send(h, name, state.sizer, o) {
-			return
+			break
 		}
 	}
+	return state.sizer.Suffices(obs)
 }
 
 // send sends one order and reports whether more may follow.
@@ -99,8 +110,14 @@
 }
 
 // observe returns the state of a service as the nodes report it.
-func (s *sizeManager) observe(name string, service *registrar.Service, state *serviceState) (*sizer.Observation, bool) {
-	obs := &sizer.Observation{Serving: make(map[sizer.Group]int), Unusable: make(map[sizer.Group]int)}
+func (s *sizeManager) observe(name string, service *registrar.Service, state *serviceState, evacuated []string) (*sizer.Observation, bool) {
+	obs := &sizer.Observation{
+		Serving: make(map[sizer.Group]int), Unusable: make(map[sizer.Group]int),
+		Evacuated: make(map[string]int), EvacuatedInstances: make(map[sizer.Group]int),
+	}
+	for _, domain := range evacuated {
+		obs.Evacuated[domain] = 0
+	}
 	if service.Model != nil {
 		obs.Slots, obs.KVSize = service.Model.Slots, service.Model.KVSize
 	}
@@ -116,7 +133,10 @@
 				continue
 			}
 			g := sizer.Group{Domain: e.Domain, Reclaimable: e.Reclaimable}
+			_, isEvacuated := obs.Evacuated[e.Domain]
 			switch {
+			case isEvacuated:
+				obs.EvacuatedInstances[g]++
 			case paused[position], core.LeavingFor(&e, now) > leavingLag:
 				obs.Unusable[g]++
 			case e.LeavingSince == 0:
@@ -124,7 +144,10 @@
 			}
 		}
 		for _, l := range core.TotalLoads(now) {
-			if list[l.Position].Service == name {
+			if e := list[l.Position]; e.Service == name {
+				if _, isEvacuated := obs.Evacuated[e.Domain]; isEvacuated {
+					obs.Evacuated[e.Domain] += int(l.InFlight)
+				}
 				obs.Waiting += int(l.Waiting)
 				obs.InFlight += int(l.InFlight)
 				obs.KVTokens += int(l.KVTokens)
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -94,6 +94,8 @@
 	DueAfter time.Duration
 	// IsCounted reports whether an endpoint counts for the size of its service.
 	IsCounted func(e coordinator.Endpoint) bool
+	// Evacuated returns the failure domains that are evacuated; nil if there are none.
+	Evacuated func() []string
 	// HasUsage and HasSize select the duties to run.
 	HasUsage bool
 	HasSize  bool
