--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -90,7 +90,8 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
-	evacuations map[string]*evacuation
+	evacuations    map[string]*evacuation
+	hasEvacuations bool // SetEvacuations was called in this term
 
 	said map[noticeKey]said // what listed endpoints said to nodes
 
--- a/internal/process/coordinator/evacuation.go
+++ b/internal/process/coordinator/evacuation.go
@@ -25,17 +25,22 @@
 }
 
 // SetEvacuations passes on the recorded evacuations. Entries are told of one after a fraction of
-// the bound. It returns the domains whose entries are told from now on, and those whose evacuation
-// has ended.
+// the bound. A new leader tells them at once of those that it finds: it can't rely on its clock for
+// how long ago they were ordered, and the delay must not begin again with each leader. It returns the
+// domains whose entries are told from now on, and those whose evacuation has ended.
 func (c *Core) SetEvacuations(list []applier.Evacuation, bound time.Duration, now time.Time) (told, ended []string) {
 	clusterTime := now.Add(c.clusterTimeOffset).UnixNano()
-	delay := fractionOf(bound, stopFraction)
+	isNewTerm := !c.hasEvacuations
+	c.hasEvacuations = true
 	for _, recorded := range list {
 		e := c.evacuations[recorded.Domain]
 		if e == nil || e.recorded.Number != recorded.Number {
 			isEnded := !recorded.Evacuated && (e != nil || clusterTime-recorded.At < int64(endedWindow))
-			age := time.Duration(clusterTime - recorded.At)
-			e = &evacuation{recorded: recorded, dueAt: now.Add(untilTold(age, delay))}
+			dueAt := now
+			if !isNewTerm {
+				dueAt = now.Add(fractionOf(bound, stopFraction))
+			}
+			e = &evacuation{recorded: recorded, dueAt: dueAt}
 			c.evacuations[recorded.Domain] = e
 			if isEnded {
 				c.evacuationEnded(recorded.Domain, now)
@@ -60,16 +65,6 @@
 	}
 }
 
-// untilTold returns the time until entries are told of an order of the given age. The age is a
-// difference between the clocks of two leaders; one that clocks in order do not give is not relied
-// on, so that entries are rather told too early.
-func untilTold(age, delay time.Duration) time.Duration {
-	if age < -delay {
-		return 0
-	}
-	return min(max(delay-age, 0), delay)
-}
-
 func fractionOf(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
