--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -73,6 +73,7 @@
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
 	granter       uint64                 // relay that granted the allowances, 0 for a leader
+	evacuated     coordinator.Evacuated
 }
 
 func (n *Node) buildEntry() {
@@ -278,6 +279,7 @@
 // directive names a ruleset and that ruleset or a newer one is in force at the node.
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
 	now, inForce := e.node.clock.Now(), e.forwarder.Table().Number()
+	e.applyEvacuated(d) // before the list, so that no endpoint of such a domain gets a call
 	if d.RulesetNumber > inForce {
 		e.retriever.Retrieve(d.RulesetNumber, d.Keepers, d.Leader)
 	}
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -85,6 +85,7 @@
 		Keepers: k.keeper.Addresses, Ruleset: k.state.Ruleset, Moves: k.state.Moves, Limits: k.limits, AllowanceLifetime: b.Revoke(), Window: b.UsageWindow(),
 		Relayed: n.settings.Relayed(), ListLag: n.settings.Provider().Lag(),
 		WarmupBound: func(rate float64) float64 { return rate*b.ColdOver() + b.ColdSlack() },
+		Evacuations: k.state.Evacuations, EvacuationBound: b.Evacuation(),
 	})
 	k.relay = coordinator.NewRelay(coordinator.RelayConfig{
 		GroupConfig: coordinator.GroupConfig{
@@ -103,13 +104,13 @@
 		Name: n.settings.ID(), Clock: n.bootClock, Log: n.log.With("part", "submitter"), Do: k.coordinator.Do,
 		Propose: k.keeper.Propose, Intent: k.state.Intent, Table: k.rules, List: a.List, SendUsage: a.SendUsage, SendSize: a.SendSize,
 		Lease: b.Lease(), Window: b.UsageWindow(), DueAfter: b.UsageLate(), HasUsage: a.HasUsage, HasSize: a.HasSize,
-		IsCounted: k.isCounted,
+		IsCounted: k.isCounted, Evacuated: k.evacuated,
 	})
 	k.conductor = conductor.New(conductor.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "conductor"), WithLeaderState: k.coordinator.Do, Moves: k.state.Moves, Propose: k.keeper.Propose,
 		MoveConfig: k.moveConfig, Routes: func(service string) []mover.Route { return moveRoutes(k.rules(), service) },
 	})
-	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, Log: n.log.With("part", "operator")}
+	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, IsDomain: k.isDomain, SetEvacuated: k.setEvacuated, Log: n.log.With("part", "operator")}
 	k.control = listener.New("operators", &http.Server{
 		Handler: screener.Guard(a.OperatorHandler(operators)), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
 	}, nil, n.log)
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -90,6 +90,9 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
+	evacuations    map[string]*evacuation
+	hasEvacuations bool // SetEvacuations was called in this term
+
 	said   map[noticeKey]said // what listed endpoints said to nodes
 	warmth warmth
 
@@ -109,7 +112,7 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said), warmth: newWarmth(now), relayed: defaultRelayed,
+		said: make(map[noticeKey]said), warmth: newWarmth(now), evacuations: make(map[string]*evacuation), relayed: defaultRelayed,
 	}
 }
 
@@ -192,6 +195,7 @@
 	if c.isRelayed {
 		d.Relays = c.relays
 	}
+	d.Evacuated, d.EvacuationNumber = c.evacuated()
 	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
 	if c.Age(now) < startupWindow {
 		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
--- a/internal/request/forwarder/moves.go
+++ b/internal/request/forwarder/moves.go
@@ -47,6 +47,9 @@
 	Total time.Duration
 }
 
+// lastResortRefusals are the refusals after which a leaving endpoint may serve a call.
+var lastResortRefusals = []placer.Refusal{placer.RefusedEmpty, placer.RefusedPaused, placer.RefusedCold, placer.RefusedEvacuated}
+
 // placeByVersion places the call at an endpoint of the version chosen for it. If none
 // is available, an endpoint of another version may serve, unless that version is
 // unwanted. Versions to avoid come last.
@@ -62,7 +65,7 @@
 		req.Version = ""
 		choice, refused, wait = x.f.config.Placer.Place(req)
 	}
-	if choice == nil && (refused == placer.RefusedEmpty || refused == placer.RefusedPaused || refused == placer.RefusedCold) {
+	if choice == nil && slices.Contains(lastResortRefusals, refused) {
 		return x.placeLastResort(req, refused, wait)
 	}
 	return choice, refused, wait
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -99,6 +99,8 @@
 	RefusedPaused Refusal = "endpoints paused"
 	// RefusedCold means that all eligible endpoints are cold and get no call from this node now.
 	RefusedCold Refusal = "endpoints cold"
+	// RefusedEvacuated means that all endpoints of the service are in evacuated domains.
+	RefusedEvacuated Refusal = "endpoints evacuated"
 	// RefusedFull means that all eligible endpoints are full.
 	RefusedFull Refusal = "endpoints full"
 	// RefusedLate means that no endpoint is expected to begin its answer in time.
--- a/internal/request/placer/warm.go
+++ b/internal/request/placer/warm.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// DoubtDomain records that all endpoints of a failure domain may have been started again: each is cold
+// until a list says otherwise that was read later.
+func (p *Placer) DoubtDomain(domain string, boot time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.positions {
+		if e != nil && e.warm != nil && e.Domain == domain {
+			e.warm.lostAt = boot
+		}
+	}
+}
+
 // LoseContact records that a connection to an address was lost or could not be opened. The endpoint may
 // have been started again and be cold, which the list will show later. It reports whether that concerns an
 // endpoint that warms up.
