Choose among plain endpoints in proportion to expected free capacity

All entries act on the same outdated sums of calls, so they chose the same cheapest endpoint together. Where endpoints report their load, a plain call now goes to an endpoint drawn in proportion to its expected free slots, divided by its slowdown and call time. Reports that can't be read or can't be true count as none. Services whose endpoints report nothing are placed as before.

Guarded by TestHerdingOnFewSlots, TestFalseLoadReport, TestChoiceWithoutReportedLoad and TestDecodeLoad.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -128,6 +128,7 @@
 	}
 	a.reply = x.f.config.Decode(a.response)
 	a.recordNotice()
+	a.recordLoad()
 	return a.readAnswer()
 }
 
--- a/internal/request/forwarder/notice.go
+++ b/internal/request/forwarder/notice.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// recordLoad records the load that the endpoint reports of itself. An answer to another call is
+// late, and so is what it reports.
+func (a *attempt) recordLoad() {
+	if a.reply.Load == nil || a.reply.ID != a.x.call.ID || a.reply.IsMisdirected {
+		return
+	}
+	c := &a.x.f.config
+	c.Placer.RecordLoad(a.choice, *a.reply.Load, c.Clock.Now())
+}
+
 // placeLastResort places a call that no other endpoint can serve at one that has said not
 // long ago that it leaves. It returns the refusal that led here if there is none.
 func (x *exchange) placeLastResort(req *placer.Request, refused placer.Refusal, wait time.Duration) (*placer.Choice, placer.Refusal, time.Duration) {
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -114,6 +114,8 @@
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
 	isLastResort   bool // a leaving endpoint was allowed
+	isPlain        bool // chosen by the load that endpoints report
+	isReportedFree bool // the endpoint reported free slots in its answer
 	returning      *returning
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -67,6 +67,8 @@
 type endpoint struct {
 	Endpoint
 	notice       *notice // nil if the endpoint has said nothing of itself
+	told         told
+	plain        plain
 	hash         uint64
 	ownLoad      Load
 	peerLoad     Load
@@ -88,6 +90,7 @@
 	notices      map[noticeKey]*notice
 	drain        time.Duration
 	peersUpdated time.Time
+	reportedAt   map[string]time.Time // when an endpoint of the service last reported its load
 }
 
 // New returns a placer without endpoints.
@@ -148,6 +151,7 @@
 	for position, e := range p.positions {
 		if e != nil {
 			e.peerLoad = loads[position]
+			e.plain.peerMean += peerMeanSmoothing * (float64(e.peerLoad.InFlight) - e.plain.peerMean)
 		}
 	}
 }
@@ -208,6 +212,7 @@
 	refusal := RefusedEmpty
 	soonest := math.Inf(1)
 	aff := newAffinity(req)
+	isPlain := p.isPlain(req)
 	for _, e := range p.candidates(req, aff) {
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
@@ -221,6 +226,9 @@
 			refusal, soonest = RefusedLate, min(soonest, late)
 			continue
 		}
+		if isPlain {
+			cost = p.plainCost(e, req)
+		}
 		if cost < bestCost {
 			best, bestCost, bestFirst = e, cost, first
 		}
@@ -267,6 +275,11 @@
 func (p *Placer) isFull(e *endpoint, req *Request) bool {
 	peers := p.peerLoadOf(e, req.Now)
 	calls := e.ownLoad.InFlight + peers.InFlight
+	if p.isPlain(req) {
+		// The sum of the other nodes' calls is older than the calls in it, so it does not
+		// refuse a call. An endpoint that is full rejects it.
+		calls = e.ownLoad.InFlight
+	}
 	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction) {
 		return true
 	}
@@ -330,8 +343,9 @@
 		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
-	c.isLastResort = req.IsLastResort
+	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
 	e.ownLoad.InFlight++
+	e.beginPlain(req.Now)
 	e.ownLoad.Waiting++
 	e.ownLoad.PendingPrefill += c.pendingPrefill
 	e.ownLoad.KVTokens += c.kvTokens
@@ -423,6 +437,7 @@
 	c.endReturn(outcome == Answered)
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
+	e.endPlain(c, outcome, now)
 	switch outcome {
 	case Answered:
 		e.failureRatio -= failureSmoothing * e.failureRatio
@@ -437,7 +452,9 @@
 		clear(e.blockTokens)
 		e.cachedTokens = 0
 	case Rejected:
-		e.ejectedUntil = now.Add(minEjection / 4)
+		if !c.isPlain {
+			e.ejectedUntil = now.Add(minEjection / 4)
+		}
 	case Abandoned:
 	}
 }
