Sum measured prefill over entries and send it back

Loads carry prompt tokens and the time that they took, summed by the leader and relays, also for positions without calls in flight. A release that reads five fields gets five: nodes state how many they read.

--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -90,7 +90,7 @@
 	g.replaceReport(r, now)
 	g.addUsage(r)
 	d := Directive{
-		Leads: true, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
+		Leads: true, LoadFields: LoadFields, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
 		ClusterTime: now.Add(g.clusterOffset).UnixNano(), ReportInterval: g.interval(), MovesID: g.leader.MovesID,
 		Suspects: g.leader.Suspects, Isolations: g.leader.Isolations, HasIsolations: g.leader.HasIsolations,
 	}
@@ -103,7 +103,7 @@
 		if d.Received < d.Length {
 			d.ReportInterval = pageInterval
 		}
-		d.Loads = g.total.except(g.members[r.Node].summedLoads())
+		d.Loads = ReadableLoads(g.total.except(g.members[r.Node].summedLoads()), r.LoadFields)
 	}
 	return d, true
 }
@@ -232,7 +232,7 @@
 	if offset, ok := g.clockOffset(); ok {
 		r.WallClock = now.Add(offset).UnixNano()
 	}
-	r.Loads = g.sums.all()
+	r.Loads, r.LoadFields = g.sums.all(), LoadFields
 	r.Group.Usage = g.endedUsage(now.Add(g.clusterOffset))
 	evidence := newEvidence()
 	for _, m := range g.members {
--- a/internal/process/coordinator/loads.go
+++ b/internal/process/coordinator/loads.go
@@ -65,7 +65,7 @@
 func (s *loadSums) all() []Load {
 	out := make([]Load, 0, len(s.byPosition))
 	for position, l := range s.byPosition {
-		if l.InFlight > 0 {
+		if !l.isEmpty() {
 			l.Position = uint16(position)
 			out = append(out, l)
 		}
@@ -73,6 +73,34 @@
 	return out
 }
 
+// isEmpty reports whether there are neither calls nor measurements.
+func (l *Load) isEmpty() bool { return l.InFlight == 0 && l.PrefillTime == 0 }
+
+// ReadableLoads returns the loads for a node that reads the given number of fields. Loads without calls in
+// flight state nothing in the first five.
+func ReadableLoads(loads []Load, fields int) []Load {
+	if fields >= LoadFields {
+		return loads
+	}
+	out := make([]Load, 0, len(loads))
+	for _, l := range loads {
+		if l.InFlight > 0 {
+			l.truncate(fields)
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// truncate clears the fields that a node does not read.
+func (l *Load) truncate(fields int) {
+	for i, field := range []*uint32{&l.PrefillTokens, &l.PrefillTime, &l.PendingFirst, &l.PendingSecond} {
+		if minLoadFields+i >= fields {
+			*field = 0
+		}
+	}
+}
+
 // except returns the sums without the given loads. In a large fleet it leaves out all but the
 // highest ones.
 func (s *loadSums) except(excluded []Load) []Load {
@@ -87,7 +115,7 @@
 			}
 			own = own[1:]
 		}
-		if l.InFlight > 0 {
+		if !l.isEmpty() {
 			l.Position = uint16(position)
 			out = append(out, l)
 		}
@@ -109,6 +137,8 @@
 	l.Waiting += o.Waiting
 	l.PendingPrefill += o.PendingPrefill
 	l.KVTokens += o.KVTokens
+	l.PrefillTokens += o.PrefillTokens
+	l.PrefillTime += o.PrefillTime
 }
 
 func (l *Load) subtract(o Load) {
@@ -116,4 +146,6 @@
 	l.Waiting -= o.Waiting
 	l.PendingPrefill -= o.PendingPrefill
 	l.KVTokens -= o.KVTokens
+	l.PrefillTokens -= o.PrefillTokens
+	l.PrefillTime -= o.PrefillTime
 }
--- a/internal/process/coordinator/relay.go
+++ b/internal/process/coordinator/relay.go
@@ -64,6 +64,7 @@
 	answered  chan struct{}       // closed when the next request for allowances has ended
 	exhausted map[string]exhaustion
 	isFailing bool
+	readers   Readers
 }
 
 // NewRelay returns a relay that is not yet started.
@@ -219,10 +220,13 @@
 	d := r.config.Local.HandleReport(report)
 	if !d.Leads {
 		leader, ok := r.config.Leader()
+		report.Loads = ReadableLoads(report.Loads, r.readers.Fields(leader))
 		if !ok || !r.call(leader, BeatMethod, report, &d) || !d.Leads {
+			r.readers.Forget(leader)
 			r.setFailing(true, leader)
 			return relayRetryDelay
 		}
+		r.readers.Record(leader, d.LoadFields)
 	}
 	r.mu.Lock()
 	err := r.core.Apply(&d, sent, r.config.Clock.Now())
--- a/internal/process/reporter/reporter.go
+++ b/internal/process/reporter/reporter.go
@@ -88,6 +88,7 @@
 	listed    []coordinator.RelayAddress // relays as the last answer named them; none if nodes report to the leader
 	relays    []coordinator.RelayAddress // the same in the order of preference
 	avoided   map[netip.AddrPort]time.Time
+	readers   coordinator.Readers
 	source    netip.AddrPort // who answered last; invalid for this node
 	since     time.Time      // when source answered for the first time
 	answered  chan struct{}  // closed when the next report has been answered or has failed
@@ -195,7 +196,7 @@
 
 // report sends one report and returns the time until the next one.
 func (r *Reporter) report() time.Duration {
-	var report coordinator.Report
+	report := coordinator.Report{LoadFields: coordinator.LoadFields}
 	r.config.Fill(&report)
 	sent := r.config.Clock.Now()
 	if r.config.Local != nil {
@@ -205,6 +206,7 @@
 	}
 	to, timeout, isRelay := r.target(sent)
 	report.IsRedirected, report.NeedsLeader = isRelay, !isRelay && r.hasRelays()
+	report.Loads = coordinator.ReadableLoads(report.Loads, r.loadFields(to))
 	var d coordinator.Directive
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
@@ -220,6 +222,13 @@
 	return retryDelay
 }
 
+// loadFields returns the number of fields of a load that may be sent to a node.
+func (r *Reporter) loadFields(to netip.AddrPort) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers.Fields(to)
+}
+
 func (r *Reporter) accept(from netip.AddrPort, d *coordinator.Directive, sent time.Time) time.Duration {
 	confirmedAt := sent.Add(-d.Age)
 	isNewest := r.config.Apply(d, sent)
@@ -231,6 +240,7 @@
 	}
 	r.keepers, r.leader, r.probed = d.Keepers, d.Leader, 0
 	r.setRelays(d.Relays)
+	r.readers.Record(from, d.LoadFields)
 	if !d.IsPartial {
 		r.setSource(from, d)
 	}
@@ -321,6 +331,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(r.pending)
+	r.readers.Forget(addr)
 	now := r.config.Clock.Now()
 	if err == nil {
 		r.avoided[addr] = now.Add(emptyRelayBackoff)
@@ -359,6 +370,7 @@
 	defer r.mu.Unlock()
 	// Waiting callers check again and request another report.
 	close(r.pending)
+	r.readers.Forget(addr)
 	if !r.failing && r.leader == addr {
 		r.failing = true
 		r.config.Log.Warn("leader does not answer; asking the other keepers", "leader", addr, "err", err)
