Predict prefill from speeds that all entries measure together

Endpoints work at lasting speeds of 0.6 to 1.6, and an entry sends each of them a call every few seconds. Entries exchange what they measured and, where endpoints differ clearly, predict from the ratios. Where endpoints report their load, an entry compares two random endpoints and the affinity endpoints rather than ten: with ten, all chose the same ones on the same outdated sums.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -264,9 +264,16 @@
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
 	e.mu.Unlock()
 	r.Notices = (&notices{e}).report()
-	for position, l := range e.placer.Loads() {
+	loads := e.placer.Loads()
+	for position, measured := range e.placer.Prefills(now) {
+		l := loads[position]
+		l.PrefillTokens, l.PrefillTime = measured.PrefillTokens, measured.PrefillTime
+		loads[position] = l
+	}
+	for position, l := range loads {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
+			PrefillTokens: uint32(max(l.PrefillTokens, 0)), PrefillTime: uint32(max(l.PrefillTime, 0)),
 		})
 	}
 }
@@ -390,7 +397,10 @@
 func loadsOf(list []coordinator.Load) map[int]placer.Load {
 	out := make(map[int]placer.Load, len(list))
 	for _, l := range list {
-		out[int(l.Position)] = placer.Load{InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens)}
+		out[int(l.Position)] = placer.Load{
+			InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens),
+			PrefillTokens: int(l.PrefillTokens), PrefillTime: int(l.PrefillTime),
+		}
 	}
 	return out
 }
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -42,6 +42,10 @@
 	PendingPrefill int
 	// KVTokens is the number of KV cache tokens reserved for these calls.
 	KVTokens int
+	// PrefillTokens is a number of prompt tokens that the endpoint has processed lately, and
+	// PrefillTime how long it took, in milliseconds.
+	PrefillTokens int
+	PrefillTime   int
 }
 
 // ReportedLoad is the load that an endpoint reports of itself in an answer.
@@ -109,11 +113,13 @@
 	listed         Endpoint      // as listed when it was chosen; the list may change it later
 	predicted      time.Duration // time to the first event
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
+	queuedPrefill  int           // tokens that waited there before this call
 	kvTokens       int           // KV cache tokens reserved for this call
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
 	isLastResort   bool // a leaving endpoint was allowed
+	isEndedEarly   bool // ended without its first event
 	isPlain        bool // chosen by the load that endpoints report
 	isReportedFree bool // the endpoint reported free slots in its answer
 	returning      *returning
--- a/internal/request/placer/bench_test.go
+++ b/internal/request/placer/bench_test.go
@@ -21,5 +21,16 @@
 				p.End(c, placer.Answered, start)
 			}
 		})
+		b.Run(fmt.Sprint(n, " that report"), func(b *testing.B) {
+			p := placer.New()
+			p.SetEndpoints(newEndpoints(n, 64))
+			session := uint64(0)
+			for b.Loop() {
+				session++
+				c, _, _ := p.Place(newRequest(start, session%1000))
+				p.RecordLoad(c, placer.ReportedLoad{Running: 3, Slots: 64, Slowdown: 1.5}, start)
+				p.End(c, placer.Answered, start)
+			}
+		})
 	}
 }
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -61,12 +61,18 @@
 // prefers reports whether e is the affinity endpoint of the prompt.
 func (a *affinity) prefers(e *endpoint) bool { return a.best[0] == e }
 
+// reportedSample is the number of usable endpoints that are drawn at random from a service whose
+// endpoints report their load, besides the affinity endpoints. Nodes that compare more of them on
+// the same outdated sums choose the same few endpoints together.
+const reportedSample = 2
+
 // candidates returns the endpoints to compare: all of a small service, otherwise the
 // affinity endpoints of the prompt and a random sample.
 func (p *Placer) candidates(req *Request, aff *affinity) []*endpoint {
 	list := p.services[req.Service]
 	aff.rank(p, list, req)
-	if len(list) <= sampleThreshold {
+	isSampled := req.Prompt > 0 && len(list) > 2*reportedSample && p.reportsLoad(req.Service, req.Now)
+	if len(list) <= sampleThreshold && !isSampled {
 		return list
 	}
 	out := make([]*endpoint, 0, 2*sampleSize+len(aff.best))
@@ -75,8 +81,24 @@
 			out = append(out, e)
 		}
 	}
+	usable := 0
 	for range 2 * sampleSize {
-		out = append(out, list[rand.IntN(len(list))])
+		e := list[rand.IntN(len(list))]
+		out = append(out, e)
+		if isSampled && p.isUsable(e, req, aff) {
+			if usable++; usable == reportedSample {
+				break
+			}
+		}
 	}
 	return out
 }
+
+// isUsable reports whether the endpoint can take the call in time.
+func (p *Placer) isUsable(e *endpoint, req *Request, aff *affinity) bool {
+	if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || p.isFull(e, req) {
+		return false
+	}
+	_, _, late := p.estimate(e, req, aff)
+	return late <= 0
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -69,6 +69,7 @@
 	notice       *notice // nil if the endpoint has said nothing of itself
 	told         told
 	plain        plain
+	speed        speed
 	hash         uint64
 	ownLoad      Load
 	peerLoad     Load
@@ -91,6 +92,7 @@
 	drain        time.Duration
 	peersUpdated time.Time
 	reportedAt   map[string]time.Time // when an endpoint of the service last reported its load
+	speeds       map[string]*serviceSpeed
 }
 
 // New returns a placer without endpoints.
@@ -154,6 +156,7 @@
 			e.plain.peerMean += peerMeanSmoothing * (float64(e.peerLoad.InFlight) - e.plain.peerMean)
 		}
 	}
+	p.predictSpeeds(now)
 }
 
 // Loads returns the load of this node's own calls, by position in the endpoint list.
@@ -292,13 +295,14 @@
 func (p *Placer) estimate(e *endpoint, req *Request, aff *affinity) (first, cost, late float64) {
 	peers := p.peerLoadOf(e, req.Now)
 	prefill := float64(e.estimatePrefill(req, aff))
-	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
-	first = queue + prefill/e.prefillRate
+	rate := e.rate(req.Now)
+	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / rate
+	first = queue + prefill/rate
 	if req.Prompt > 0 {
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
 	calls := float64(e.ownLoad.InFlight + peers.InFlight)
-	cost = first + prefillPenalty*prefill/e.prefillRate + inFlightPenalty*calls + failurePenalty*e.failureRatio*e.failureRatio
+	cost = first + prefillPenalty*prefill/rate + inFlightPenalty*calls*e.effort(req.Now) + failurePenalty*e.failureRatio*e.failureRatio
 	if e.Slots > 0 {
 		// Plain calls run in slots; a call beyond the slots has to wait.
 		over := calls + 1 - float64(e.Slots)
@@ -340,7 +344,8 @@
 	c := &Choice{
 		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
-		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
+		queuedPrefill: e.ownLoad.PendingPrefill + p.peerLoadOf(e, req.Now).PendingPrefill,
+		isOnlyWaiter:  e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
 	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
@@ -402,6 +407,7 @@
 	e := c.endpoint
 	e.ownLoad.Waiting--
 	e.ownLoad.PendingPrefill -= c.pendingPrefill
+	c.measurePrefill(now)
 	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
@@ -432,7 +438,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
-	c.isOnlyWaiter = c.isOnlyWaiter && outcome == Answered
+	c.isOnlyWaiter, c.isEndedEarly = c.isOnlyWaiter && outcome == Answered, outcome != Answered
 	p.recordFirst(c, now)
 	c.endReturn(outcome == Answered)
 	e.ownLoad.InFlight--
--- a/internal/request/placer/told.go
+++ b/internal/request/placer/told.go
@@ -12,6 +12,9 @@
 	// slowdownAge is the age constant with which a reported slowdown decays to the usual
 	// time: the speed of the moment changes within some hundred milliseconds.
 	slowdownAge = 500 * time.Millisecond
+	// momentaryAge is the same for predictions of prefill, where a call takes about as long as
+	// a change of the speed.
+	momentaryAge = 300 * time.Millisecond
 	// minSlowdown and maxSlowdown bound the slowdown that is believed. An endpoint that
 	// states less must not attract a multiple of the calls that it can serve.
 	minSlowdown = 0.5
@@ -56,5 +59,16 @@
 
 // slowdown returns how long work is expected to take now, relative to the usual time.
 func (t *told) slowdown(now time.Time) float64 {
+	if t.at.IsZero() {
+		return 1
+	}
 	return 1 + (t.load.Slowdown-1)*t.freshness(now, slowdownAge)
 }
+
+// momentary returns how long prefill is expected to take now, relative to the usual time.
+func (t *told) momentary(now time.Time) float64 {
+	if t.at.IsZero() {
+		return 1
+	}
+	return 1 + (t.load.Slowdown-1)*t.freshness(now, momentaryAge)
+}
