Show how much endpoints differ, and search all of a small service

Entries log when endpoints of a service turn out to differ in speed, and have gauges of the slowest and the fastest. If the sample of a service with at most 24 endpoints holds none that can take a call, all are compared.

Guarded by TestOnlyUsableEndpointIsFound and TestFurtherFieldsAreSentToKeepersThatReadThem.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -64,6 +64,7 @@
 	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
+	uneven         map[string]bool // services whose endpoints were logged as different; used by the sweeper
 
 	mu            sync.Mutex
 	freshness     registrar.Freshness
@@ -84,7 +85,7 @@
 	n.entry = e
 	e.placer.SetDrain(b.Drain())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e})
+	n.registry.MustRegister(&notices{e}, &speeds{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -180,6 +181,7 @@
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
 		s.pool.Sweep(s.placer.IsWanted)
 		(&notices{s.entry}).expire()
+		(&speeds{s.entry}).check()
 		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
--- a/internal/process/reporter/reporter_test.go
+++ b/internal/process/reporter/reporter_test.go
@@ -29,6 +29,7 @@
 type request struct {
 	to      netip.AddrPort
 	timeout time.Duration
+	loads   []coordinator.Load
 }
 
 // keepers simulates keepers that answer reports: one of them may be the leader, and the others
@@ -42,6 +43,8 @@
 	newest       bool                             // the node has the newest ruleset
 	ages         map[netip.AddrPort]time.Duration // of what relays know
 	requests     []request
+	loads        []coordinator.Load // that the node reports
+	fields       int                // of a load that the keepers read
 }
 
 func newKeepers(n int) *keepers {
@@ -53,16 +56,16 @@
 }
 
 // call answers at once; the timeout for an unresponsive keeper is recorded, not waited for.
-func (k *keepers) call(ctx context.Context, to netip.AddrPort, _ string, _, reply any) error {
+func (k *keepers) call(ctx context.Context, to netip.AddrPort, _ string, args, reply any) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	until, _ := ctx.Deadline()
-	k.requests = append(k.requests, request{to, time.Until(until)})
+	k.requests = append(k.requests, request{to, time.Until(until), args.(*coordinator.Report).Loads})
 	if k.unresponsive[to] {
 		return errUnresponsive
 	}
 	d := reply.(*coordinator.Directive)
-	*d = coordinator.Directive{Leads: to == k.leader, Keepers: k.all, ReportInterval: 20 * time.Millisecond, RulesetNumber: 7}
+	*d = coordinator.Directive{Leads: to == k.leader, Keepers: k.all, ReportInterval: 20 * time.Millisecond, RulesetNumber: 7, LoadFields: k.fields}
 	if k.namesLeader || d.Leads {
 		d.Leader = k.leader
 	}
@@ -85,7 +88,7 @@
 	t.Helper()
 	r := reporter.New(reporter.Config{
 		Clock: clock.System{}, Log: log.New(io.Discard), Call: k.call, Seeds: k.all[:min(2, len(k.all))],
-		Fill: func(*coordinator.Report) {},
+		Fill: func(r *coordinator.Report) { r.Loads = slices.Clone(k.loads) },
 		Apply: func(*coordinator.Directive, time.Time) bool {
 			k.mu.Lock()
 			defer k.mu.Unlock()
@@ -273,3 +276,27 @@
 	require.Eventually(t, func() bool { return len(k.sent()) > from+200 }, waitTimeout, time.Millisecond)
 	require.Greater(t, time.Since(r.Confirmed()), 500*time.Millisecond)
 }
+
+// Guards against a report that a keeper of an earlier release can't read: until it has stated that
+// it reads more, and after it did not answer, a keeper gets five fields of a load.
+func TestFurtherFieldsAreSentToKeepersThatReadThem(t *testing.T) {
+	k := newKeepers(1)
+	k.leader, k.fields = k.all[0], coordinator.LoadFields
+	k.loads = []coordinator.Load{{Position: 1, InFlight: 2, PrefillTokens: 900, PrefillTime: 30}, {Position: 2, PrefillTokens: 100, PrefillTime: 3}}
+	short := []coordinator.Load{{Position: 1, InFlight: 2}}
+	r := k.start(t)
+	require.Eventually(t, func() bool { return len(k.sent()) > 2 }, waitTimeout, time.Millisecond)
+	require.Equal(t, short, k.sent()[0].loads)
+	require.Equal(t, k.loads, k.sent()[1].loads)
+	k.set(func() { k.unresponsive[k.all[0]] = true })
+	before := len(k.sent())
+	require.Eventually(t, func() bool { return len(k.sent()) > before+2 }, waitTimeout, time.Millisecond)
+	require.Equal(t, short, k.sent()[before+2].loads)
+	k.set(func() { k.unresponsive[k.all[0]], k.fields = false, 0 })
+	before = len(k.sent())
+	require.Eventually(t, func() bool { return len(k.sent()) > before+2 }, waitTimeout, time.Millisecond)
+	r.ReportNow()
+	for _, sent := range k.sent()[before:] {
+		require.Equal(t, short, sent.loads)
+	}
+}
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -91,6 +91,9 @@
 			}
 		}
 	}
+	if isSampled && usable == 0 && len(list) <= sampleThreshold {
+		return list
+	}
 	return out
 }
 
--- a/internal/request/placer/speed_test.go
+++ b/internal/request/placer/speed_test.go
@@ -335,6 +335,29 @@
 	require.False(t, measured.Speeds()["desk"].IsUneven)
 }
 
+// Guards against a refusal although one endpoint of a small service, which the sample can miss, is
+// able to take the call.
+func TestOnlyUsableEndpointIsFound(t *testing.T) {
+	p := placer.New()
+	list := newEndpoints(20, 64)
+	p.SetEndpoints(list)
+	c, _, _ := p.Place(newRequest(start, 1))
+	p.RecordLoad(c, placer.ReportedLoad{Slots: 64, Slowdown: 1}, start)
+	p.End(c, placer.Answered, start)
+	for i := range list {
+		list[i].Leaving = i != 7
+	}
+	p.SetEndpoints(list)
+	for session := range uint64(50) {
+		req := newRequest(start, session)
+		req.Blocks = nil
+		c, refusal, _ := p.Place(req)
+		require.Equal(t, placer.RefusedNone, refusal)
+		require.Equal(t, "e7", c.Endpoint().ID)
+		p.End(c, placer.Answered, start)
+	}
+}
+
 // Guards against measurements of something else than the speed.
 func TestPrefillIsMeasuredWhereItIsKnown(t *testing.T) {
 	cases := map[string]struct {
