Count plain calls whose time is over against their endpoint

The last attempt of a call, or the only one, ends at its deadline like that of a caller that leaves, so an endpoint that answers nothing was chosen again.

Guarded by TestFalseLoadReport.

--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -119,7 +119,8 @@
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
 	isLastResort   bool // a leaving endpoint was allowed
-	isEndedEarly   bool // ended without its first event
+	isEndedEarly   bool // ended without a complete answer
+	isUnanswered   bool // ended without a byte of the answer
 	isPlain        bool // chosen by the load that endpoints report
 	isReportedFree bool // the endpoint reported free slots in its answer
 	returning      *returning
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -438,12 +438,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
-	c.isOnlyWaiter, c.isEndedEarly = c.isOnlyWaiter && outcome == Answered, outcome != Answered
+	c.isOnlyWaiter, c.isEndedEarly, c.isUnanswered = c.isOnlyWaiter && outcome == Answered, outcome != Answered, !c.hasFirst
 	p.recordFirst(c, now)
 	c.endReturn(outcome == Answered)
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
-	e.endPlain(c, outcome, now)
+	p.endPlain(c, outcome, now)
 	switch outcome {
 	case Answered:
 		e.failureRatio -= failureSmoothing * e.failureRatio
--- a/internal/request/placer/plain.go
+++ b/internal/request/placer/plain.go
@@ -123,10 +123,8 @@
 // had no success.
 func (e *endpoint) isSilent(callTime float64, now time.Time) bool {
 	s := &e.plain
-	if !s.oldest.IsZero() {
-		if waited := milliseconds(now.Sub(s.oldest)); waited > max(overdueFactor*callTime*e.told.slowdown(now), milliseconds(overdueTime)) {
-			return true
-		}
+	if !s.oldest.IsZero() && e.isOverdue(now.Sub(s.oldest), callTime, now) {
+		return true
 	}
 	if s.failures == 0 {
 		return false
@@ -134,6 +132,11 @@
 	return now.Sub(s.failedAt) < min(minSilence<<(2*min(s.failures-1, 5)), maxSilence)
 }
 
+// isOverdue reports whether the endpoint should have answered a call that began some time ago.
+func (e *endpoint) isOverdue(waited time.Duration, callTime float64, now time.Time) bool {
+	return milliseconds(waited) > max(overdueFactor*callTime*e.told.slowdown(now), milliseconds(overdueTime))
+}
+
 // defaultCallTime is the call time assumed while none has been measured, in milliseconds. Only
 // ratios of call times count.
 const defaultCallTime = 30.0
@@ -162,7 +165,8 @@
 }
 
 // endPlain records the end of a call.
-func (e *endpoint) endPlain(c *Choice, outcome Outcome, now time.Time) {
+func (p *Placer) endPlain(c *Choice, outcome Outcome, now time.Time) {
+	e := c.endpoint
 	s := &e.plain
 	switch outcome {
 	case Answered:
@@ -185,7 +189,11 @@
 		s.failures++
 		s.failedAt = now
 	case Abandoned:
-		// A caller that leaves early says nothing of the endpoint.
+		// A caller that leaves early says nothing of the endpoint; a call whose time is over does.
+		if c.isPlain && c.isUnanswered && e.isOverdue(now.Sub(c.started), p.meanCallTime(e.Service), now) {
+			s.failures++
+			s.failedAt = now
+		}
 	}
 	s.oldest = time.Time{}
 	if e.ownLoad.InFlight > 0 && (outcome == Answered || outcome == Rejected) {
--- a/internal/request/placer/plain_test.go
+++ b/internal/request/placer/plain_test.go
@@ -201,6 +201,9 @@
 	case pick == 0 && s.fault == "answers nothing":
 		s.after(225*time.Millisecond, func() { s.end(c, placer.Failed) })
 		return
+	case pick == 0 && s.fault == "answers nothing until the deadline":
+		s.after(600*time.Millisecond, func() { s.end(c, placer.Abandoned) })
+		return
 	case pick == 0 && s.fault == "rejects":
 		s.result.rejected++
 		s.end(c, placer.Rejected)
@@ -312,11 +315,12 @@
 			load.Slowdown = 20
 		}
 	}
-	if outcome != placer.Failed {
+	if outcome == placer.Answered || outcome == placer.Rejected {
 		s.told[c.entry][c.pick] = load
 	}
 	if c.choice != nil {
-		if s.reports != "none" && (s.reports != "missing" || c.pick != 0) && outcome != placer.Failed {
+		isAnswered := outcome != placer.Failed && outcome != placer.Abandoned
+		if s.reports != "none" && isAnswered && (s.reports != "missing" || c.pick != 0) {
 			s.placers[c.entry].RecordLoad(c.choice, load, s.time())
 		}
 		if outcome == placer.Answered {
@@ -330,7 +334,7 @@
 		}
 		return
 	}
-	if c.sent >= 3 {
+	if c.sent >= 3 || outcome == placer.Abandoned {
 		s.result.refused++
 		return
 	}
@@ -407,7 +411,8 @@
 		"always full":                     {"always full", "", 0.1, 0.42},
 		"always slow":                     {"always slow", "", 0.1, 0.45},
 		"idle, and answers nothing":       {"always idle", "answers nothing", 0, 0.05},
-		"idle, and rejects all":           {"always idle", "rejects", 0, 0.05},
+		"idle, and answers nothing until the deadline": {"always idle", "answers nothing until the deadline", 0, 0.05},
+		"idle, and rejects all":                        {"always idle", "rejects", 0, 0.05},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
