--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -65,6 +65,7 @@
 	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
+	uneven         map[string]bool // services whose endpoints were logged as different; used by the sweeper
 
 	mu            sync.Mutex
 	freshness     registrar.Freshness
@@ -87,7 +88,7 @@
 	e.pool.SetLost(func(address netip.AddrPort) { e.placer.LoseContact(address, n.bootClock.Now()) })
 	e.placer.SetDrain(b.Drain())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e}, &warmups{e})
+	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -184,6 +185,7 @@
 		s.pool.Sweep(s.placer.IsWanted)
 		(&notices{s.entry}).expire()
 		(&warmups{s.entry}).log()
+		(&speeds{s.entry}).check()
 		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
@@ -268,9 +270,16 @@
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
 	e.mu.Unlock()
 	r.Notices = (&notices{e}).report()
-	for position, l := range e.placer.Loads() {
+	loads := e.placer.Loads()
+	for position, measured := range e.placer.Prefills(now) {
+		l := loads[position]
+		l.PrefillTokens, l.PrefillTime = measured.PrefillTokens, measured.PrefillTime
+		loads[position] = l
+	}
+	for position, l := range loads {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
+			PrefillTokens: uint32(max(l.PrefillTokens, 0)), PrefillTime: uint32(max(l.PrefillTime, 0)),
 		})
 	}
 }
@@ -400,7 +409,10 @@
 func loadsOf(list []coordinator.Load) map[int]placer.Load {
 	out := make(map[int]placer.Load, len(list))
 	for _, l := range list {
-		out[int(l.Position)] = placer.Load{InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens)}
+		out[int(l.Position)] = placer.Load{
+			InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens),
+			PrefillTokens: int(l.PrefillTokens), PrefillTime: int(l.PrefillTime),
+		}
 	}
 	return out
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -130,6 +130,7 @@
 	}
 	a.reply = x.f.config.Decode(a.response)
 	a.recordNotice()
+	a.recordLoad()
 	return a.readAnswer()
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -69,6 +69,9 @@
 	isEvacuated  bool    // its failure domain is evacuated
 	notice       *notice // nil if the endpoint has said nothing of itself
 	warm         *warmth // nil if the endpoint need not warm up
+	told         told
+	plain        plain
+	speed        speed
 	hash         uint64
 	ownLoad      Load
 	peerLoad     Load
@@ -92,6 +95,8 @@
 	drain        time.Duration
 	warming      warming
 	peersUpdated time.Time
+	reportedAt   map[string]time.Time // when an endpoint of the service last reported its load
+	speeds       map[string]*serviceSpeed
 }
 
 // New returns a placer without endpoints.
@@ -154,8 +159,10 @@
 	for position, e := range p.positions {
 		if e != nil {
 			e.peerLoad = loads[position]
+			e.plain.peerMean += peerMeanSmoothing * (float64(e.peerLoad.InFlight) - e.plain.peerMean)
 		}
 	}
+	p.predictSpeeds(now)
 }
 
 // Loads returns the load of this node's own calls, by position in the endpoint list.
@@ -213,7 +220,7 @@
 	var bestFirst float64
 	refusal := RefusedEmpty
 	soonest := math.Inf(1)
-	aff, isCold := newAffinity(req), false
+	aff, isCold, isPlain := newAffinity(req), false, p.isPlain(req)
 	for _, e := range p.candidates(req, aff) {
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
@@ -231,6 +238,9 @@
 			refusal, soonest = RefusedLate, min(soonest, late)
 			continue
 		}
+		if isPlain {
+			cost = p.plainCost(e, req)
+		}
 		if cost < bestCost {
 			best, bestCost, bestFirst = e, cost, first
 		}
@@ -283,6 +293,11 @@
 func (p *Placer) isFull(e *endpoint, req *Request) bool {
 	peers := p.peerLoadOf(e, req.Now)
 	calls := e.ownLoad.InFlight + peers.InFlight
+	if p.isPlain(req) {
+		// The sum of the other nodes' calls is older than the calls in it, so it does not
+		// refuse a call. An endpoint that is full rejects it.
+		calls = e.ownLoad.InFlight
+	}
 	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction) {
 		return true
 	}
@@ -295,8 +310,9 @@
 func (p *Placer) estimate(e *endpoint, req *Request, aff *affinity) (first, cost, late float64) {
 	peers := p.peerLoadOf(e, req.Now)
 	prefill := float64(e.estimatePrefill(req, aff))
-	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
-	first = queue + prefill/e.prefillRate
+	rate := e.rate(req.Now)
+	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / rate
+	first = queue + prefill/rate
 	isCold := p.isCold(e, req.Boot)
 	if isCold {
 		queue, first = coldFactor*queue, coldFactor*first
@@ -305,7 +321,7 @@
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
 	calls := float64(e.ownLoad.InFlight + peers.InFlight)
-	cost = first + prefillPenalty*prefill/e.prefillRate + inFlightPenalty*calls + failurePenalty*e.failureRatio*e.failureRatio
+	cost = first + prefillPenalty*prefill/rate + inFlightPenalty*calls*e.effort(req.Now) + failurePenalty*e.failureRatio*e.failureRatio
 	if e.Slots > 0 {
 		// Plain calls run in slots; a call beyond the slots has to wait.
 		over := calls + 1 - float64(e.Slots)
@@ -350,12 +366,14 @@
 	c := &Choice{
 		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
-		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
+		queuedPrefill: e.ownLoad.PendingPrefill + p.peerLoadOf(e, req.Now).PendingPrefill,
+		isOnlyWaiter:  e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
 	c.reserve(p, req.Boot)
-	c.isLastResort = req.IsLastResort
+	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
 	e.ownLoad.InFlight++
+	e.beginPlain(req.Now)
 	e.ownLoad.Waiting++
 	e.ownLoad.PendingPrefill += c.pendingPrefill
 	e.ownLoad.KVTokens += c.kvTokens
@@ -412,6 +430,7 @@
 	e := c.endpoint
 	e.ownLoad.Waiting--
 	e.ownLoad.PendingPrefill -= c.pendingPrefill
+	c.measurePrefill(now)
 	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
@@ -442,12 +461,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
-	c.isOnlyWaiter = c.isOnlyWaiter && outcome == Answered
+	c.isOnlyWaiter, c.isEndedEarly, c.isUnanswered = c.isOnlyWaiter && outcome == Answered, outcome != Answered, !c.hasFirst
 	p.recordFirst(c, now)
 	c.endReturn(outcome == Answered)
 	c.releaseWarmup()
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
+	p.endPlain(c, outcome, now)
 	switch outcome {
 	case Answered:
 		e.failureRatio -= failureSmoothing * e.failureRatio
@@ -462,7 +482,9 @@
 		clear(e.blockTokens)
 		e.cachedTokens = 0
 	case Rejected:
-		e.ejectedUntil = now.Add(minEjection / 4)
+		if !c.isPlain {
+			e.ejectedUntil = now.Add(minEjection / 4)
+		}
 	case Abandoned:
 	}
 }
