Predict queues by priority

Endpoints process more urgent calls first, so a call waits for the pending prefill of its own and more urgent priorities and for at most one running chunk of less urgent ones. Loads carry their parts by priority through reports, relays and directives. Further fields of a load are sent only to a node that states LoadFields, since a former release accepts exactly five.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -61,6 +61,7 @@
 	callerListener net.Listener
 	ready          *listener.Listener
 	isClosing      atomic.Bool
+	peerFields     atomic.Int64              // number of fields of a load that the node read which answered the last report
 	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
@@ -267,8 +268,11 @@
 	for position, l := range e.placer.Loads() {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
+			PendingFirst: uint32(max(l.PendingFirst, 0)), PendingSecond: uint32(max(l.PendingSecond, 0)),
 		})
 	}
+	// A report that is not answered may have met a former release, so the next one is short.
+	r.Loads, r.LoadFields = coordinator.TrimLoads(r.Loads, int(e.peerFields.Swap(0))), coordinator.LoadFields
 }
 
 // apply applies the directive that answered a report sent at sentAt. It reports whether the
@@ -294,7 +298,9 @@
 	if isChanged {
 		(&notices{e}).hear(endpoints)
 	}
+	e.peerFields.Store(int64(d.LoadFields))
 	if isCurrent {
+		coordinator.AssumeUrgent(d.Loads, d.LoadFields)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
@@ -390,7 +396,7 @@
 func loadsOf(list []coordinator.Load) map[int]placer.Load {
 	out := make(map[int]placer.Load, len(list))
 	for _, l := range list {
-		out[int(l.Position)] = placer.Load{InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens)}
+		out[int(l.Position)] = placer.Load{InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens), PendingFirst: int(l.PendingFirst), PendingSecond: int(l.PendingSecond)}
 	}
 	return out
 }
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -152,6 +152,7 @@
 	if r.Entry && c.isRelayed && !r.NeedsLeader && len(c.relays) > 0 {
 		return c.redirect(now)
 	}
+	AssumeUrgent(r.Loads, r.LoadFields)
 	c.replaceReport(r, now)
 	c.recordNotices(r, now)
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
@@ -180,7 +181,7 @@
 		if d.Received < d.Length {
 			d.ReportInterval = pageInterval
 		}
-		d.Loads = c.sums.except(c.nodes[r.Node].summedLoads())
+		d.Loads = TrimLoads(c.sums.except(c.nodes[r.Node].summedLoads()), r.LoadFields)
 	}
 	return d
 }
@@ -188,7 +189,7 @@
 // newDirective returns a directive with what all nodes are told.
 func (c *Core) newDirective(now time.Time) Directive {
 	d := Directive{
-		Leads: true, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
+		Leads: true, LoadFields: LoadFields, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
 	}
 	if c.isRelayed {
 		d.Relays = c.relays
--- a/internal/process/coordinator/core_test.go
+++ b/internal/process/coordinator/core_test.go
@@ -22,7 +22,7 @@
 var start = time.Unix(1000, 0)
 
 func report(node string, wall time.Time) *coordinator.Report {
-	return &coordinator.Report{Node: node, Incarnation: 1, Entry: true, WallClock: wall.UnixNano()}
+	return &coordinator.Report{LoadFields: coordinator.LoadFields, Node: node, Incarnation: 1, Entry: true, WallClock: wall.UnixNano()}
 }
 
 func apply(t require.TestingT, d *coordinator.Directive, list []coordinator.Endpoint) []coordinator.Endpoint {
@@ -246,6 +246,7 @@
 			for range rapid.IntRange(0, 3).Draw(t, "loads") {
 				r.Loads = append(r.Loads, coordinator.Load{
 					Position: uint16(rapid.IntRange(0, 3).Draw(t, "place")), InFlight: uint16(rapid.IntRange(1, 9).Draw(t, "calls")), PendingPrefill: 7,
+					PendingFirst: 4, PendingSecond: 2,
 				})
 			}
 			newest[name] = received{r, now}
@@ -257,7 +258,8 @@
 				}
 				for _, l := range h.report.Loads {
 					sum := want[l.Position]
-					want[l.Position] = coordinator.Load{Position: l.Position, InFlight: sum.InFlight + l.InFlight, PendingPrefill: sum.PendingPrefill + l.PendingPrefill}
+					want[l.Position] = coordinator.Load{Position: l.Position, InFlight: sum.InFlight + l.InFlight, PendingPrefill: sum.PendingPrefill + l.PendingPrefill,
+						PendingFirst: sum.PendingFirst + l.PendingFirst, PendingSecond: sum.PendingSecond + l.PendingSecond}
 				}
 			}
 			got := make(map[uint16]coordinator.Load)
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -56,6 +56,7 @@
 	refused map[string]uint64
 
 	leader        Directive // the last one of a leader
+	leaderFields  int       // number of fields of a load that the leader reads; 0 if not known
 	confirmedAt   time.Time // when the report that it answered was sent
 	clusterOffset time.Duration
 	list          *list
@@ -87,10 +88,11 @@
 		return Directive{}, false
 	}
 	delete(g.seen, r.Node)
+	AssumeUrgent(r.Loads, r.LoadFields)
 	g.replaceReport(r, now)
 	g.addUsage(r)
 	d := Directive{
-		Leads: true, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
+		Leads: true, LoadFields: LoadFields, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
 		ClusterTime: now.Add(g.clusterOffset).UnixNano(), ReportInterval: g.interval(), MovesID: g.leader.MovesID,
 		Suspects: g.leader.Suspects, Isolations: g.leader.Isolations, HasIsolations: g.leader.HasIsolations,
 	}
@@ -103,7 +105,7 @@
 		if d.Received < d.Length {
 			d.ReportInterval = pageInterval
 		}
-		d.Loads = g.total.except(g.members[r.Node].summedLoads())
+		d.Loads = TrimLoads(g.total.except(g.members[r.Node].summedLoads()), r.LoadFields)
 	}
 	return d, true
 }
@@ -232,7 +234,8 @@
 	if offset, ok := g.clockOffset(); ok {
 		r.WallClock = now.Add(offset).UnixNano()
 	}
-	r.Loads = g.sums.all()
+	r.Loads, r.LoadFields = TrimLoads(g.sums.all(), g.leaderFields), LoadFields
+	g.leaderFields = 0 // until the leader has answered this report
 	r.Group.Usage = g.endedUsage(now.Add(g.clusterOffset))
 	evidence := newEvidence()
 	for _, m := range g.members {
@@ -286,6 +289,8 @@
 // Apply applies the directive of a leader that answered a report sent at sentAt.
 func (g *GroupCore) Apply(d *Directive, sentAt, now time.Time) error {
 	err := g.applyList(d)
+	AssumeUrgent(d.Loads, d.LoadFields)
+	g.leaderFields = d.LoadFields
 	if d.MovesID == g.leader.MovesID {
 		d.Moves = g.leader.Moves
 	}
--- a/internal/process/coordinator/group_test.go
+++ b/internal/process/coordinator/group_test.go
@@ -291,7 +291,7 @@
 		require.True(t, ok)
 		listID = d.ListID
 		r.ListID, r.Refused = listID, map[string]uint64{"desk": 7}
-		r.Loads = []coordinator.Load{{Position: 0, InFlight: 1, PendingPrefill: 100}, {Position: uint16(i % 2), InFlight: 2}}
+		r.Loads = []coordinator.Load{{Position: 0, InFlight: 1, PendingPrefill: 100, PendingFirst: 30, PendingSecond: 50}, {Position: uint16(i % 2), InFlight: 2}}
 		r.Usage = []accountant.Counts{{Window: ended, Calls: map[string]int{customer: 10}}}
 		r.Notices = []coordinator.Notice{{ID: "e2", Pause: 10 * time.Second}}
 		_, _ = relays[i%2].core.HandleReport(r, now)
@@ -299,7 +299,7 @@
 	for _, r := range relays {
 		r.reportTo(t, leader, now, false)
 	}
-	require.Equal(t, []coordinator.Load{{Position: 0, InFlight: 8, PendingPrefill: 400}, {Position: 1, InFlight: 4}}, leader.TotalLoads(now))
+	require.Equal(t, []coordinator.Load{{Position: 0, InFlight: 8, PendingPrefill: 400, PendingFirst: 120, PendingSecond: 200}, {Position: 1, InFlight: 4}}, leader.TotalLoads(now))
 	require.Equal(t, map[string]int{customer: 40}, leader.Ledger().Sum(ended))
 	require.EqualValues(t, 8, leader.Refused("desk"))
 	require.Equal(t, map[int]bool{1: true}, leader.PausedLonger(5*time.Second, now))
--- a/internal/process/coordinator/loads.go
+++ b/internal/process/coordinator/loads.go
@@ -109,6 +109,8 @@
 	l.Waiting += o.Waiting
 	l.PendingPrefill += o.PendingPrefill
 	l.KVTokens += o.KVTokens
+	l.PendingFirst += o.PendingFirst
+	l.PendingSecond += o.PendingSecond
 }
 
 func (l *Load) subtract(o Load) {
@@ -116,4 +118,6 @@
 	l.Waiting -= o.Waiting
 	l.PendingPrefill -= o.PendingPrefill
 	l.KVTokens -= o.KVTokens
+	l.PendingFirst -= o.PendingFirst
+	l.PendingSecond -= o.PendingSecond
 }
--- a/internal/process/coordinator/releases_test.go
+++ b/internal/process/coordinator/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -37,3 +38,25 @@
 	require.Len(t, fields, 5, "what an earlier release expects")
 	require.Error(t, msgpack.Unmarshal([]byte{0x92, 1, 2}, new(coordinator.Load)))
 }
+
+// Guards against loads by priority that are lost on the way through the leader, that confuse a
+// node of an earlier release, or that count the unknown as less urgent.
+func TestLoadsByPriorityPassTheLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := coordinator.NewCore(1, now, time.Second, time.Second)
+	c.SetEndpoints([]coordinator.Endpoint{{ID: "e", Service: "desk"}}, now)
+	list := c.HandleReport(&coordinator.Report{Node: "a", Entry: true}, now).ListID
+	report := func(node string, fields int, loads ...coordinator.Load) []coordinator.Load {
+		d := c.HandleReport(&coordinator.Report{Node: node, Entry: true, ListID: list, Received: 1, LoadFields: fields, Loads: loads}, now)
+		require.Equal(t, 9, d.LoadFields)
+		return d.Loads
+	}
+	report("a", 9, coordinator.Load{InFlight: 2, PendingPrefill: 900, PendingFirst: 400, PendingSecond: 300})
+	report("b", 9, coordinator.Load{InFlight: 1, PendingPrefill: 100, PendingSecond: 100})
+	report("former", 0, coordinator.Load{InFlight: 1, PendingPrefill: 50})
+	require.Equal(t, []coordinator.Load{{InFlight: 4, PendingPrefill: 1050, PendingFirst: 450, PendingSecond: 400}}, report("c", 9))
+	require.Equal(t, []coordinator.Load{{InFlight: 3, PendingPrefill: 1000}}, report("former", 0, coordinator.Load{InFlight: 1, PendingPrefill: 50}))
+	report("a", 9)
+	report("former", 0)
+	require.Equal(t, []coordinator.Load{{InFlight: 1, PendingPrefill: 100, PendingSecond: 100}}, report("c", 9), "what has ended stays in the sums")
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -203,6 +203,8 @@
 	// its entries' clocks, and 0 without entries.
 	WallClock int64  `msgpack:"w"`
 	Loads     []Load `msgpack:"l,omitempty"`
+	// LoadFields is the number of fields of a load that the node reads; 0 stands for five.
+	LoadFields int `msgpack:"lf,omitempty"`
 	// Demand is what customers with limits request a second. Unspent is what the node has
 	// not spent of the allowances that it received with the grant Sequence.
 	Demand   map[string]float64 `msgpack:"d,omitempty"`
@@ -298,6 +300,9 @@
 	// Loads are the loads of all other nodes. In a large fleet they cover only the endpoints
 	// with the highest load.
 	Loads []Load `msgpack:"o,omitempty"`
+	// LoadFields is the number of fields of a load that the answering node reads; 0 stands for
+	// five.
+	LoadFields int `msgpack:"lf,omitempty"`
 	// Allowances are the node's parts of the customers' limits, granted under Sequence. They
 	// are valid for AllowanceLifetime from when the report was sent.
 	Allowances        map[string]float64 `msgpack:"s,omitempty"`
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -340,7 +340,7 @@
 	req := &placer.Request{
 		Service: x.service.Name, Domain: x.f.config.Domain, Blocks: x.call.Blocks, Prompt: x.call.Prompt,
 		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
-		Exclude: exclude, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
+		Priority: x.priority(), Exclude: exclude, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
 	}
 	if x.service.Model != nil {
 		req.KVSize = x.service.Model.KVSize
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -42,6 +42,10 @@
 	PendingPrefill int
 	// KVTokens is the number of KV cache tokens reserved for these calls.
 	KVTokens int
+	// PendingFirst is the part of PendingPrefill of calls with priority 0, and PendingSecond
+	// that of calls with priority 1.
+	PendingFirst  int
+	PendingSecond int
 }
 
 // ReportedLoad is the load that an endpoint reports of itself in an answer.
@@ -63,6 +67,8 @@
 	// generate tokens.
 	Prompt int
 	Answer int
+	// Priority is the priority of the call at endpoints; 0 is the most urgent.
+	Priority int
 	// MaxFirst is the longest acceptable time to the first event, and MaxQueueTime the
 	// longest acceptable time until the endpoint starts to process the prompt.
 	MaxFirst     time.Duration
@@ -108,8 +114,9 @@
 	endpoint       *endpoint
 	listed         Endpoint      // as listed when it was chosen; the list may change it later
 	predicted      time.Duration // time to the first event
-	pendingPrefill int           // tokens that the endpoint has to prefill for this call
-	kvTokens       int           // KV cache tokens reserved for this call
+	priority       int
+	pendingPrefill int // tokens that the endpoint has to prefill for this call
+	kvTokens       int // KV cache tokens reserved for this call
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -279,13 +279,14 @@
 func (p *Placer) estimate(e *endpoint, req *Request, aff *affinity) (first, cost, late float64) {
 	peers := p.peerLoadOf(e, req.Now)
 	prefill := float64(e.estimatePrefill(req, aff))
-	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
+	ahead, behind := e.pendingPrefill(peers, req.Priority)
+	queue := ahead / e.prefillRate
 	first = queue + prefill/e.prefillRate
 	if req.Prompt > 0 {
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
 	calls := float64(e.ownLoad.InFlight + peers.InFlight)
-	cost = first + prefillPenalty*prefill/e.prefillRate + inFlightPenalty*calls + failurePenalty*e.failureRatio*e.failureRatio
+	cost = first + prefillPenalty*prefill/e.prefillRate + inFlightPenalty*calls + failurePenalty*e.failureRatio*e.failureRatio + lessUrgentPenalty*behind/e.prefillRate
 	if e.Slots > 0 {
 		// Plain calls run in slots; a call beyond the slots has to wait.
 		over := calls + 1 - float64(e.Slots)
@@ -327,13 +328,13 @@
 	c := &Choice{
 		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
-		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
+		priority: req.Priority, isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
 	c.isLastResort = req.IsLastResort
 	e.ownLoad.InFlight++
 	e.ownLoad.Waiting++
-	e.ownLoad.PendingPrefill += c.pendingPrefill
+	e.ownLoad.addPending(c.priority, c.pendingPrefill)
 	e.ownLoad.KVTokens += c.kvTokens
 	e.recordBlocks(req)
 	return c
@@ -387,7 +388,7 @@
 	c.hasFirst = true
 	e := c.endpoint
 	e.ownLoad.Waiting--
-	e.ownLoad.PendingPrefill -= c.pendingPrefill
+	e.ownLoad.addPending(c.priority, -c.pendingPrefill)
 	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
