Ration queue time by priority while capacity is short

Package rationer decides how long a call may queue at an endpoint. While more urgent calls are refused or late, less urgent ones get less, down to a minimum share; large calls and customers above their fair share give way within their rank. What each node counted is summed by relays and the leader. Without a shortage the thresholds are the former ones.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -24,6 +24,7 @@
 	"hyssoprudder/internal/request/forwarder"
 	"hyssoprudder/internal/request/isolator"
 	"hyssoprudder/internal/request/placer"
+	"hyssoprudder/internal/request/rationer"
 )
 
 const (
@@ -49,6 +50,7 @@
 	placer         *placer.Placer
 	pool           *pooler.Pool
 	quotas         *apportioner.Quotas
+	rationer       *rationer.Rationer
 	counter        *accountant.Counter
 	recorder       *recorder
 	versions       *versions
@@ -78,7 +80,7 @@
 func (n *Node) buildEntry() {
 	b := n.settings.Bounds()
 	e := &entry{
-		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(),
+		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(), rationer: rationer.New(),
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
 		isolator: isolator.New(),
 	}
@@ -103,7 +105,7 @@
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
-		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+		Quotas:     e.quotas, Placer: e.placer, Rationer: e.rationer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
@@ -260,6 +262,7 @@
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	r.Suspects = e.isolator.Suspects()
+	r.Rationing = exportRationing(e.rationer.Report(now))
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
@@ -303,6 +306,7 @@
 		coordinator.AssumeUrgent(d.Loads, d.LoadFields)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
+	e.rationer.SetShared(importRationing(d.Rationing), now)
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
 	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -59,6 +59,7 @@
 	receivedAt  time.Time
 	clockOffset time.Duration // of the node's wall clock, relative to the leader's clock
 	isSummed    bool          // its loads are included in the sums
+	isRationed  bool          // its rationing is included in the sums
 }
 
 // newNode returns a node that reported at now.
@@ -93,6 +94,7 @@
 	said map[noticeKey]said // what listed endpoints said to nodes
 
 	sums              loadSums // over all nodes
+	rationing         rationingSums
 	relays            []RelayAddress
 	relayed           int           // number of entries from which on they report to relays
 	isRelayed         bool          // entries report to relays
@@ -108,7 +110,7 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said), relayed: defaultRelayed,
+		said: make(map[noticeKey]said), relayed: defaultRelayed, rationing: make(rationingSums),
 	}
 }
 
@@ -174,6 +176,7 @@
 	if r.Group != nil {
 		report.Held = r.Group.Held
 	}
+	d.Rationing = c.rationing.export()
 	grant := c.divider.Renew(&report, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.list.isLoaded() {
@@ -277,7 +280,9 @@
 func (c *Core) replaceReport(r *Report, now time.Time) {
 	last := c.nodes[r.Node]
 	c.removeLoads(last)
+	c.rationing.remove(last)
 	n := newNode(r, now)
+	c.rationing.include(n)
 	c.entries += n.entries()
 	if last != nil {
 		c.entries -= last.entries()
@@ -315,6 +320,7 @@
 	for name, n := range c.nodes {
 		if now.Sub(n.receivedAt) > nodeTimeout {
 			c.removeLoads(n)
+			c.rationing.remove(n)
 		}
 		switch {
 		case now.Sub(n.receivedAt) > maxClockAge:
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -47,13 +47,16 @@
 // told it last. It answers the entries from that and reports the sums to the leader. It is a
 // state machine without input or output and not safe for concurrent use.
 type GroupCore struct {
-	config  GroupConfig
-	members map[string]*node
-	seen    map[string]time.Time // entries that were sent on to the leader
-	sums    loadSums             // over the entries
-	pool    *divider.Pool
-	usage   map[usageKey]*usageRecord
-	refused map[string]uint64
+	config            GroupConfig
+	members           map[string]*node
+	seen              map[string]time.Time // entries that were sent on to the leader
+	sums              loadSums             // over the entries
+	pool              *divider.Pool
+	usage             map[usageKey]*usageRecord
+	refused           map[string]uint64
+	rationing         rationingSums // over the entries
+	otherRationing    rationingSums // of the nodes of other groups, as the leader told
+	reportedRationing Rationing
 
 	leader        Directive // the last one of a leader
 	leaderFields  int       // number of fields of a load that the leader reads; 0 if not known
@@ -68,7 +71,7 @@
 // NewGroupCore returns the state of a relay that has not reported yet.
 func NewGroupCore(c GroupConfig) *GroupCore {
 	return &GroupCore{
-		config: c, members: make(map[string]*node), seen: make(map[string]time.Time), pool: divider.NewPool(c.Incarnation),
+		config: c, members: make(map[string]*node), seen: make(map[string]time.Time), rationing: make(rationingSums), pool: divider.NewPool(c.Incarnation),
 		usage: make(map[usageKey]*usageRecord), refused: make(map[string]uint64), list: newList(0),
 	}
 }
@@ -99,6 +102,7 @@
 	if r.MovesID != d.MovesID {
 		d.Moves = g.leader.Moves
 	}
+	d.Rationing = g.rationing.plus(g.otherRationing).export()
 	g.grant(r, &d, now)
 	if g.isListComplete() && !g.list.isOlderThan(r.ListID) {
 		g.list.fillDirective(&d, r.ListID, r.Received)
@@ -143,7 +147,9 @@
 			}
 		}
 	}
+	g.rationing.remove(last)
 	m := newNode(r, now)
+	g.rationing.include(m)
 	g.members[r.Node] = m
 	if r.ListID.Term == g.list.version.Term {
 		m.isSummed = true
@@ -169,6 +175,7 @@
 	for name, m := range g.members {
 		if now.Sub(m.receivedAt) > nodeTimeout {
 			g.removeLoads(m)
+			g.rationing.remove(m)
 			delete(g.members, name)
 		}
 	}
@@ -235,6 +242,8 @@
 		r.WallClock = now.Add(offset).UnixNano()
 	}
 	r.Loads, r.LoadFields = TrimLoads(g.sums.all(), g.leaderFields), LoadFields
+	g.reportedRationing = g.rationing.export()
+	r.Rationing = g.reportedRationing
 	g.leaderFields = 0 // until the leader has answered this report
 	r.Group.Usage = g.endedUsage(now.Add(g.clusterOffset))
 	evidence := newEvidence()
@@ -291,6 +300,9 @@
 	err := g.applyList(d)
 	AssumeUrgent(d.Loads, d.LoadFields)
 	g.leaderFields = d.LoadFields
+	g.otherRationing = make(rationingSums)
+	g.otherRationing.add(d.Rationing, 1)
+	g.otherRationing.add(g.reportedRationing, -1)
 	if d.MovesID == g.leader.MovesID {
 		d.Moves = g.leader.Moves
 	}
--- a/internal/process/coordinator/releases_test.go
+++ b/internal/process/coordinator/releases_test.go
@@ -60,3 +60,35 @@
 	report("former", 0)
 	require.Equal(t, []coordinator.Load{{InFlight: 1, PendingPrefill: 100, PendingSecond: 100}}, report("c", 9), "what has ended stays in the sums")
 }
+
+// Guards against sums of refused work that keep what a gone node reported, that count a node
+// twice, or that a relay doesn't pass on.
+func TestRationingIsSummedOverNodes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := coordinator.NewCore(1, now, time.Second, time.Second)
+	send := func(node string, at time.Time, work ...uint32) []uint32 {
+		r := &coordinator.Report{Node: node, Entry: true}
+		if len(work) > 0 {
+			r.Rationing = coordinator.Rationing{"desk": work}
+		}
+		return c.HandleReport(r, at).Rationing["desk"]
+	}
+	require.Equal(t, []uint32{9, 1, 8}, send("a", now, 9, 1, 8))
+	require.Equal(t, []uint32{12, 2, 10}, send("b", now, 3, 1, 2))
+	require.Equal(t, []uint32{13, 3, 10}, send("b", now, 4, 2, 2))
+	relay := coordinator.NewGroupCore(coordinator.GroupConfig{Node: "k", Incarnation: 1, Window: time.Second})
+	beat := func(at time.Time) {
+		d := c.HandleReport(relay.Report(at), at)
+		require.NoError(t, relay.Apply(&d, at, at))
+	}
+	beat(now)
+	member := &coordinator.Report{Node: "m", Incarnation: 1, Entry: true, IsRedirected: true, Rationing: coordinator.Rationing{"desk": {5, 5, 0}}}
+	for range 2 {
+		d, ok := relay.HandleReport(member, now)
+		require.True(t, ok)
+		require.Equal(t, []uint32{18, 8, 10}, d.Rationing["desk"])
+		beat(now)
+	}
+	require.Equal(t, []uint32{9, 7, 2}, send("a", now), "of b and of the relay's group")
+	require.Nil(t, send("a", now.Add(4*time.Second)), "b and the relay are gone")
+}
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -229,6 +229,8 @@
 	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
 	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
 	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
+	// Rationing is the work that calls asked the node for lately.
+	Rationing Rationing `msgpack:"ra,omitempty"`
 	// Notices are what listed endpoints said of themselves: at most MaxNotices.
 	Notices []Notice `msgpack:"no,omitempty"`
 	// Suspects are the requests that an earlier leader suspected, while the leader does not know them.
@@ -309,6 +311,8 @@
 	Sequence          uint64             `msgpack:"q,omitempty"`
 	Granter           uint64             `msgpack:"gr,omitempty"`
 	AllowanceLifetime time.Duration      `msgpack:"a"`
+	// Rationing is the sum over all nodes, with the one that reported.
+	Rationing Rationing `msgpack:"ra,omitempty"`
 	// ClusterTime is the cluster time, in nanoseconds since 1970.
 	ClusterTime int64 `msgpack:"c"`
 	// Moves are the encoded states of all moves, in the form of package mover, if the node has
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/request/apportioner"
 	"hyssoprudder/internal/request/placer"
+	"hyssoprudder/internal/request/rationer"
 )
 
 const (
@@ -87,11 +88,13 @@
 	// result.
 	AttemptStarted func(route string, endpoint placer.Endpoint)
 	AttemptEnded   func(result *AttemptResult)
-	// Quotas, Placer, Pool and Budget are shared with other components of the node.
-	Quotas *apportioner.Quotas
-	Placer *placer.Placer
-	Pool   *pooler.Pool
-	Budget *Budget
+	// Quotas, Placer, Rationer, Pool and Budget are shared with other components of the node.
+	// Without a Rationer the forwarder has its own.
+	Quotas   *apportioner.Quotas
+	Placer   *placer.Placer
+	Rationer *rationer.Rationer
+	Pool     *pooler.Pool
+	Budget   *Budget
 }
 
 // Forwarder serves the calls of one node. It is safe for concurrent use.
@@ -111,6 +114,9 @@
 
 // New returns a forwarder without rules.
 func New(c Config) *Forwarder {
+	if c.Rationer == nil {
+		c.Rationer = rationer.New()
+	}
 	return &Forwarder{config: c, started: c.Clock.Now(), answerMemory: reserver.New(maxAnswerMemory, freeAnswer)}
 }
 
@@ -153,11 +159,14 @@
 	service        *registrar.Service
 	customer       *registrar.Customer
 	body           []byte
-	reserved       int64     // bytes of memory reserved for the body
-	deadline       time.Time // end of the caller's or the route's time, whichever is earlier
-	random         float64   // random number in [0, 1) that selects the version
-	hash           *uint64   // fingerprint of the request, nil if not computed yet
-	cost           float64   // amount charged to the customer's limit
+	reserved       int64              // bytes of memory reserved for the body
+	deadline       time.Time          // end of the caller's or the route's time, whichever is earlier
+	random         float64            // random number in [0, 1) that selects the version
+	allowance      rationer.Allowance // for the last choice of an endpoint
+	isRationed     bool               // the call was counted as admitted or refused
+	isLate         bool               // the call was counted as late
+	hash           *uint64            // fingerprint of the request, nil if not computed yet
+	cost           float64            // amount charged to the customer's limit
 	tried          []string
 	next           *secured // where the call goes on after an attempt that was given up
 	sent           int      // number of endpoints to which bytes of the call were sent
@@ -185,6 +194,7 @@
 // end reports the result of the call. It also runs when a panic aborts the caller's
 // connection.
 func (x *exchange) end() {
+	x.recordLate()
 	x.releaseNext()
 	x.f.bodyBytes.Add(-x.reserved)
 	x.bufferedMemory.Release()
@@ -337,9 +347,10 @@
 // place chooses an endpoint that is not excluded.
 func (x *exchange) place(exclude []string) (*placer.Choice, placer.Refusal, time.Duration) {
 	now := x.f.config.Clock.Now()
+	x.allow(now)
 	req := &placer.Request{
 		Service: x.service.Name, Domain: x.f.config.Domain, Blocks: x.call.Blocks, Prompt: x.call.Prompt,
-		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
+		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.allowance.QueueTime(), Reserve: x.allowance.Reserve(),
 		Priority: x.priority(), Exclude: exclude, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
 	}
 	if x.service.Model != nil {
@@ -348,41 +359,6 @@
 	return x.placeByVersion(req)
 }
 
-// maxQueueTime returns how long the call may wait until the endpoint starts to
-// process its prompt. A call that waits so long that it misses its objective also
-// delays others, so it is better refused at once; less urgent calls are refused
-// sooner. Large prompts, which take long to process, keep a minimum fraction of the
-// objective.
-func (x *exchange) maxQueueTime(now time.Time) time.Duration {
-	objective := float64(x.route.Objective)
-	if objective <= 0 {
-		return x.deadline.Sub(now)
-	}
-	prefill := float64(x.call.Prompt) / assumedPrefillRate * float64(time.Millisecond)
-	fraction := max(queueFraction-prefill/objective, minQueueFraction) / (1 + priorityStep*float64(max(x.priority(), 0)))
-	waited := float64(x.f.waitedBefore(x.route, x.call.MaxWait, now)) / objective
-	if waited < 1 {
-		fraction -= waited
-	}
-	return time.Duration(max(fraction, minLateQueueFraction) * objective)
-}
-
-const (
-	// queueFraction is the fraction of the objective for which a call may wait, less
-	// the time to process its own prompt at assumedPrefillRate tokens per
-	// millisecond.
-	queueFraction      = 0.85
-	assumedPrefillRate = 40.0
-	// minQueueFraction is the least such fraction for large prompts.
-	minQueueFraction = 0.4
-	// minLateQueueFraction is the least such fraction after the reductions for the
-	// call's priority and for the wait of its caller before this call.
-	minLateQueueFraction = 0.2
-	// priorityStep is by how much each level of priority increases the divisor of
-	// that fraction.
-	priorityStep = 0.3
-)
-
 // minTokenTime is the shortest time in which an endpoint generates a token of one call.
 const minTokenTime = time.Millisecond
 
@@ -434,10 +410,12 @@
 		}
 		next, refused, wait := x.nextEndpoint()
 		if next == nil {
+			x.recordRefused(refused)
 			x.abandon(string(refused), wait)
 			return
 		}
 		choice := next.choice
+		x.recordAdmitted(choice)
 		x.result.Endpoint, x.result.Predicted = choice.Endpoint().ID, choice.Predicted()
 		x.result.Attempts++
 		if !x.isBudgeted {
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -73,6 +73,9 @@
 	// longest acceptable time until the endpoint starts to process the prompt.
 	MaxFirst     time.Duration
 	MaxQueueTime time.Duration
+	// Reserve is the fraction of the slots and of the KV cache of an endpoint that the call
+	// leaves free for more urgent ones.
+	Reserve float64
 	// KVSize is the size of an endpoint's KV cache in tokens, or 0 if it has none.
 	KVSize int
 	// Exclude lists the IDs of endpoints that must not be chosen, since they were
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -267,11 +267,11 @@
 func (p *Placer) isFull(e *endpoint, req *Request) bool {
 	peers := p.peerLoadOf(e, req.Now)
 	calls := e.ownLoad.InFlight + peers.InFlight
-	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction) {
+	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction)*(1-req.Reserve) {
 		return true
 	}
 	kvTokens := e.ownLoad.KVTokens + peers.KVTokens + req.Prompt + req.Answer
-	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*float64(req.KVSize)
+	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*(1-req.Reserve)*float64(req.KVSize)
 }
 
 // estimate returns the expected time to the first event in milliseconds, the cost by
