--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -25,6 +25,13 @@
 	// MinShare is the fraction of its requested work that each rank keeps: while less than that
 	// was admitted, its calls may queue as if capacity were not short.
 	MinShare = 0.1
+	// lateGain and minOwnLevel state how the queue time of a rank falls with the late fraction of
+	// its admitted work.
+	lateGain    = 1.0
+	minOwnLevel = 0.2
+	// yieldGain is the greatest fraction by which the queue time of a rank falls while a less
+	// urgent one is served less than its minimum share.
+	yieldGain = 0.5
 	// reserveFraction is the fraction of the slots and of the memory of endpoints that a rank
 	// leaves free at minLevel.
 	reserveFraction = 0.25
@@ -103,7 +110,7 @@
 		return Allowance{queueTime: base, level: 1}
 	}
 	a := Allowance{level: level, reserve: reserveFraction * (1 - level)}
-	a.queueTime = time.Duration(level * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
+	a.queueTime = time.Duration(level * s.ownLevel(c.rank(), now) * s.yieldLevel(c.rank(), now) * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
 	for _, urgent := range s.ranks[:c.rank()] {
 		if now.Sub(urgent.cappedAt) < capTime {
 			a.queueTime = min(a.queueTime, urgent.cap)
--- a/internal/request/rationer/service.go
+++ b/internal/request/rationer/service.go
@@ -138,6 +138,31 @@
 	return max(level, minLevel)
 }
 
+// lateWork returns the admitted work of a rank that is late.
+func (w *Work) lateWork() float64 { return min(max(w.Bad-(w.Asked-w.Admitted), 0), w.Admitted) }
+
+// ownLevel reduces the queue time of a rank whose admitted calls are late, since more urgent
+// calls that come later overtake them.
+func (s *service) ownLevel(rank int, now time.Time) float64 {
+	t := s.total(rank, now)
+	if t.Admitted <= 0 {
+		return 1
+	}
+	return max(1-lateGain*max(t.lateWork()/t.Admitted-tolerance, 0), minOwnLevel)
+}
+
+// yieldLevel reduces the queue time of a rank while a less urgent one is served less than its
+// minimum share: endpoints reach its calls only if no more urgent ones wait.
+func (s *service) yieldLevel(rank int, now time.Time) float64 {
+	starved := 0.0
+	for other := rank + 1; other < Ranks; other++ {
+		if t := s.total(other, now); t.Asked > callWork {
+			starved = max(starved, 1-(t.Admitted-t.lateWork())/(MinShare*t.Asked))
+		}
+	}
+	return 1 - yieldGain*starved
+}
+
 // isBelowMinimum reports whether less than the minimum share of a rank's work was admitted.
 func (s *service) isBelowMinimum(rank int, now time.Time) bool {
 	t := s.total(rank, now)
