--- a/internal/node/assembler/recorder.go
+++ b/internal/node/assembler/recorder.go
@@ -12,6 +12,7 @@
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/request/forwarder"
 	"hyssoprudder/internal/request/placer"
+	"hyssoprudder/internal/request/rationer"
 )
 
 const (
@@ -31,6 +32,7 @@
 	clock clock.Clock
 	total *prometheus.CounterVec
 	first *prometheus.HistogramVec
+	short *prometheus.CounterVec
 
 	mu         sync.Mutex
 	second     int64
@@ -48,8 +50,11 @@
 			Name: "hyssoprudder_forwarded_first_seconds", Help: "Time from the arrival of a call to the first byte of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.004, 2, 13),
 		}, []string{"kind"}),
+		short: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssoprudder_refused_calls_total", Help: "Refused calls by priority and reason.",
+		}, []string{"priority", "reason"}),
 	}
-	r.MustRegister(out.total, out.first)
+	r.MustRegister(out.total, out.first, out.short)
 	return out
 }
 
@@ -60,6 +65,9 @@
 	if result.First > 0 {
 		r.first.WithLabelValues(kind).Observe(result.First.Seconds())
 	}
+	if result.Refusal != forwarder.None {
+		r.short.WithLabelValues(rankLabel(result.Priority), reasonOf(result)).Inc()
+	}
 	isSlow := result.First > minSlowFirst && result.First > slowFactor*result.Predicted
 	if result.Refusal == forwarder.None && !isSlow && result.Attempts <= 1 && result.Status < 500 {
 		return
@@ -70,9 +78,26 @@
 	r.log.Info("call ended", "request", call.ID, "route", result.Route, "kind", kind, "customer", result.Customer,
 		"status", result.Status, "refusal", string(result.Refusal), "detail", result.Detail, "endpoint", result.Endpoint,
 		"attempts", result.Attempts, "predicted", result.Predicted, "first", result.First, "took", result.Took, "wait", call.MaxWait,
+		"priority", result.Priority, "queue", result.Queue, "allowed", result.Allowed, "told", result.Told,
 		"prompt", call.Prompt, "blocks", blockIDs(call.Blocks), "fingerprint", strconv.FormatUint(result.Fingerprint, 16))
 }
 
+// rankLabel returns the label of a priority. All from the last rank on have one label.
+func rankLabel(priority int) string {
+	if last := rationer.Ranks - 1; priority >= last {
+		return strconv.Itoa(last) + "+"
+	}
+	return strconv.Itoa(max(priority, 0))
+}
+
+// reasonOf returns why a call was refused: what capacity was short of, if it was.
+func reasonOf(result *forwarder.Result) string {
+	if result.Refusal == forwarder.Busy && result.Shortage != placer.RefusedNone {
+		return string(result.Shortage)
+	}
+	return string(result.Refusal)
+}
+
 // blockIDs returns the hexadecimal IDs of the blocks of a prompt, separated by commas.
 func blockIDs(blocks []placer.PromptBlock) string {
 	ids := make([]string, len(blocks))
--- a/internal/request/forwarder/abandon.go
+++ b/internal/request/forwarder/abandon.go
@@ -86,11 +86,17 @@
 // hasStreamBegun reports whether events of a streamed answer were sent to the caller.
 func (x *exchange) hasStreamBegun() bool { return x.stream != nil && x.stream.isStarted }
 
-// refuse ends the call with a refusal and refunds its cost if it did not run.
-func (x *exchange) refuse(refusal Refusal, after time.Duration) {
-	x.result.Refusal = refusal
+// refund returns what was charged for a call that ran nowhere.
+func (x *exchange) refund() {
 	if x.cost > 0 && !x.mayRun {
 		x.f.config.Quotas.Return(x.customer.Name, x.cost)
+		x.cost = 0
 	}
+}
+
+// refuse ends the call with a refusal and refunds its cost if it did not run.
+func (x *exchange) refuse(refusal Refusal, after time.Duration) {
+	x.result.Refusal, x.result.Told = refusal, after
+	x.refund()
 	x.f.config.Refuse(x.w, x.call, refusal, after)
 }
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -142,6 +142,15 @@
 	// endpoint.
 	Predicted time.Duration
 	Took      time.Duration
+	// Priority is the priority of the call; 0 is the most urgent.
+	Priority int
+	// Shortage is why no endpoint took the call, if capacity was short: it would have queued for
+	// Queue, or an unknown time if that is 0, and was allowed to queue for Allowed.
+	Shortage placer.Refusal
+	Queue    time.Duration
+	Allowed  time.Duration
+	// Told is the retry delay that a refused caller was told.
+	Told time.Duration
 	// Fingerprint identifies the request if the refusal is Isolated.
 	Fingerprint uint64
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -195,6 +195,7 @@
 // connection.
 func (x *exchange) end() {
 	x.recordLate()
+	x.refund()
 	x.releaseNext()
 	x.f.bodyBytes.Add(-x.reserved)
 	x.bufferedMemory.Release()
@@ -225,6 +226,7 @@
 		x.customer = table.Customer(call.Key)
 	}
 	x.service = table.Service(route.Pick(rand.Float64()))
+	x.result.Priority = x.priority()
 	x.deadline = call.Arrived.Add(route.Timeout)
 	if call.MaxWait > 0 {
 		x.deadline = call.Arrived.Add(min(route.Timeout, call.MaxWait))
@@ -410,7 +412,7 @@
 		}
 		next, refused, wait := x.nextEndpoint()
 		if next == nil {
-			x.recordRefused(refused)
+			x.recordRefused(refused, wait)
 			x.abandon(string(refused), wait)
 			return
 		}
--- a/internal/request/forwarder/notice.go
+++ b/internal/request/forwarder/notice.go
@@ -44,7 +44,7 @@
 func (x *exchange) busyRetryAfter(wait time.Duration) time.Duration {
 	paused, ok := x.f.config.Placer.PausedFor(x.service.Name, x.f.config.BootClock.Now())
 	if !ok {
-		return x.f.retryAfter(max(wait, minRetryAfter))
+		return x.shortageRetryAfter(wait)
 	}
 	paused = min(max(paused, minRetryAfter), maxPausedRetryAfter)
 	return paused + time.Duration(rand.Float64()*pausedSpread*float64(paused))
--- a/internal/request/forwarder/rationing.go
+++ b/internal/request/forwarder/rationing.go
@@ -11,7 +11,7 @@
 func (x *exchange) rationed(now time.Time) *rationer.Call {
 	return &rationer.Call{
 		Service: x.service.Name, Customer: x.customerName(), Priority: x.priority(), Prompt: x.call.Prompt, Objective: x.route.Objective,
-		Remaining: x.deadline.Sub(now), Waited: x.f.waitedBefore(x.route, x.call.MaxWait, now),
+		Remaining: x.deadline.Sub(now), Waited: x.f.waitedBefore(x.route, x.call.MaxWait, now), Capacity: x.f.config.Placer.Capacity(x.service.Name),
 	}
 }
 
@@ -32,7 +32,11 @@
 }
 
 // recordRefused counts the call as refused if capacity was short.
-func (x *exchange) recordRefused(refused placer.Refusal) {
+func (x *exchange) recordRefused(refused placer.Refusal, wait time.Duration) {
+	x.result.Shortage, x.result.Allowed = refused, x.allowance.QueueTime()
+	if refused == placer.RefusedLate && wait > 0 {
+		x.result.Queue = x.result.Allowed + wait
+	}
 	if x.isRationed || refused != placer.RefusedLate && refused != placer.RefusedFull {
 		return
 	}
@@ -43,10 +47,27 @@
 
 // recordLate counts an admitted call that has missed its objective.
 func (x *exchange) recordLate() {
-	if !x.isRationed || x.isLate || x.route.Objective <= 0 || x.result.First <= x.route.Objective {
+	now := x.f.config.Clock.Now()
+	if !x.isRationed || x.isLate || x.route.Objective <= 0 {
+		return
+	}
+	if first := x.result.First; first > 0 && first <= x.route.Objective || first == 0 && now.Sub(x.call.Arrived) <= x.route.Objective {
 		return
 	}
-	now := x.f.config.Clock.Now()
 	x.isLate = true
 	x.f.config.Rationer.Late(x.rationed(now), now)
 }
+
+// shortageRetryAfter returns the retry delay for a call that capacity is too short for; wait is
+// how long it takes until an endpoint has room, 0 if unknown. Calls with prompts are told times
+// at which the returning work fits this node's part of the capacity.
+func (x *exchange) shortageRetryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	now := x.f.config.Clock.Now()
+	c := x.rationed(now)
+	if c.Prompt <= 0 || c.Capacity <= 0 || x.call.MaxWait <= 0 {
+		return x.f.retryAfter(wait)
+	}
+	delay, _ := x.f.config.Rationer.Return(c, wait, c.Capacity/float64(max(x.f.Entries(), 1)), now)
+	return min(max(delay, minRetryAfter), maxRetryAfter)
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -88,6 +88,7 @@
 	notices      map[noticeKey]*notice
 	drain        time.Duration
 	peersUpdated time.Time
+	capacities   map[string]float64 // by service
 }
 
 // New returns a placer without endpoints.
@@ -124,6 +125,7 @@
 		p.positions = append(p.positions, e)
 	}
 	p.byID = byID
+	p.measureCapacities()
 }
 
 // meanPrefillRates returns the mean prefill rate of the known endpoints by service.
@@ -150,6 +152,7 @@
 			e.peerLoad = loads[position]
 		}
 	}
+	p.measureCapacities()
 }
 
 // Loads returns the load of this node's own calls, by position in the endpoint list.
--- a/internal/request/placer/rank.go
+++ b/internal/request/placer/rank.go
@@ -41,3 +41,21 @@
 	met := min(urgent+runningChunk, all)
 	return float64(met), float64(all - met)
 }
+
+// Capacity returns the rate at which the endpoints of a service that are not leaving process
+// prompts, in tokens per millisecond, as of the last list or loads.
+func (p *Placer) Capacity(service string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.capacities[service]
+}
+
+// measureCapacities sums the prefill rates of the endpoints by service. The caller holds p.mu.
+func (p *Placer) measureCapacities() {
+	p.capacities = make(map[string]float64, len(p.services))
+	for _, e := range p.positions {
+		if e != nil && !e.isLeaving() {
+			p.capacities[e.Service] += e.prefillRate
+		}
+	}
+}
--- a/internal/request/rationer/fluid_test.go
+++ b/internal/request/rationer/fluid_test.go
@@ -23,7 +23,7 @@
 }
 
 // served is what became of the calls of a class, by number.
-type served struct{ asked, admitted, inTime, retried int }
+type served struct{ asked, admitted, answered, inTime, retried int }
 
 func (s served) share() float64 { return float64(s.inTime) / float64(max(s.asked, 1)) }
 
@@ -134,6 +134,7 @@
 				}
 				queues[i] = queues[i][1:]
 				entries[c.entry].placer.RecordFirst(c.choice, now)
+				out[c.class].answered++
 				if c.ends = at + fluidAnswer; at-c.arrived <= c.call.Objective {
 					out[c.class].inTime++
 				} else if !c.isLate {
@@ -156,6 +157,7 @@
 func (f *fluid) offer(entries []fluidEntry, c *fluidCall, at time.Duration, rng *rand.Rand) bool {
 	e, now := entries[c.entry], start.Add(at)
 	c.call.Remaining, c.call.Waited = c.arrived+fluidDeadline*c.call.Objective-at, at-c.arrived
+	c.call.Capacity = f.rate(at) * float64(f.endpoints)
 	allowance := e.rationer.Allow(&c.call, now)
 	req := &placer.Request{
 		Service: "desk", Prompt: c.call.Prompt, Answer: 70, KVSize: 600000, MaxFirst: c.call.Remaining * 3 / 4, MaxQueueTime: allowance.QueueTime(),
@@ -170,7 +172,9 @@
 	}
 	if choice == nil {
 		e.rationer.Refused(&c.call, req.MaxQueueTime, now)
-		c.returned = max(wait, 80*time.Millisecond)
+		if c.returned = max(wait, 80*time.Millisecond); !f.isFormer {
+			c.returned, _ = e.rationer.Return(&c.call, max(wait, 80*time.Millisecond), f.rate(at)*float64(f.endpoints)/fluidEntries, now)
+		}
 		return false
 	}
 	c.choice, c.rest = choice, float64(c.call.Prompt)
--- a/internal/request/rationer/load_test.go
+++ b/internal/request/rationer/load_test.go
@@ -20,14 +20,18 @@
 }
 
 func TestTable(t *testing.T) {
-	for _, factor := range []float64{0.5, 1, 1.5, 2, 3, 6} {
-		for _, former := range []bool{true, false} {
-			f := &fluid{classes: mix(factor), endpoints: 6, rate: constant(30), lasts: 30 * time.Second, isFormer: former}
-			out := f.run()
-			t.Logf("%.1f former=%v: %.2f %.2f %.2f  (admitted %.2f %.2f %.2f)", factor, former, out[0].share(), out[1].share(), out[2].share(),
-				adm(out[0]), adm(out[1]), adm(out[2]))
+	for _, retried := range []bool{false, true} {
+		for _, factor := range []float64{1, 1.5,3} {
+			for _, former := range []bool{true, false} {
+				f := &fluid{classes: mix(factor), endpoints: 6, rate: constant(30), lasts: 120 * time.Second, isFormer: former, isRetried: retried}
+				out := f.run()
+				t.Logf("%v %.1f former=%v: %.2f %.2f %.2f  (admitted %.2f %.2f %.2f; answered %.2f %.2f %.2f)", retried, factor, former, out[0].share(), out[1].share(), out[2].share(),
+					adm(out[0]), adm(out[1]), adm(out[2]), ans(out[0]), ans(out[1]), ans(out[2]))
+			}
 		}
 	}
 }
 
 func adm(s served) float64 { return float64(s.admitted) / float64(s.asked) }
+
+func ans(s served) float64 { return float64(s.answered) / float64(s.asked) }
--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -23,12 +23,11 @@
 	// minLevel is the least fraction to which an allowed queue time shrinks.
 	minLevel = 0.1
 	// MinShare is the fraction of its requested work that each rank keeps: while less than that
-	// was admitted, its calls may queue as if capacity were not short.
+	// was admitted, its calls may queue for their whole objective.
 	MinShare = 0.1
-	// lateGain and minOwnLevel state how the queue time of a rank falls with the late fraction of
-	// its admitted work.
-	lateGain    = 1.0
-	minOwnLevel = 0.2
+	// maxOvertaking bounds the fraction of the capacity that more urgent calls are expected to
+	// take from a call that waits.
+	maxOvertaking = 0.9
 	// yieldGain is the greatest fraction by which the queue time of a rank falls while a less
 	// urgent one is served less than its minimum share.
 	yieldGain = 0.5
@@ -64,10 +63,18 @@
 	Remaining time.Duration
 	// Waited is how long the caller has waited before this call.
 	Waited time.Duration
+	// Capacity is the rate of all endpoints of the service in prompt tokens per millisecond, 0 if
+	// it is not known.
+	Capacity float64
 }
 
 func (c *Call) rank() int { return min(max(c.Priority, 0), Ranks-1) }
 
+// prefill returns the assumed time to process the prompt.
+func (c *Call) prefill() time.Duration {
+	return time.Duration(float64(c.Prompt) / assumedPrefillRate * float64(time.Millisecond))
+}
+
 func (c *Call) work() float64 { return float64(max(c.Prompt, 0)) + callWork }
 
 // Allowance is what a call may use at an endpoint.
@@ -75,6 +82,7 @@
 	queueTime time.Duration
 	reserve   float64
 	level     float64
+	isMinimum bool
 }
 
 // QueueTime returns how long the call may wait until the endpoint starts to process it.
@@ -86,6 +94,10 @@
 // Level returns the fraction of the usual queue time that the call's rank has.
 func (a Allowance) Level() float64 { return a.level }
 
+// IsMinimum reports whether the call is part of the minimum share of its rank. It may then go
+// before more urgent calls that are refused.
+func (a Allowance) IsMinimum() bool { return a.isMinimum }
+
 // Rationer decides about the calls of one node. It is safe for concurrent use.
 type Rationer struct {
 	mu       sync.Mutex
@@ -106,11 +118,13 @@
 	}
 	s.decay(now)
 	level := s.level(c.rank(), now)
+	base = s.orderReturns(c, base, now)
 	if level < 1 && s.isBelowMinimum(c.rank(), now) {
-		return Allowance{queueTime: base, level: 1}
+		return Allowance{queueTime: max(base, c.Objective), level: 1, isMinimum: true}
 	}
 	a := Allowance{level: level, reserve: reserveFraction * (1 - level)}
-	a.queueTime = time.Duration(level * s.ownLevel(c.rank(), now) * s.yieldLevel(c.rank(), now) * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
+	base = s.beforeOvertaking(c, base, now)
+	a.queueTime = time.Duration(level * s.yieldLevel(c.rank(), now) * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
 	for _, urgent := range s.ranks[:c.rank()] {
 		if now.Sub(urgent.cappedAt) < capTime {
 			a.queueTime = min(a.queueTime, urgent.cap)
--- a/internal/request/rationer/service.go
+++ b/internal/request/rationer/service.go
@@ -48,6 +48,7 @@
 	ranks     [Ranks]rank
 	decayedAt time.Time
 	sharedAt  time.Time // when others was set
+	returns   returns
 }
 
 func (r *Rationer) service(name string, now time.Time) *service {
@@ -132,7 +133,7 @@
 // are refused or late.
 func (s *service) level(rank int, now time.Time) float64 {
 	level := 1.0
-	for urgent := range rank {
+	for urgent := range min(rank, Ranks) {
 		level = min(level, 1-gain*s.pressure(urgent, now))
 	}
 	return max(level, minLevel)
@@ -141,14 +142,20 @@
 // lateWork returns the admitted work of a rank that is late.
 func (w *Work) lateWork() float64 { return min(max(w.Bad-(w.Asked-w.Admitted), 0), w.Admitted) }
 
-// ownLevel reduces the queue time of a rank whose admitted calls are late, since more urgent
-// calls that come later overtake them.
-func (s *service) ownLevel(rank int, now time.Time) float64 {
-	t := s.total(rank, now)
-	if t.Admitted <= 0 {
-		return 1
+// beforeOvertaking reduces the queue time of a call while capacity is short so that it is still
+// in time if more urgent calls go on coming as in the last window: they are processed first.
+func (s *service) beforeOvertaking(c *Call, base time.Duration, now time.Time) time.Duration {
+	if c.Capacity <= 0 || c.Objective <= 0 || s.level(c.rank()+1, now) == 1 {
+		return base
+	}
+	urgent := 0.0
+	for rank := range c.rank() {
+		t := s.total(rank, now)
+		urgent += t.Admitted
 	}
-	return max(1-lateGain*max(t.lateWork()/t.Admitted-tolerance, 0), minOwnLevel)
+	left := 1 - min(urgent/(c.Capacity*float64(window/time.Millisecond)), maxOvertaking)
+	prefill := c.prefill()
+	return max(time.Duration(float64(base+prefill)*left)-prefill, time.Duration(minLateQueueFraction*left*float64(c.Objective)))
 }
 
 // yieldLevel reduces the queue time of a rank while a less urgent one is served less than its
