--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -118,8 +118,9 @@
 	listed         Endpoint      // as listed when it was chosen; the list may change it later
 	predicted      time.Duration // time to the first event
 	priority       int
-	pendingPrefill int // tokens that the endpoint has to prefill for this call
-	kvTokens       int // KV cache tokens reserved for this call
+	begun          [ranks]int // what the endpoint had counted when the call was placed
+	pendingPrefill int        // tokens that the endpoint has to prefill for this call
+	kvTokens       int        // KV cache tokens reserved for this call
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -69,6 +69,7 @@
 	notice       *notice // nil if the endpoint has said nothing of itself
 	hash         uint64
 	ownLoad      Load
+	begun        [ranks]int // number of calls of this node by rank
 	peerLoad     Load
 	prefillRate  float64 // prompt tokens per millisecond
 	failureRatio float64 // smoothed fraction of calls that failed
@@ -335,6 +336,8 @@
 	}
 	c.beginReturn(e.notice)
 	c.isLastResort = req.IsLastResort
+	c.begun = e.begun
+	e.recordBegin(c.priority)
 	e.ownLoad.InFlight++
 	e.ownLoad.Waiting++
 	e.ownLoad.addPending(c.priority, c.pendingPrefill)
@@ -392,7 +395,7 @@
 	e := c.endpoint
 	e.ownLoad.Waiting--
 	e.ownLoad.addPending(c.priority, -c.pendingPrefill)
-	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
+	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && e.isUndisturbed(c, p.peerLoadOf(e, now)) && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
 }
--- a/internal/request/placer/rank.go
+++ b/internal/request/placer/rank.go
@@ -1,6 +1,9 @@
 package placer
 
 const (
+	// ranks is the number of priorities that are told apart; the last one stands for all less
+	// urgent ones too.
+	ranks = 3
 	// runningChunk is the number of prompt tokens of less urgent calls that an endpoint
 	// processes before it takes up a more urgent call: the chunk that is running then.
 	runningChunk = 4096
@@ -59,3 +62,17 @@
 		}
 	}
 }
+
+// recordBegin counts a call that was placed.
+func (e *endpoint) recordBegin(priority int) { e.begun[min(max(priority, 0), ranks-1)]++ }
+
+// isUndisturbed reports whether no more urgent call is known to have overtaken a call, which
+// would make the endpoint look slower than it is.
+func (e *endpoint) isUndisturbed(c *Choice, peers Load) bool {
+	for rank := range min(max(c.priority, 0), ranks-1) {
+		if e.begun[rank] != c.begun[rank] {
+			return false
+		}
+	}
+	return c.priority <= 0 || peers.Waiting == 0
+}
--- a/internal/request/rationer/fluid_test.go
+++ b/internal/request/rationer/fluid_test.go
@@ -31,6 +31,7 @@
 // prompts at a constant rate in the order of their priority, then holds a slot for the answer.
 type fluid struct {
 	classes   []class
+	entries   int
 	endpoints int
 	rate      func(at time.Duration) float64 // prompt tokens per millisecond of an endpoint
 	lasts     time.Duration
@@ -41,7 +42,6 @@
 }
 
 const (
-	fluidEntries  = 6
 	fluidAnswer   = 1400 * time.Millisecond
 	fluidReports  = 250 * time.Millisecond
 	fluidDeadline = 4 // multiple of the objective
@@ -69,7 +69,7 @@
 func (f *fluid) run() []served {
 	rng := rand.New(rand.NewPCG(1, 2))
 	out := make([]served, len(f.classes))
-	entries := make([]fluidEntry, fluidEntries)
+	entries := make([]fluidEntry, f.entries)
 	list := make([]placer.Endpoint, f.endpoints)
 	for i := range list {
 		list[i] = placer.Endpoint{ID: fmt.Sprint(i), Service: "desk", Slots: 64, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}
@@ -87,7 +87,7 @@
 		for i, k := range f.classes {
 			if (k.to == 0 || at >= k.from && at < k.to) && rng.Float64() < k.perSecond/1000 {
 				out[i].asked++
-				c := &fluidCall{class: i, arrived: at, entry: rng.IntN(fluidEntries)}
+				c := &fluidCall{class: i, arrived: at, entry: rng.IntN(f.entries)}
 				c.call = rationer.Call{Service: "desk", Customer: k.customer, Priority: k.priority, Prompt: k.prompt, Objective: k.objective}
 				retries = append(retries, c)
 			}
@@ -173,7 +173,7 @@
 	if choice == nil {
 		e.rationer.Refused(&c.call, req.MaxQueueTime, now)
 		if c.returned = max(wait, 80*time.Millisecond); !f.isFormer {
-			c.returned, _ = e.rationer.Return(&c.call, max(wait, 80*time.Millisecond), f.rate(at)*float64(f.endpoints)/fluidEntries, now)
+			c.returned, _ = e.rationer.Return(&c.call, max(wait, 80*time.Millisecond), f.rate(at)*float64(f.endpoints)/float64(f.entries), now)
 		}
 		return false
 	}
--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -25,6 +25,11 @@
 	// MinShare is the fraction of its requested work that each rank keeps: while less than that
 	// was admitted, its calls may queue for their whole objective.
 	MinShare = 0.1
+	// lateGain states how the queue time of a rank falls with the fraction of its admitted work
+	// that is late beyond lateTolerance, down to minOwnLevel.
+	lateGain      = 2.0
+	lateTolerance = 0.1
+	minOwnLevel   = 0.2
 	// maxOvertaking bounds the fraction of the capacity that more urgent calls are expected to
 	// take from a call that waits.
 	maxOvertaking = 0.9
@@ -124,7 +129,7 @@
 	}
 	a := Allowance{level: level, reserve: reserveFraction * (1 - level)}
 	base = s.beforeOvertaking(c, base, now)
-	a.queueTime = time.Duration(level * s.yieldLevel(c.rank(), now) * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
+	a.queueTime = time.Duration(level * s.ownLevel(c.rank(), now) * s.yieldLevel(c.rank(), now) * s.sizeFactor(c) * s.customerFactor(c) * float64(base))
 	for _, urgent := range s.ranks[:c.rank()] {
 		if now.Sub(urgent.cappedAt) < capTime {
 			a.queueTime = min(a.queueTime, urgent.cap)
--- a/internal/request/rationer/service.go
+++ b/internal/request/rationer/service.go
@@ -142,6 +142,16 @@
 // lateWork returns the admitted work of a rank that is late.
 func (w *Work) lateWork() float64 { return min(max(w.Bad-(w.Asked-w.Admitted), 0), w.Admitted) }
 
+// ownLevel reduces the queue time of a rank whose admitted calls turn out to be late: entries
+// that decide at the same time from the same reports send more than each of them expects.
+func (s *service) ownLevel(rank int, now time.Time) float64 {
+	t := s.total(rank, now)
+	if t.Admitted <= 0 {
+		return 1
+	}
+	return max(1-lateGain*max(t.lateWork()/t.Admitted-lateTolerance, 0), minOwnLevel)
+}
+
 // beforeOvertaking reduces the queue time of a call while capacity is short so that it is still
 // in time if more urgent calls go on coming as in the last window: they are processed first.
 func (s *service) beforeOvertaking(c *Call, base time.Duration, now time.Time) time.Duration {
