--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -25,6 +25,7 @@
 	"hyssoprudder/internal/request/forwarder"
 	"hyssoprudder/internal/request/isolator"
 	"hyssoprudder/internal/request/placer"
+	"hyssoprudder/internal/request/rationer"
 )
 
 const (
@@ -50,6 +51,7 @@
 	placer         *placer.Placer
 	pool           *pooler.Pool
 	quotas         *apportioner.Quotas
+	rationer       *rationer.Rationer
 	counter        *accountant.Counter
 	recorder       *recorder
 	versions       *versions
@@ -80,7 +82,7 @@
 func (n *Node) buildEntry() {
 	b := n.settings.Bounds()
 	e := &entry{
-		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(),
+		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(), rationer: rationer.New(),
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
 		isolator: isolator.New(),
 	}
@@ -106,7 +108,7 @@
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
-		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+		Quotas:     e.quotas, Placer: e.placer, Rationer: e.rationer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
@@ -265,6 +267,7 @@
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	r.Suspects = e.isolator.Suspects()
+	r.Rationing = exportRationing(e.rationer.Report(now))
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
@@ -280,8 +283,10 @@
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
 			PrefillTokens: uint32(max(l.PrefillTokens, 0)), PrefillTime: uint32(max(l.PrefillTime, 0)),
+			PendingFirst: uint32(max(l.PendingFirst, 0)), PendingSecond: uint32(max(l.PendingSecond, 0)),
 		})
 	}
+	r.LoadFields = coordinator.LoadFields
 }
 
 // apply applies the directive that answered a report sent at sentAt. It reports whether the
@@ -310,8 +315,10 @@
 	}
 	if isCurrent {
 		(&warmups{e}).apply(d, sentAt)
+		coordinator.AssumeUrgent(d.Loads, d.LoadFields)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
+	e.rationer.SetShared(importRationing(d.Rationing), now)
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
 	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
@@ -412,6 +419,7 @@
 		out[int(l.Position)] = placer.Load{
 			InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens),
 			PrefillTokens: int(l.PrefillTokens), PrefillTime: int(l.PrefillTime),
+			PendingFirst: int(l.PendingFirst), PendingSecond: int(l.PendingSecond),
 		}
 	}
 	return out
--- a/internal/process/coordinator/loads.go
+++ b/internal/process/coordinator/loads.go
@@ -139,6 +139,8 @@
 	l.KVTokens += o.KVTokens
 	l.PrefillTokens += o.PrefillTokens
 	l.PrefillTime += o.PrefillTime
+	l.PendingFirst += o.PendingFirst
+	l.PendingSecond += o.PendingSecond
 }
 
 func (l *Load) subtract(o Load) {
@@ -148,4 +150,6 @@
 	l.KVTokens -= o.KVTokens
 	l.PrefillTokens -= o.PrefillTokens
 	l.PrefillTime -= o.PrefillTime
+	l.PendingFirst -= o.PendingFirst
+	l.PendingSecond -= o.PendingSecond
 }
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -46,6 +46,10 @@
 	// PrefillTime how long it took, in milliseconds.
 	PrefillTokens int
 	PrefillTime   int
+	// PendingFirst is the part of PendingPrefill of calls with priority 0, and PendingSecond
+	// that of calls with priority 1.
+	PendingFirst  int
+	PendingSecond int
 }
 
 // ReportedLoad is the load that an endpoint reports of itself in an answer.
@@ -67,10 +71,15 @@
 	// generate tokens.
 	Prompt int
 	Answer int
+	// Priority is the priority of the call at endpoints; 0 is the most urgent.
+	Priority int
 	// MaxFirst is the longest acceptable time to the first event, and MaxQueueTime the
 	// longest acceptable time until the endpoint starts to process the prompt.
 	MaxFirst     time.Duration
 	MaxQueueTime time.Duration
+	// Reserve is the fraction of the slots and of the KV cache of an endpoint that the call
+	// leaves free for more urgent ones.
+	Reserve float64
 	// KVSize is the size of an endpoint's KV cache in tokens, or 0 if it has none.
 	KVSize int
 	// Exclude lists the IDs of endpoints that must not be chosen, since they were
@@ -119,6 +128,8 @@
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
 	queuedPrefill  int           // tokens that waited there before this call
 	kvTokens       int           // KV cache tokens reserved for this call
+	priority       int
+	begun          [ranks]int // what the endpoint had counted when the call was placed
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -74,6 +74,7 @@
 	speed        speed
 	hash         uint64
 	ownLoad      Load
+	begun        [ranks]int // number of calls of this node by rank
 	peerLoad     Load
 	prefillRate  float64 // prompt tokens per millisecond
 	failureRatio float64 // smoothed fraction of calls that failed
@@ -97,6 +98,7 @@
 	peersUpdated time.Time
 	reportedAt   map[string]time.Time // when an endpoint of the service last reported its load
 	speeds       map[string]*serviceSpeed
+	capacities   map[string]float64 // by service
 }
 
 // New returns a placer without endpoints.
@@ -135,6 +137,7 @@
 		p.positions = append(p.positions, e)
 	}
 	p.byID = byID
+	p.measureCapacities()
 }
 
 // meanPrefillRates returns the mean prefill rate of the known endpoints by service.
@@ -163,6 +166,7 @@
 		}
 	}
 	p.predictSpeeds(now)
+	p.measureCapacities()
 }
 
 // Loads returns the load of this node's own calls, by position in the endpoint list.
@@ -298,11 +302,11 @@
 		// refuse a call. An endpoint that is full rejects it.
 		calls = e.ownLoad.InFlight
 	}
-	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction) {
+	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction)*(1-req.Reserve) {
 		return true
 	}
 	kvTokens := e.ownLoad.KVTokens + peers.KVTokens + req.Prompt + req.Answer
-	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*float64(req.KVSize)
+	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*(1-req.Reserve)*float64(req.KVSize)
 }
 
 // estimate returns the expected time to the first event in milliseconds, the cost by
@@ -311,7 +315,8 @@
 	peers := p.peerLoadOf(e, req.Now)
 	prefill := float64(e.estimatePrefill(req, aff))
 	rate := e.rate(req.Now)
-	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / rate
+	ahead, behind := e.pendingPrefill(peers, req.Priority)
+	queue := ahead / rate
 	first = queue + prefill/rate
 	isCold := p.isCold(e, req.Boot)
 	if isCold {
@@ -321,7 +326,7 @@
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
 	calls := float64(e.ownLoad.InFlight + peers.InFlight)
-	cost = first + prefillPenalty*prefill/rate + inFlightPenalty*calls*e.effort(req.Now) + failurePenalty*e.failureRatio*e.failureRatio
+	cost = first + prefillPenalty*prefill/rate + inFlightPenalty*calls*e.effort(req.Now) + failurePenalty*e.failureRatio*e.failureRatio + lessUrgentPenalty*behind/rate
 	if e.Slots > 0 {
 		// Plain calls run in slots; a call beyond the slots has to wait.
 		over := calls + 1 - float64(e.Slots)
@@ -367,15 +372,17 @@
 		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
 		queuedPrefill: e.ownLoad.PendingPrefill + p.peerLoadOf(e, req.Now).PendingPrefill,
-		isOnlyWaiter:  e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
+		priority:      req.Priority, isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
 	c.reserve(p, req.Boot)
 	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
+	c.begun = e.begun
+	e.recordBegin(c.priority)
 	e.ownLoad.InFlight++
 	e.beginPlain(req.Now)
 	e.ownLoad.Waiting++
-	e.ownLoad.PendingPrefill += c.pendingPrefill
+	e.ownLoad.addPending(c.priority, c.pendingPrefill)
 	e.ownLoad.KVTokens += c.kvTokens
 	e.recordBlocks(req)
 	return c
@@ -429,9 +436,9 @@
 	c.hasFirst = true
 	e := c.endpoint
 	e.ownLoad.Waiting--
-	e.ownLoad.PendingPrefill -= c.pendingPrefill
+	e.ownLoad.addPending(c.priority, -c.pendingPrefill)
 	c.measurePrefill(now)
-	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
+	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && e.isUndisturbed(c, p.peerLoadOf(e, now)) && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
 }
