--- a/cmd/hyssoprudder/main.go
+++ b/cmd/hyssoprudder/main.go
@@ -9,6 +9,9 @@
 	"hyssoprudder/internal/command/claimshower"
 	"hyssoprudder/internal/command/configchecker"
 	"hyssoprudder/internal/command/dispatcher"
+	"hyssoprudder/internal/command/domainevacuator"
+	"hyssoprudder/internal/command/domainlister"
+	"hyssoprudder/internal/command/domainreturner"
 	"hyssoprudder/internal/command/endpointlister"
 	"hyssoprudder/internal/command/factory"
 	"hyssoprudder/internal/command/keycreator"
@@ -42,6 +45,9 @@
 		moveaborter.New(f),
 		memberlister.New(f),
 		endpointlister.New(f),
+		domainevacuator.New(f),
+		domainreturner.New(f),
+		domainlister.New(f),
 		claimshower.New(f),
 		statedumper.New(f, nil),
 		keycreator.New(f, nil),
--- /dev/null
+++ b/internal/command/domainevacuator/domainevacuator.go
@@ -0,0 +1,27 @@
+// Package domainevacuator implements the command "domain evacuate".
+package domainevacuator
+
+import (
+	"context"
+
+	"hyssoprudder/internal/command/dispatcher"
+	"hyssoprudder/internal/command/factory"
+	"hyssoprudder/internal/command/printer"
+	"hyssoprudder/internal/command/querier"
+	"hyssoprudder/internal/connection/operator"
+)
+
+// New returns the command.
+func New(f *factory.Factory) *dispatcher.Command {
+	return querier.Query[operator.Domain]{
+		Name:     "domain evacuate",
+		Args:     "DOMAIN",
+		ArgCount: 1,
+		Short:    "Send no further calls to a failure domain",
+		Example:  `hyssoprudder domain evacuate adjud`,
+		Fetch: func(ctx context.Context, client factory.Client, args []string) (operator.Domain, error) {
+			return client.Evacuate(ctx, args[0])
+		},
+		Print: func(p *printer.Printer, d operator.Domain) error { return p.Line(d, "%s: %s", d.Name, d.State()) },
+	}.Command(f)
+}
--- a/internal/command/factory/factory.go
+++ b/internal/command/factory/factory.go
@@ -62,6 +62,9 @@
 	Endpoints(ctx context.Context) ([]operator.Endpoint, error)
 	Moves(ctx context.Context) ([]operator.Move, error)
 	Abort(ctx context.Context, service string) (operator.Move, error)
+	Domains(ctx context.Context) ([]operator.Domain, error)
+	Evacuate(ctx context.Context, domain string) (operator.Domain, error)
+	Return(ctx context.Context, domain string) (operator.Domain, error)
 	Claim(ctx context.Context, customer, key string) (operator.Claim, error)
 	State(ctx context.Context, w io.Writer) error
 }
--- a/internal/command/querier/querier_test.go
+++ b/internal/command/querier/querier_test.go
@@ -10,6 +10,9 @@
 
 	"hyssoprudder/internal/command/claimshower"
 	"hyssoprudder/internal/command/dispatcher"
+	"hyssoprudder/internal/command/domainevacuator"
+	"hyssoprudder/internal/command/domainlister"
+	"hyssoprudder/internal/command/domainreturner"
 	"hyssoprudder/internal/command/endpointlister"
 	"hyssoprudder/internal/command/factory"
 	"hyssoprudder/internal/command/memberlister"
@@ -48,6 +51,21 @@
 	return operator.Move{Service: "pumice", To: "13", Verdict: "takenback"}, nil
 }
 
+func (fakeNode) Domains(context.Context) ([]operator.Domain, error) {
+	return []operator.Domain{{Name: "adjud", Evacuated: true, Since: time.Unix(0, 0).UTC()}, {Name: "panciu"}}, nil
+}
+
+func (fakeNode) Evacuate(_ context.Context, domain string) (operator.Domain, error) {
+	if domain == "iasi" {
+		return operator.Domain{}, &operator.Fault{Code: operator.CodeNotFound, Message: "no such domain"}
+	}
+	return operator.Domain{Name: domain, Evacuated: true}, nil
+}
+
+func (fakeNode) Return(_ context.Context, domain string) (operator.Domain, error) {
+	return operator.Domain{Name: domain}, nil
+}
+
 func (fakeNode) Claim(context.Context, string, string) (operator.Claim, error) {
 	return operator.Claim{}, &operator.Fault{Code: operator.CodeNotFound, Message: "no claim"}
 }
@@ -66,6 +84,11 @@
 		"one move":          {[]string{"move", "show", "pumice"}, 0, "service\tpumice\nfrom\t12\nto\t13\nby\t1970-01-01T00:00:00Z\nstage\t\nshare\t2%\nverdict\tmoving\nreason\t\n", ""},
 		"no such move":      {[]string{"move", "show", "sand"}, 1, "", "has no move; \"move list\" lists them"},
 		"abort":             {[]string{"move", "abort", "pumice"}, 0, "move of pumice to 13: takenback\n", ""},
+		"domains":           {[]string{"domain", "list"}, 0, "adjud\tevacuated\t1970-01-01T00:00:00Z\npanciu\tserves\t\n", ""},
+		"evacuate":          {[]string{"domain", "evacuate", "adjud"}, 0, "adjud: evacuated\n", ""},
+		"return":            {[]string{"domain", "return", "adjud"}, 0, "adjud: serves\n", ""},
+		"evacuate nothing":  {[]string{"domain", "evacuate"}, 2, "", "takes 1 arguments, not 0"},
+		"no such domain":    {[]string{"domain", "evacuate", "iasi"}, 1, "", "no such domain"},
 		"no such claim":     {[]string{"claim", "show", "masons", "k"}, 1, "", "no claim"},
 		"missing argument":  {[]string{"claim", "show", "masons"}, 2, "", "takes 2 arguments, not 1"},
 		"unknown command":   {[]string{"mvoe", "list"}, 2, "", "did you mean \"move list\"?"},
@@ -81,7 +104,8 @@
 				Client:     func(*factory.Connection) (factory.Client, error) { return fakeNode{}, nil },
 			}
 			d := dispatcher.New("hyssoprudder", "", f, rulelister.New(f), rulehistorian.New(f), memberlister.New(f),
-				endpointlister.New(f), movelister.New(f), moveshower.New(f), moveaborter.New(f), claimshower.New(f))
+				endpointlister.New(f), movelister.New(f), moveshower.New(f), moveaborter.New(f), claimshower.New(f),
+				domainlister.New(f), domainevacuator.New(f), domainreturner.New(f))
 			require.Equal(t, tc.code, d.Run(context.Background(), tc.args), stderr.String())
 			require.Equal(t, tc.out, stdout.String())
 			require.Contains(t, stderr.String(), tc.errOut)
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -74,6 +74,21 @@
 	return fetch[Move](ctx, c, http.MethodPost, "/moves/"+url.PathEscape(service)+"/abort", nil)
 }
 
+// Domains returns the failure domains and which of them are evacuated.
+func (c *Client) Domains(ctx context.Context) ([]Domain, error) {
+	return fetch[[]Domain](ctx, c, http.MethodGet, "/domains", nil)
+}
+
+// Evacuate starts the evacuation of a failure domain. It can be repeated.
+func (c *Client) Evacuate(ctx context.Context, domain string) (Domain, error) {
+	return fetch[Domain](ctx, c, http.MethodPost, "/domains/"+url.PathEscape(domain)+"/evacuate", nil)
+}
+
+// Return ends the evacuation of a failure domain. It can be repeated.
+func (c *Client) Return(ctx context.Context, domain string) (Domain, error) {
+	return fetch[Domain](ctx, c, http.MethodPost, "/domains/"+url.PathEscape(domain)+"/return", nil)
+}
+
 // Claim returns the claim of a customer's key.
 func (c *Client) Claim(ctx context.Context, customer, key string) (Claim, error) {
 	query := url.Values{"customer": {customer}, "key": {key}}
--- a/internal/connection/operator/messages.go
+++ b/internal/connection/operator/messages.go
@@ -94,6 +94,22 @@
 	Reason   string    `json:"reason"`
 }
 
+// Domain is a failure domain. Since is when its evacuation last began or ended; it is zero if none
+// was ever ordered.
+type Domain struct {
+	Name      string    `json:"name"`
+	Evacuated bool      `json:"evacuated"`
+	Since     time.Time `json:"since"`
+}
+
+// State returns a word for whether the domain is evacuated.
+func (d Domain) State() string {
+	if d.Evacuated {
+		return "evacuated"
+	}
+	return "serves"
+}
+
 // Claim is the record of an at-most-once call.
 type Claim struct {
 	Customer string    `json:"customer"`
--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -46,8 +46,11 @@
 	Endpoints func() []Endpoint
 	Moves     func(ctx context.Context) ([]Move, error)
 	Abort     func(ctx context.Context, service string) (Move, error)
-	Claim     func(ctx context.Context, customer, key string) (Claim, error)
-	State     func() (any, error)
+	Domains   func(ctx context.Context) ([]Domain, error)
+	// SetEvacuated starts or ends the evacuation of a failure domain.
+	SetEvacuated func(ctx context.Context, domain string, evacuated bool) (Domain, error)
+	Claim        func(ctx context.Context, customer, key string) (Claim, error)
+	State        func() (any, error)
 	// Partition is nil if the settings do not allow drills.
 	Partition func(partition Partition) error
 }
@@ -81,6 +84,13 @@
 	mux.HandleFunc("POST /moves/{service}/abort", answer(func(r *http.Request) (any, error) {
 		return s.cfg.Abort(r.Context(), r.PathValue("service"))
 	}))
+	mux.HandleFunc("GET /domains", answer(func(r *http.Request) (any, error) { return s.cfg.Domains(r.Context()) }))
+	mux.HandleFunc("POST /domains/{domain}/evacuate", answer(func(r *http.Request) (any, error) {
+		return s.cfg.SetEvacuated(r.Context(), r.PathValue("domain"), true)
+	}))
+	mux.HandleFunc("POST /domains/{domain}/return", answer(func(r *http.Request) (any, error) {
+		return s.cfg.SetEvacuated(r.Context(), r.PathValue("domain"), false)
+	}))
 	mux.HandleFunc("GET /claims", answer(func(r *http.Request) (any, error) {
 		return s.cfg.Claim(r.Context(), r.FormValue("customer"), r.FormValue("key"))
 	}))
--- a/internal/node/assembler/evacuation.go
+++ b/internal/node/assembler/evacuation.go
@@ -2,46 +2,25 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"hyssoprudder/internal/process/applier"
 	"hyssoprudder/internal/process/coordinator"
 )
 
-// errEvacuationUnsupported means that the leader runs a release that does not execute the order.
-var errEvacuationUnsupported = errors.New("the leader does not support evacuations")
-
 // isDomain reports whether the deployment has the failure domain.
 func (k *keeperRole) isDomain(name string) bool {
 	return slices.Contains(k.node.settings.Domains(), name)
 }
 
-// setEvacuated starts or ends the evacuation of a domain. It returns nil once the order is committed. The order
-// carries the number of the state that it was given for, so that a delayed copy of it changes nothing.
+// setEvacuated starts or ends the evacuation of a domain. It returns nil once the order is committed.
 func (k *keeperRole) setEvacuated(ctx context.Context, domain string, evacuated bool) error {
-	list, err := k.proposer.Evacuations(ctx)
+	state, err := k.proposer.SetEvacuated(ctx, domain, evacuated)
 	if err != nil {
 		return err
 	}
-	base := applier.Evacuation{}
-	if i := slices.IndexFunc(list, func(e applier.Evacuation) bool { return e.Domain == domain }); i >= 0 {
-		base = list[i]
-	}
-	if base.Evacuated == evacuated {
-		return nil // an operator who got no answer sends the same order again
-	}
-	command := applier.Command{EvacuationSet: &applier.EvacuationSet{Domain: domain, Evacuated: evacuated, Base: base.Number}}
-	result, err := k.proposer.Propose(ctx, command)
-	if err != nil {
-		return err
-	}
-	if result.Evacuation == nil {
-		return errEvacuationUnsupported
-	}
-	k.node.log.Info("evacuation committed", "domain", domain, "evacuated", evacuated, "number", result.Evacuation.Number)
+	k.node.log.Info("evacuation committed", "domain", domain, "evacuated", evacuated, "number", state.Number)
 	return nil
 }
 
--- a/internal/node/runner/collector.go
+++ b/internal/node/runner/collector.go
@@ -15,6 +15,8 @@
 		"1 if this keeper has stopped after a failure of its disk, else 0.", nil, nil)
 	commitDesc = prometheus.NewDesc("hyssoprudder_keeper_commit_index",
 		"Last committed entry that this keeper knows.", nil, nil)
+	evacuatedDesc = prometheus.NewDesc("hyssoprudder_evacuated_domains",
+		"Failure domains that are evacuated, as far as this node knows.", nil, nil)
 	claimsDesc = prometheus.NewDesc("hyssoprudder_keeper_claims",
 		"Claims that this keeper holds.", nil, nil)
 )
@@ -26,7 +28,7 @@
 
 // Describe sends the descriptions of the metrics to ch.
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{readyDesc, revisionDesc, waitingDesc, leaderDesc, failedDesc, commitDesc, claimsDesc} {
+	for _, d := range []*prometheus.Desc{readyDesc, revisionDesc, waitingDesc, leaderDesc, failedDesc, commitDesc, claimsDesc, evacuatedDesc} {
 		ch <- d
 	}
 }
@@ -36,6 +38,7 @@
 	r := c.runner
 	ch <- gauge(readyDesc, boolToFloat(r.ready() == nil))
 	ch <- gauge(revisionDesc, float64(r.rules.revision()))
+	ch <- gauge(evacuatedDesc, float64(len(r.domains.evacuated())))
 	if r.entry != nil {
 		for service, n := range r.entry.handler.Waiting() {
 			ch <- gauge(waitingDesc, float64(n), service)
--- a/internal/node/runner/deployment_test.go
+++ b/internal/node/runner/deployment_test.go
@@ -310,11 +310,12 @@
 
 // state is the part of a state dump that tests check.
 type state struct {
-	Moves    []operator.Move `json:"moves"`
-	Ready    string          `json:"ready"`
-	InFlight int             `json:"running"`
-	Revision uint64          `json:"revision"`
-	Keeper   *struct {
+	Moves     []operator.Move `json:"moves"`
+	Evacuated []string        `json:"evacuated"`
+	Ready     string          `json:"ready"`
+	InFlight  int             `json:"running"`
+	Revision  uint64          `json:"revision"`
+	Keeper    *struct {
 		Role     string `json:"role"`
 		Identity string `json:"identity"`
 		Leader   string `json:"leader"`
--- a/internal/node/runner/dump.go
+++ b/internal/node/runner/dump.go
@@ -28,6 +28,7 @@
 	Members     []operator.Member   `json:"members"`
 	Endpoints   []operator.Endpoint `json:"endpoints"`
 	Leaving     []string            `json:"leaving"`
+	Evacuated   []string            `json:"evacuated"` // failure domains
 	Moves       []operator.Move     `json:"moves"`
 	Counts      *judge.Digest       `json:"counts"` // of calls to services that have a move
 }
@@ -36,7 +37,7 @@
 	d := &Dump{
 		Version: dumpVersion, At: r.clock.Now().UTC(), Node: r.settings.ID(), Incarnation: r.incarnation,
 		Ready: "ready", Revision: r.rules.revision(),
-		Members: r.members(), Endpoints: r.endpoints(), Leaving: r.table.Marks(), Moves: r.localMoves(), Counts: r.versions.recorder.Digest(),
+		Members: r.members(), Endpoints: r.endpoints(), Leaving: r.table.Marks(), Evacuated: r.domains.evacuated(), Moves: r.localMoves(), Counts: r.versions.recorder.Digest(),
 	}
 	if err := r.ready(); err != nil {
 		d.Ready = err.Error()
--- a/internal/node/runner/entry.go
+++ b/internal/node/runner/entry.go
@@ -127,7 +127,7 @@
 		listed[endpoint.ID()] = true
 		r.entry.observer.SetLeaving(endpoint.ID(), r.table.IsLeaving(endpoint.ID()))
 	}
-	r.entry.router.Update(r.versions.usable(all), targets)
+	r.entry.router.Update(r.domains.usable(r.versions.usable(all)), targets)
 	r.entry.observer.Evict(listed)
 }
 
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -54,6 +54,7 @@
 	entry     *entry         // nil without the role entry
 	callers   *server.Server // nil without the role entry
 	operators *operator.Server
+	domains   *domains
 }
 
 // New creates a node from its settings. The node listens only after Start.
@@ -66,6 +67,7 @@
 		table:       lister.NewTable(),
 		dialer:      dialer.New(),
 	}
+	r.domains = &domains{runner: r}
 	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.registry.MustRegister(&collector{runner: r})
 	cert, err := r.certifier()
@@ -147,7 +149,7 @@
 		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Clock: r.clock, Log: r.log,
 		Metrics: promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}),
 		Rules:   r.currentRules, Apply: r.applyRules, History: r.history, Waiting: r.waiting,
-		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, State: r.dump,
+		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, Domains: r.listDomains, SetEvacuated: r.setEvacuated, State: r.dump,
 	}
 	if r.settings.Drill() {
 		config.Partition = r.partitionLinks
@@ -167,6 +169,7 @@
 	}
 	r.startState()
 	r.versions.start()
+	r.domains.start()
 	if r.callers != nil {
 		r.entry.start()
 		if err := r.callers.Start(); err != nil {
@@ -211,6 +214,7 @@
 	if r.callers != nil {
 		aborted = r.stopEntry(ctx)
 	}
+	r.domains.stop()
 	r.versions.stop()
 	r.stopState(ctx)
 	r.operators.Stop(ctx)
--- a/internal/process/coordinator/evacuation.go
+++ b/internal/process/coordinator/evacuation.go
@@ -100,7 +100,7 @@
 // that knows of no order: an evacuation ends only by an order. Within a number domains are only
 // added, since a leader tells them some time after the order.
 func (e *Evacuated) Apply(d *Directive) (began, ended []string) {
-	if d.EvacuationNumber == 0 || d.EvacuationNumber < e.number {
+	if d.EvacuationNumber < e.number {
 		return nil, nil
 	}
 	domains := slices.Clone(d.Evacuated)
