--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -84,6 +84,7 @@
 	}
 	n.entry = e
 	e.placer.SetDrain(b.Drain())
+	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
 	n.registry.MustRegister(&notices{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
--- a/internal/process/registrar/ruleset.go
+++ b/internal/process/registrar/ruleset.go
@@ -56,6 +56,8 @@
 	Open bool `msgpack:"f"`
 	// Resumable is true if streams may resume at another endpoint.
 	Resumable bool `msgpack:"e"`
+	// Homes are the regions in which calls may run; all if there are none.
+	Homes []string `msgpack:"hm,omitempty"`
 }
 
 // Share is one service of a route.
@@ -117,6 +119,9 @@
 	// assumed for a call without a token count.
 	CountsTokens  bool    `msgpack:"t"`
 	DefaultTokens float64 `msgpack:"p"`
+	// Homes are the regions in which the customer's calls may run, in addition to what the route
+	// allows; all if there are none.
+	Homes []string `msgpack:"hm,omitempty"`
 }
 
 // Limits bounds what a caller may send.
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -19,6 +20,7 @@
 	id         string
 	domain     string
 	domains    []string
+	regions    map[string]string
 	roles      []Role
 	data       string
 	secret     string
@@ -179,6 +181,9 @@
 // Domains returns all failure domains of the deployment.
 func (m *Managed) Domains() []string { return m.domains }
 
+// Regions returns the region of each failure domain, as far as the file states it.
+func (m *Managed) Regions() map[string]string { return m.regions }
+
 // Has reports whether the node has the role.
 func (m *Managed) Has(role Role) bool { return slices.Contains(m.roles, role) }
 
@@ -230,21 +235,22 @@
 
 // managedFile is the TOML layout of a managed node's settings file.
 type managedFile struct {
-	ID       value         `toml:"id"`
-	Domain   value         `toml:"domain"`
-	Domains  value         `toml:"domains"`
-	Roles    value         `toml:"roles"`
-	Data     value         `toml:"data"`
-	Secret   value         `toml:"secret"`
-	First    value         `toml:"first"`
-	Seeds    value         `toml:"seeds"`
-	Relayed  value         `toml:"relayed"`
-	Tolerate value         `toml:"tolerate"`
-	Log      fileLog       `toml:"log"`
-	Listen   managedListen `toml:"listen"`
-	Provider fileProvider  `toml:"provider"`
-	Bounds   fileBounds    `toml:"bounds"`
-	Machine  fileMachine   `toml:"machine"`
+	ID       value            `toml:"id"`
+	Domain   value            `toml:"domain"`
+	Domains  value            `toml:"domains"`
+	Roles    value            `toml:"roles"`
+	Data     value            `toml:"data"`
+	Secret   value            `toml:"secret"`
+	First    value            `toml:"first"`
+	Seeds    value            `toml:"seeds"`
+	Relayed  value            `toml:"relayed"`
+	Tolerate value            `toml:"tolerate"`
+	Log      fileLog          `toml:"log"`
+	Listen   managedListen    `toml:"listen"`
+	Provider fileProvider     `toml:"provider"`
+	Bounds   fileBounds       `toml:"bounds"`
+	Machine  fileMachine      `toml:"machine"`
+	Regions  map[string]value `toml:"regions"`
 }
 
 type managedListen struct {
@@ -298,7 +304,7 @@
 	"bounds.contact", "bounds.acknowledge", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
 	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
 	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback", "bounds.coldover", "bounds.coldslack", "bounds.evacuation",
-	"machine.memory", "machine.descriptors"}
+	"machine.memory", "machine.descriptors", "regions"}
 
 // Defaults of settings that the file omits, and limits of their values.
 const (
@@ -387,6 +393,10 @@
 			descriptors: r.count("machine.descriptors", f.Machine.Descriptors, 0, maxDescriptors),
 		},
 	}
+	m.regions = make(map[string]string, len(f.Regions))
+	for domain, v := range f.Regions {
+		m.regions[domain] = r.text("regions."+domain, v, false)
+	}
 	for _, name := range r.texts("roles", f.Roles) {
 		m.roles = append(m.roles, r.role(name))
 	}
@@ -469,6 +479,11 @@
 	if m.domain != "" && len(m.domains) > 0 && !slices.Contains(m.domains, m.domain) {
 		r.fault("domain", fmt.Sprintf("%q is not in domains; add it there", m.domain))
 	}
+	for _, domain := range slices.Sorted(maps.Keys(m.regions)) {
+		if !slices.Contains(m.domains, domain) {
+			r.fault("regions."+domain, "is not in domains; add it there")
+		}
+	}
 	if len(m.roles) == 0 {
 		r.fault("roles", `is needed; for example ["entry"]`)
 	}
--- a/internal/process/settings/managed_test.go
+++ b/internal/process/settings/managed_test.go
@@ -28,6 +28,9 @@
 revoke = "5000ms"
 quotaslack = 110000
 retryratio = 0.2
+[regions]
+"focsani" = "north"
+adjud = "south"
 `
 
 func TestLoadManaged(t *testing.T) {
@@ -42,20 +45,23 @@
 	require.Equal(t, 3*time.Second, m.Bounds().Drain(), "omitted bounds have defaults")
 	require.Equal(t, 4*time.Second, m.Bounds().CatchUp())
 	require.Equal(t, 1, m.Tolerated())
+	require.Equal(t, map[string]string{"focsani": "north", "adjud": "south"}, m.Regions())
 }
 
 func TestLoadManagedFaults(t *testing.T) {
 	cases := map[string]struct{ old, replacement, key, want string }{
-		"unknown key":     {"revoke", "revoek", "bounds.revoek", `did you mean "bounds.revoke"?`},
-		"wrong type":      {`secret = "s"`, "secret = 1", "secret", "must be text in quotes"},
-		"no number":       {"110000", `"many"`, "bounds.quotaslack", "must be a number"},
-		"half a loss":     {`secret = "s"`, "secret = \"s\"\ntolerate = 0.5", "tolerate", "must be an integer from 0 to"},
-		"below 0":         {"= 0.2", "= -0.2", "bounds.retryratio", "out of range"},
-		"unlisted domain": {`domain = "adjud"`, `domain = "iasi"`, "domain", "not in domains"},
-		"no callers":      {`callers = "10.0.0.9:8221"`, "", "listen", "needed on a node"},
-		"no seeds":        {`seeds = ["10.0.0.1:8229", "10.0.0.2:8229"]`, "", "seeds", "is needed"},
-		"keeper's data":   {`"entry"`, `"entry", "keeper"`, "data", "is needed"},
-		"not TOML":        {`secret = "s"`, "secret = s", "line 6", "expected"},
+		"unknown key":                 {"revoke", "revoek", "bounds.revoek", `did you mean "bounds.revoke"?`},
+		"wrong type":                  {`secret = "s"`, "secret = 1", "secret", "must be text in quotes"},
+		"no number":                   {"110000", `"many"`, "bounds.quotaslack", "must be a number"},
+		"half a loss":                 {`secret = "s"`, "secret = \"s\"\ntolerate = 0.5", "tolerate", "must be an integer from 0 to"},
+		"below 0":                     {"= 0.2", "= -0.2", "bounds.retryratio", "out of range"},
+		"unlisted domain":             {`domain = "adjud"`, `domain = "iasi"`, "domain", "not in domains"},
+		"unlisted domain of a region": {`"focsani" = "north"`, `iasi = "north"`, "regions.iasi", "not in domains"},
+		"region as number":            {`adjud = "south"`, "adjud = 1", "regions.adjud", "must be text"},
+		"no callers":                  {`callers = "10.0.0.9:8221"`, "", "listen", "needed on a node"},
+		"no seeds":                    {`seeds = ["10.0.0.1:8229", "10.0.0.2:8229"]`, "", "seeds", "is needed"},
+		"keeper's data":               {`"entry"`, `"entry", "keeper"`, "data", "is needed"},
+		"not TOML":                    {`secret = "s"`, "secret = s", "line 6", "expected"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -342,6 +342,10 @@
 		Answer: x.answerSize(), MaxFirst: time.Duration(maxFirstFraction * float64(x.deadline.Sub(now))), MaxQueueTime: x.maxQueueTime(now),
 		Exclude: exclude, Now: now, Boot: x.f.config.BootClock.Now(), Random: rand.Float64(),
 	}
+	req.RouteHomes = x.route.Homes
+	if x.customer != nil {
+		req.CustomerHomes = x.customer.Homes
+	}
 	if x.service.Model != nil {
 		req.KVSize = x.service.Model.KVSize
 	}
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -76,7 +76,11 @@
 	// that must not be chosen.
 	Version  string
 	Unwanted []string
-	Now      time.Time
+	// RouteHomes and CustomerHomes are the regions in which the call may run; an empty list
+	// allows all.
+	RouteHomes    []string
+	CustomerHomes []string
+	Now           time.Time
 	// Boot is the time of a clock that also counts suspension, by which pauses end.
 	Boot time.Time
 	// IsLastResort allows endpoints that have said not long ago that they leave. It is set
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -66,6 +66,7 @@
 // endpoint is the state of an endpoint as seen by this node.
 type endpoint struct {
 	Endpoint
+	region       string  // empty if it is not known
 	isEvacuated  bool    // its failure domain is evacuated
 	notice       *notice // nil if the endpoint has said nothing of itself
 	hash         uint64
@@ -87,7 +88,8 @@
 	byID         map[string]*endpoint
 	positions    []*endpoint // by position in the endpoint list; nil if empty
 	notices      map[noticeKey]*notice
-	evacuated    map[string]bool // failure domains
+	regions      map[string]string // by failure domain
+	evacuated    map[string]bool   // failure domains
 	drain        time.Duration
 	peersUpdated time.Time
 }
@@ -121,7 +123,7 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
-		e.isEvacuated = p.evacuated[listed.Domain]
+		e.isEvacuated, e.region = p.evacuated[listed.Domain], p.regions[listed.Domain]
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
@@ -247,7 +249,7 @@
 }
 
 func (e *endpoint) isEligible(req *Request) bool {
-	if e.Leaving || e.isEvacuated || req.Now.Before(e.ejectedUntil) {
+	if e.Leaving || e.isEvacuated || !req.isHome(e) || req.Now.Before(e.ejectedUntil) {
 		return false
 	}
 	if req.Version != "" && e.Version != req.Version || slices.Contains(req.Unwanted, e.Version) {
