--- a/internal/process/submitter/submitter_test.go
+++ b/internal/process/submitter/submitter_test.go
@@ -63,6 +63,7 @@
 		Name: "a", Clock: clock.System{}, Log: log.New(io.Discard), Do: l.core.Do, Propose: l.keeper.Propose, Intent: l.state.Intent,
 		Table: func() *registrar.Table { return table }, List: l.list, SendUsage: l.receiveUsage, SendSize: l.receiveSize,
 		Lease: lease, Window: window, DueAfter: time.Hour, HasUsage: true, HasSize: true, IsCounted: func(coordinator.Endpoint) bool { return true },
+		Evacuated: l.evacuated,
 	})
 	l.started = time.Now()
 	require.NoError(t, l.keeper.Start())
@@ -74,6 +75,16 @@
 	return l
 }
 
+func (l *leader) evacuated() []string {
+	var out []string
+	for _, e := range l.state.Evacuations() {
+		if e.Evacuated {
+			out = append(out, e.Domain)
+		}
+	}
+	return out
+}
+
 func (l *leader) list(context.Context) ([]coordinator.Endpoint, error) {
 	return []coordinator.Endpoint{{ID: "e1", Service: "desk", Domain: "one"}}, nil
 }
