--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -89,6 +89,7 @@
 	n.entry = e
 	e.pool.SetLost(func(address netip.AddrPort) { e.placer.LoseContact(address, n.bootClock.Now()) })
 	e.placer.SetDrain(b.Drain())
+	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
 	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
