Bound the calls in service by the size of the machine

Each refuses calls beyond what its machine allows with 503 and a delay before they reach an endpoint. No bound applies where the machine is not described.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -85,7 +85,7 @@
 	n.entry = e
 	e.placer.SetDrain(b.Drain())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e}, &speeds{e})
+	n.registry.MustRegister(&notices{e}, &speeds{e}, &callsInService{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -105,6 +105,7 @@
 		IsIsolated: e.isIsolated,
 		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
+	e.forwarder.SetMaxCalls(maxCallsOn(n.settings.Machine()))
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
 	e.callers = &http.Server{
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -107,6 +107,7 @@
 	longestWaits sync.Map     // *longestWait by route name
 	bodyBytes    atomic.Int64 // bytes reserved for bodies
 	answerMemory *reserver.Memory
+	concurrency  concurrency
 }
 
 // New returns a forwarder without rules.
@@ -179,6 +180,12 @@
 		x.refuse(refusal, after)
 		return
 	}
+	if !f.concurrency.begin() {
+		x.result.Detail = "as many calls as this node can serve are being served"
+		x.refuse(Busy, f.retryAfter(minRetryAfter))
+		return
+	}
+	defer f.concurrency.end()
 	x.forward()
 }
 
