Compare the affinity endpoints and a single random one

Prompts without a usable affinity endpoint still get two.

Guarded by TestStaticSpeedClassesAndStalls.

--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -61,9 +61,9 @@
 // prefers reports whether e is the affinity endpoint of the prompt.
 func (a *affinity) prefers(e *endpoint) bool { return a.best[0] == e }
 
-// reportedSample is the number of usable endpoints that are drawn at random from a service whose
-// endpoints report their load, besides the affinity endpoints. Nodes that compare more of them on
-// the same outdated sums choose the same few endpoints together.
+// reportedSample is the number of usable endpoints, the affinity endpoints among them and at least
+// one drawn at random, that are compared in a service whose endpoints report their load. Nodes
+// that compare more of them on the same outdated sums choose the same few endpoints together.
 const reportedSample = 2
 
 // candidates returns the endpoints to compare: all of a small service, otherwise the
@@ -75,18 +75,21 @@
 	if len(list) <= sampleThreshold && !isSampled {
 		return list
 	}
+	usable := 0
 	out := make([]*endpoint, 0, 2*sampleSize+len(aff.best))
 	for _, e := range aff.best {
 		if e != nil {
 			out = append(out, e)
+			if isSampled && p.isUsable(e, req, aff) {
+				usable++
+			}
 		}
 	}
-	usable := 0
 	for range 2 * sampleSize {
 		e := list[rand.IntN(len(list))]
 		out = append(out, e)
 		if isSampled && p.isUsable(e, req, aff) {
-			if usable++; usable == reportedSample {
+			if usable++; usable >= reportedSample {
 				break
 			}
 		}
