--- a/internal/request/placer/plain_test.go
+++ b/internal/request/placer/plain_test.go
@@ -383,6 +383,7 @@
 	}
 	for name, l := range loads {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			results := make(map[string]plainResult)
 			for _, policy := range []string{"former", "random", "two choices", "free capacity", "current load"} {
 				r := playPolicy(policy, l)
--- a/internal/request/placer/speed_test.go
+++ b/internal/request/placer/speed_test.go
@@ -281,6 +281,7 @@
 	}
 	for name, l := range loads {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			results := make(map[string]promptResult)
 			for _, policy := range []string{"former", "two choices", "small sample", "shared speeds", "known speeds"} {
 				r := playSpeedPolicy(policy, l)
