--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -91,7 +91,7 @@
 	e.placer.SetDrain(b.Drain())
 	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e})
+	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e}, &callsInService{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -111,6 +111,7 @@
 		IsIsolated: e.isIsolated,
 		Quotas:     e.quotas, Placer: e.placer, Rationer: e.rationer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
+	e.forwarder.SetMaxCalls(maxCallsOn(n.settings.Machine()))
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
 	e.callers = &http.Server{
