--- a/internal/request/rationer/property_test.go
+++ b/internal/request/rationer/property_test.go
@@ -105,7 +105,8 @@
 	r := rationer.New()
 	last := make([]time.Duration, rationer.Ranks)
 	for range 6 {
-		for priority := range rationer.Ranks {
+		for i := range rationer.Ranks {
+			priority := rationer.Ranks - 1 - i
 			c := &rationer.Call{Service: "desk", Priority: priority, Prompt: 2000, Remaining: 9 * time.Second}
 			delay, isPromised := r.Return(c, 80*ms, 60, start)
 			require.True(t, isPromised)
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -87,3 +87,81 @@
 	}
 	require.Equal(t, formerQueueTime(other), r.Allow(other, now).QueueTime())
 }
+
+// Guards against an entry that decides by its own few calls while others refuse urgent ones, and
+// against one that goes on deciding by what it heard before it was cut off.
+func TestWhatOtherEntriesRefuseCountsForAWhile(t *testing.T) {
+	r, now := rationer.New(), start
+	other := &rationer.Call{Service: "desk", Priority: 1, Prompt: 700, Objective: time.Second, Remaining: 4 * time.Second}
+	r.Admitted(other, false, now)
+	own := r.Report(now)["desk"]
+	sum := own
+	sum[0] = rationer.Work{Asked: 9000, Bad: 3000, Admitted: 6000}
+	r.SetShared(map[string][rationer.Ranks]rationer.Work{"desk": sum}, now)
+	require.Less(t, r.Allow(other, now).QueueTime(), formerQueueTime(other)/2)
+	require.Equal(t, formerQueueTime(other), r.Allow(other, now.Add(2100*time.Millisecond)).QueueTime())
+	r.SetShared(map[string][rationer.Ranks]rationer.Work{"desk": own}, now)
+	require.Equal(t, formerQueueTime(other), r.Allow(other, now).QueueTime(), "what the node itself reported counts twice")
+}
+
+// Guards against calls that are admitted and then late: more urgent ones overtake them, or many
+// entries have chosen the same endpoint.
+func TestQueueTimeAllowsForOvertaking(t *testing.T) {
+	c := &rationer.Call{Service: "desk", Priority: 1, Prompt: 2000, Objective: time.Second, Remaining: 4 * time.Second, Capacity: 30}
+	urgent := &rationer.Call{Service: "desk", Priority: 0, Prompt: 700, Objective: time.Second, Remaining: 4 * time.Second}
+	allowed := func(urgentCalls int, isLate bool, capacity float64) time.Duration {
+		r := rationer.New()
+		for range urgentCalls {
+			r.Admitted(urgent, false, start)
+		}
+		for i := range 20 {
+			r.Admitted(c, isLate && i%2 == 0, start)
+		}
+		r.Refused(&rationer.Call{Service: "desk", Priority: 1, Prompt: 20000, Objective: time.Second}, time.Minute, start)
+		with := *c
+		with.Capacity = capacity
+		return r.Allow(&with, start).QueueTime()
+	}
+	// 30 calls of 1,000 tokens within the window of 2 s use half of 30 tokens per millisecond.
+	require.Less(t, allowed(30, false, 30), allowed(30, false, 0)*2/3)
+	require.Equal(t, allowed(0, false, 0), allowed(0, false, 30), "nobody overtakes")
+	require.Less(t, allowed(0, true, 30), allowed(0, false, 30)*2/3)
+}
+
+// Guards against less urgent calls that are admitted and never reached, since more urgent ones keep
+// all endpoints busy.
+func TestMoreUrgentCallsYieldToAStarvedPriority(t *testing.T) {
+	r, now := rationer.New(), start
+	urgent := &rationer.Call{Service: "desk", Priority: 0, Prompt: 700, Objective: 500 * time.Millisecond, Remaining: 2 * time.Second}
+	other := &rationer.Call{Service: "desk", Priority: 2, Prompt: 700, Objective: time.Second, Remaining: 4 * time.Second}
+	for range 20 {
+		r.Admitted(urgent, false, now)
+		r.Admitted(other, true, now) // late
+	}
+	require.LessOrEqual(t, r.Allow(urgent, now).QueueTime(), formerQueueTime(urgent)*6/10)
+	for range 5 {
+		r.Admitted(other, false, now)
+	}
+	require.Equal(t, formerQueueTime(urgent), r.Allow(urgent, now).QueueTime())
+}
+
+// Guards against large calls that are preferred although they return less for the capacity that
+// they take.
+func TestSmallCallsGoBeforeLargeOnes(t *testing.T) {
+	r, now := rationer.New(), start
+	small := &rationer.Call{Service: "desk", Prompt: 2000, Objective: 2 * time.Second, Remaining: 4 * time.Second}
+	large := &rationer.Call{Service: "desk", Prompt: 9000, Objective: 2 * time.Second, Remaining: 4 * time.Second}
+	for i := range 100 {
+		call := small
+		if i%10 == 0 {
+			call = large
+		}
+		if i%4 == 1 {
+			r.Refused(call, time.Second, now)
+			continue
+		}
+		r.Admitted(call, false, now)
+	}
+	require.Equal(t, formerQueueTime(small), r.Allow(small, now).QueueTime())
+	require.Equal(t, formerQueueTime(large)/2, r.Allow(large, now).QueueTime())
+}
