--- a/internal/request/rationer/load_test.go
+++ b/internal/request/rationer/load_test.go
@@ -19,8 +19,8 @@
 	return func(time.Duration) float64 { return rate }
 }
 
-// mix returns calls of three priorities that need 0.225 x factor of the usual rate of an endpoint
-// for each endpoint: priorities 0 to 2 need 0.05, 0.085 and 0.09 of it.
+// mix returns calls of three priorities. With a factor of 1 they need 0.32, 0.51 and 0.53 of what
+// the endpoints can process at the usual rate.
 func mix(factor float64, endpoints int) []class {
 	scale := factor * float64(endpoints) / 6
 	return []class{
