--- a/internal/request/forwarder/rationing.go
+++ b/internal/request/forwarder/rationing.go
@@ -45,13 +45,14 @@
 	x.f.config.Rationer.Refused(x.rationed(now), x.allowance.QueueTime(), now)
 }
 
-// recordLate counts an admitted call that has missed its objective.
+// recordLate counts an admitted call that has missed its objective at the endpoint that was chosen
+// first. What is late after a failure, or was lost, tells nothing about capacity.
 func (x *exchange) recordLate() {
 	now := x.f.config.Clock.Now()
-	if !x.isRationed || x.isLate || x.route.Objective <= 0 {
+	if !x.isRationed || x.isLate || x.route.Objective <= 0 || x.result.Attempts > 1 {
 		return
 	}
-	if first := x.result.First; first > 0 && first <= x.route.Objective || first == 0 && now.Sub(x.call.Arrived) <= x.route.Objective {
+	if x.result.First <= x.route.Objective && x.result.Refusal != TimedOut {
 		return
 	}
 	x.isLate = true
--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -14,8 +14,7 @@
 	// Ranks is the number of priorities that are told apart; the last one stands for all less
 	// urgent ones too.
 	Ranks = 3
-	// tolerance is the fraction of a rank's work that may be refused or late without effect on
-	// others. A few refusals happen whenever arrivals are bursty.
+	// tolerance is the fraction of a rank's work that may be refused without effect on others. A few refusals happen whenever arrivals are bursty.
 	tolerance = 0.02
 	// gain is by how much the level of a rank falls for each unit of pressure above tolerance:
 	// with a tenth of the more urgent work refused, it is at minLevel.
@@ -25,11 +24,13 @@
 	// MinShare is the fraction of its requested work that each rank keeps: while less than that
 	// was admitted, its calls may queue for their whole objective.
 	MinShare = 0.1
+	// lateTolerance is the late fraction that is tolerated: during stalls of endpoints calls are
+	// late although capacity suffices.
+	lateTolerance = 0.1
 	// lateGain states how the queue time of a rank falls with the fraction of its admitted work
 	// that is late beyond lateTolerance, down to minOwnLevel.
-	lateGain      = 2.0
-	lateTolerance = 0.1
-	minOwnLevel   = 0.2
+	lateGain    = 2.0
+	minOwnLevel = 0.2
 	// maxOvertaking bounds the fraction of the capacity that more urgent calls are expected to
 	// take from a call that waits.
 	maxOvertaking = 0.9
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -165,3 +165,22 @@
 	require.Equal(t, formerQueueTime(small), r.Allow(small, now).QueueTime())
 	require.Equal(t, formerQueueTime(large)/2, r.Allow(large, now).QueueTime())
 }
+
+// Guards against less urgent calls that are refused although capacity suffices, because some of
+// the more urgent ones are late during a stall of their endpoint.
+func TestFewLateCallsAreNoShortage(t *testing.T) {
+	r, now := rationer.New(), start
+	urgent := &rationer.Call{Service: "desk", Prompt: 700, Objective: 500 * time.Millisecond, Remaining: 2 * time.Second}
+	other := &rationer.Call{Service: "desk", Priority: 2, Prompt: 700, Objective: time.Second, Remaining: 4 * time.Second}
+	for i := range 100 {
+		r.Admitted(urgent, false, now)
+		if i%12 == 0 {
+			r.Late(urgent, now)
+		}
+	}
+	require.Equal(t, formerQueueTime(other), r.Allow(other, now).QueueTime())
+	for range 30 {
+		r.Late(urgent, now)
+	}
+	require.Less(t, r.Allow(other, now).QueueTime(), formerQueueTime(other))
+}
--- a/internal/request/rationer/service.go
+++ b/internal/request/rationer/service.go
@@ -120,13 +120,15 @@
 	return k.own.plus(k.others)
 }
 
-// pressure returns the fraction of a rank's work that is refused or late, beyond tolerance.
+// pressure returns the fraction of a rank's work that is refused or late, beyond what is tolerated
+// of each: calls are also late because endpoints are slow for a while or fail.
 func (s *service) pressure(rank int, now time.Time) float64 {
 	t := s.total(rank, now)
 	if t.Asked <= 0 {
 		return 0
 	}
-	return max(min(t.Bad/t.Asked, 1)-tolerance, 0)
+	refused := max(t.Asked-t.Admitted, 0)
+	return max(refused/t.Asked-tolerance, 0) + max(t.lateWork()/t.Asked-lateTolerance, 0)
 }
 
 // level returns the fraction of its usual queue time that a rank has while more urgent calls
@@ -193,7 +195,7 @@
 }
 
 // isShort reports whether calls of the rank itself are refused.
-func (k *rank) isShort() bool { return k.own.Asked > 0 && k.own.Bad > tolerance*k.own.Asked }
+func (k *rank) isShort() bool { return k.own.Asked-k.own.Admitted > tolerance*k.own.Asked }
 
 // sizeFactor prefers calls that need less work, unless large calls are served too rarely in
 // comparison.
