--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -87,7 +87,7 @@
 	n.entry = e
 	e.placer.SetDrain(b.Drain())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e})
+	n.registry.MustRegister(&notices{e}, &rationing{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -80,12 +80,14 @@
 	a := r.Allow(other, now)
 	require.Less(t, a.QueueTime(), formerQueueTime(other)/5)
 	require.Positive(t, a.Reserve())
+	require.Equal(t, [rationer.Ranks]float64{1, 0.1, 0.1}, r.Levels(now)["desk"])
 	require.Equal(t, formerQueueTime(urgent), r.Allow(urgent, now).QueueTime(), "less urgent calls don't reduce a more urgent one")
 	for range 1500 {
 		now = now.Add(10 * time.Millisecond)
 		r.Admitted(urgent, false, now)
 	}
 	require.Equal(t, formerQueueTime(other), r.Allow(other, now).QueueTime())
+	require.Equal(t, [rationer.Ranks]float64{1, 1, 1}, r.Levels(now)["desk"])
 }
 
 // Guards against an entry that decides by its own few calls while others refuse urgent ones, and
--- a/internal/request/rationer/service.go
+++ b/internal/request/rationer/service.go
@@ -274,3 +274,19 @@
 		s.sharedAt = now
 	}
 }
+
+// Levels returns the fraction of its usual queue time that each rank has, by service.
+func (r *Rationer) Levels(now time.Time) map[string][Ranks]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string][Ranks]float64, len(r.services))
+	for name, s := range r.services {
+		s.decay(now)
+		var levels [Ranks]float64
+		for i := range levels {
+			levels[i] = s.level(i, now) * s.ownLevel(i, now) * s.yieldLevel(i, now)
+		}
+		out[name] = levels
+	}
+	return out
+}
