--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -91,7 +91,7 @@
 	e.placer.SetDrain(b.Drain())
 	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e}, &callsInService{e})
+	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e}, &callsInService{e}, &rationing{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
