--- a/internal/request/placer/bench_test.go
+++ b/internal/request/placer/bench_test.go
@@ -23,3 +23,25 @@
 		})
 	}
 }
+
+// BenchmarkPlaceCold measures the same while the endpoints of one or two of three failure domains are cold and this
+// node has no lease.
+func BenchmarkPlaceCold(b *testing.B) {
+	for _, cold := range []int{270, 540} {
+		b.Run(fmt.Sprint("810 with ", cold), func(b *testing.B) {
+			p, _ := newWarming(810, cold)
+			session := uint64(0)
+			for b.Loop() {
+				session++
+				c, _, _ := p.Place(requestOf(session % 1000))
+				p.End(c, placer.Answered, start)
+			}
+		})
+	}
+}
+
+func requestOf(session uint64) *placer.Request {
+	r := newRequest(start, session)
+	r.Boot = start
+	return r
+}
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -41,7 +41,7 @@
 	for _, e := range list {
 		s := a.score(e)
 		// The score is cheaper than the check, and rules out most endpoints.
-		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !p.isOpen(e, req.Boot) {
+		if a.best[1] != nil && s <= a.scores[1] || !e.isOpen(req.Boot) || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
 		switch {
@@ -72,7 +72,7 @@
 		}
 	}
 	for range 2 * sampleSize {
-		out = append(out, p.draw(list, req.Boot))
+		out = append(out, draw(list, req.Boot))
 	}
 	return out
 }
--- a/internal/request/placer/notice.go
+++ b/internal/request/placer/notice.go
@@ -154,7 +154,7 @@
 	if n != nil && (boot.Before(n.returnAt) || !n.leavingSince.IsZero() && (!c.isLastResort || !p.isLastResort(n, boot))) {
 		return false
 	}
-	return c.charge(p, boot)
+	return c.charge(boot)
 }
 
 // IsWanted reports whether an endpoint with the address may get calls, so that idle
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -121,7 +121,7 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
-		e.warm = p.warmthOf(&listed)
+		e.setWarmth(p)
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
@@ -215,7 +215,7 @@
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
-		if !p.isOpen(e, req.Boot) {
+		if !e.isOpen(req.Boot) {
 			isCold = true
 			continue
 		}
@@ -291,7 +291,7 @@
 	prefill := float64(e.estimatePrefill(req, aff))
 	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
 	first = queue + prefill/e.prefillRate
-	isCold := p.isCold(e, req.Boot)
+	isCold := e.isCold(req.Boot)
 	if isCold {
 		queue, first = coldFactor*queue, coldFactor*first
 	}
@@ -347,7 +347,7 @@
 		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
-	c.reserve(p, req.Boot)
+	c.reserve(req.Boot)
 	c.isLastResort = req.IsLastResort
 	e.ownLoad.InFlight++
 	e.ownLoad.Waiting++
--- a/internal/request/placer/warm.go
+++ b/internal/request/placer/warm.go
@@ -33,7 +33,9 @@
 // warmth is the state of an endpoint of a service whose endpoints warm up. It is kept apart from the list,
 // since an endpoint may be missing there for a while.
 type warmth struct {
-	coldUntil  time.Time // as the endpoint itself said
+	coldUntil  time.Time // the later of the next two
+	saidUntil  time.Time // as the endpoint itself said
+	listed     time.Time // as the list states
 	lostAt     time.Time // when contact was lost last; zero once a list that was read later is known
 	leaseUntil time.Time // end of this node's warm-up lease
 	sentAt     time.Time // when the last call was sent
@@ -61,11 +63,33 @@
 	p.warming.services, p.warming.lag = services, lag
 	for _, e := range p.positions {
 		if e != nil {
-			e.warm = p.warmthOf(&e.Endpoint)
+			e.setWarmth(p)
 		}
 	}
 }
 
+// setWarmth sets the state of a listed endpoint and until when the list says that it is cold.
+func (e *endpoint) setWarmth(p *Placer) {
+	e.warm = p.warmthOf(&e.Endpoint)
+	if e.warm == nil {
+		return
+	}
+	e.warm.listed = time.Time{}
+	if e.ColdUntil > 0 {
+		e.warm.listed = time.UnixMilli(e.ColdUntil).Add(-p.warming.offset)
+	}
+	e.warm.setColdUntil()
+}
+
+// setColdUntil is called after a change of what it depends on, so that isCold, which is asked of many
+// endpoints for each call, has to compare once only.
+func (w *warmth) setColdUntil() {
+	w.coldUntil = w.saidUntil
+	if w.listed.After(w.coldUntil) {
+		w.coldUntil = w.listed
+	}
+}
+
 // warmthOf returns the state of a listed endpoint, or nil if it need not warm up.
 func (p *Placer) warmthOf(e *Endpoint) *warmth {
 	if !p.warming.services[e.Service] {
@@ -104,6 +128,7 @@
 	}
 	for _, e := range p.positions {
 		if e != nil && e.warm != nil {
+			e.setWarmth(p)
 			e.warm.isListed = true
 		}
 	}
@@ -126,7 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.positions {
-		if e != nil && p.isCold(e, boot) {
+		if e != nil && e.isCold(boot) {
 			e.warm.lostAt = boot
 		}
 	}
@@ -155,26 +180,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.warmthOf(e); w != nil && remaining > 0 {
-		if until := boot.Add(min(remaining, maxColdRemaining)); until.After(w.coldUntil) {
-			w.coldUntil = until
+		if until := boot.Add(min(remaining, maxColdRemaining)); until.After(w.saidUntil) {
+			w.saidUntil = until
+			w.setColdUntil()
 		}
 	}
 }
 
 // isCold reports whether an endpoint is or may be cold.
-func (p *Placer) isCold(e *endpoint, boot time.Time) bool {
-	w := e.warm
-	if w == nil {
-		return false
-	}
-	return !w.lostAt.IsZero() || boot.Before(w.coldUntil) ||
-		e.ColdUntil > 0 && boot.Before(time.UnixMilli(e.ColdUntil).Add(-p.warming.offset))
+func (e *endpoint) isCold(boot time.Time) bool {
+	return e.warm != nil && (boot.Before(e.warm.coldUntil) || !e.warm.lostAt.IsZero())
 }
 
 // isOpen reports whether an endpoint may get a call from here: it is warm, or this node has a warm-up lease
 // whose next call is due.
-func (p *Placer) isOpen(e *endpoint, boot time.Time) bool {
-	return e.warm == nil || !p.isCold(e, boot) || e.warm.reserved == nil && e.warm.hasCall(boot)
+func (e *endpoint) isOpen(boot time.Time) bool {
+	return e.warm == nil || !e.isCold(boot) || e.warm.reserved == nil && e.warm.hasCall(boot)
 }
 
 func (w *warmth) hasCall(boot time.Time) bool {
@@ -182,10 +203,10 @@
 }
 
 // draw returns a random endpoint of a service, if possible one that may get a call.
-func (p *Placer) draw(list []*endpoint, boot time.Time) *endpoint {
+func draw(list []*endpoint, boot time.Time) *endpoint {
 	e := list[rand.IntN(len(list))]
 	for range maxRedraws {
-		if p.isOpen(e, boot) {
+		if e.isOpen(boot) {
 			break
 		}
 		e = list[rand.IntN(len(list))]
@@ -194,9 +215,9 @@
 }
 
 // reserve reserves the lease's call at a cold endpoint until the call is sent or has ended.
-func (c *Choice) reserve(p *Placer, boot time.Time) {
+func (c *Choice) reserve(boot time.Time) {
 	e := c.endpoint
-	if c.warm = e.warm; c.warm == nil || !p.isCold(e, boot) {
+	if c.warm = e.warm; c.warm == nil || !e.isCold(boot) {
 		return
 	}
 	c.isOnlyWaiter = false // a cold endpoint says nothing of its later speed
@@ -212,12 +233,12 @@
 
 // charge reports whether a call may be sent as far as warming up is concerned, and records that it is. A
 // call that is charged and not sent leaves the next one of the lease to wait.
-func (c *Choice) charge(p *Placer, boot time.Time) bool {
+func (c *Choice) charge(boot time.Time) bool {
 	w := c.warm
 	if w == nil {
 		return true
 	}
-	if p.isCold(c.endpoint, boot) {
+	if c.endpoint.isCold(boot) {
 		// A choice may be charged twice before it is sent, if no other one was in between.
 		isAgain := !c.chargedAt.IsZero() && c.chargedAt.Equal(w.sentAt) && boot.Before(w.leaseUntil)
 		if !isAgain && (!w.hasCall(boot) || w.reserved != nil && w.reserved != c) {
@@ -237,7 +258,7 @@
 	if e == nil || e.warm == nil {
 		return true
 	}
-	if !p.isOpen(e, boot) {
+	if !e.isOpen(boot) {
 		return false
 	}
 	e.warm.sentAt = boot
@@ -261,7 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.positions {
-		if e == nil || !p.isCold(e, boot) {
+		if e == nil || !e.isCold(boot) {
 			continue
 		}
 		cold++
@@ -278,7 +299,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.positions {
-		if e == nil || e.warm == nil || p.isCold(e, boot) == e.warm.isReported {
+		if e == nil || e.warm == nil || e.isCold(boot) == e.warm.isReported {
 			continue
 		}
 		if e.warm.isReported = !e.warm.isReported; e.warm.isReported {
