--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -41,7 +41,7 @@
 	for _, e := range list {
 		s := a.score(e)
 		// The score is cheaper than the check, and rules out most endpoints.
-		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !p.isOpen(e, req.Boot) {
+		if a.best[1] != nil && s <= a.scores[1] || !e.isOpen(req.Boot) || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
 		switch {
@@ -82,7 +82,7 @@
 		}
 	}
 	for range 2 * sampleSize {
-		e := p.draw(list, req.Boot)
+		e := draw(list, req.Boot)
 		out = append(out, e)
 		if isSampled && p.isUsable(e, req, aff) {
 			if usable++; usable >= reportedSample {
@@ -98,7 +98,7 @@
 
 // isUsable reports whether the endpoint can take the call in time.
 func (p *Placer) isUsable(e *endpoint, req *Request, aff *affinity) bool {
-	if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !p.isOpen(e, req.Boot) || p.isFull(e, req) {
+	if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !e.isOpen(req.Boot) || p.isFull(e, req) {
 		return false
 	}
 	_, _, late := p.estimate(e, req, aff)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -132,7 +132,7 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
-		e.warm = p.warmthOf(&listed)
+		e.setWarmth(p)
 		e.isEvacuated, e.region = p.evacuated[listed.Domain], p.regions[listed.Domain]
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
@@ -231,7 +231,7 @@
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
-		if !p.isOpen(e, req.Boot) {
+		if !e.isOpen(req.Boot) {
 			isCold = true
 			continue
 		}
@@ -320,7 +320,7 @@
 	ahead, behind := e.pendingPrefill(peers, req.Priority)
 	queue := ahead / rate
 	first = queue + prefill/rate
-	isCold := p.isCold(e, req.Boot)
+	isCold := e.isCold(req.Boot)
 	if isCold {
 		queue, first = coldFactor*queue, coldFactor*first
 	}
@@ -377,7 +377,7 @@
 		priority:      req.Priority, isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
-	c.reserve(p, req.Boot)
+	c.reserve(req.Boot)
 	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
 	c.begun = e.begun
 	e.recordBegin(c.priority)
