--- a/internal/node/runner/domains.go
+++ b/internal/node/runner/domains.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// domainsInterval is the time between two reads of the evacuated domains.
-	domainsInterval = time.Second
+	// minDomainsInterval is the shortest time between two reads of the evacuated domains, and
+	// perMemberDomainsInterval what each member adds to it, so that the leader's work does not grow
+	// with the fleet.
+	minDomainsInterval       = time.Second
+	perMemberDomainsInterval = 10 * time.Millisecond
 	// domainsTimeout bounds one read.
 	domainsTimeout = 2 * time.Second
 )
@@ -47,7 +50,8 @@
 	defer d.group.Done()
 	for {
 		d.read(ctx)
-		if !clock.Sleep(d.runner.clock, domainsInterval, ctx.Done()) {
+		interval := max(minDomainsInterval, time.Duration(len(d.runner.gossiper.Members()))*perMemberDomainsInterval)
+		if !clock.Sleep(d.runner.clock, interval, ctx.Done()) {
 			return
 		}
 	}
