--- a/internal/process/coordinator/evacuation_test.go
+++ b/internal/process/coordinator/evacuation_test.go
@@ -230,3 +230,21 @@
 	l.elect(0)
 	require.Empty(t, ended(), "long ago")
 }
+
+// Guards against an entry that is only sent to a relay by the leader and serves meanwhile without the evacuations.
+func TestRedirectedEntriesAreToldToo(t *testing.T) {
+	l := newEvacuationLog()
+	l.set("one", true)
+	l.elect(0)
+	l.leader.SetRelayed(1)
+	for i := range 20 {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.reportRelay(t)
+		d := l.ask(report("e", l.now))
+		require.Equal(t, []string{"one"}, d.Evacuated)
+		if d.IsPartial {
+			return
+		}
+		require.Less(t, i, 19, "the entry was not sent to a relay")
+	}
+}
