Bound what clients make a managed node hold

One budget of bytes per process, derived from the machine's memory, is charged for heads, parsed fields, bodies and answers as they arrive. Connections are bounded from the machine's descriptors, bodies by a minimum progress, answers by the time to read them. Operators' documents are charged for what decoding builds, and the Go memory limit follows the machine.

TestBodyMemoryIsBounded moves to platform: it required that announced sizes are reserved, which let callers that send nothing lock out all others. Its replacement checks the same 17 callers with bytes on a connection, and that others are served.

--- a/cmd/hyssoprudder-managed/main.go
+++ b/cmd/hyssoprudder-managed/main.go
@@ -84,7 +84,8 @@
 	provider := platform.NewProviderClient(s.Provider().Address(), providerTimeout, s.Provider().Rate())
 	return assembler.Adapter{
 		CallerHandler: func(serve assembler.Serve, isClosing func() bool, now func() time.Time) http.Handler {
-			return platform.Front(platform.Serve(serve), isClosing, now)
+			return platform.Front(platform.Serve(serve), isClosing, now,
+				platform.Progress{Grace: s.ClientLimits().Grace(), Rate: s.ClientLimits().Rate()})
 		},
 		ReadyHandler: platform.Ready,
 		OperatorHandler: func(o *assembler.Operators) http.Handler {
--- a/internal/connection/messenger/engine.go
+++ b/internal/connection/messenger/engine.go
@@ -45,7 +45,12 @@
 	nonce := make([]byte, nonceSize)
 	_, _ = rand.Read(nonce)
 	s := &stream{messenger: m, session: newAccepted(m.keys, m.self, nonce), opened: m.clock.Now(), conn: c}
-	if !m.streams.add(s, maxUnauthenticated) {
+	oldest, ok := m.streams.add(s, m.maxUnauthenticated)
+	if oldest != nil {
+		m.drop(dropOverflow, Sender{})
+		oldest.close()
+	}
+	if !ok {
 		m.drop(dropOverflow, Sender{})
 		return nil, gnet.Close
 	}
--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -27,7 +27,7 @@
 	defaultWorkers       = 64
 	callsQueuedPerWorker = 16
 	datagramQueue        = 1024
-	maxUnauthenticated   = 256 // connections
+	maxUnauthenticated   = 256 // connections, by default
 	dialTimeout          = 3 * time.Second
 	handshakeTimeout     = 5 * time.Second
 	defaultTimeout       = 10 * time.Second
@@ -58,6 +58,8 @@
 	Log *log.Logger
 	// Workers limits the calls of one service that run concurrently; 0 means 64.
 	Workers int
+	// MaxUnauthenticated limits the connections of peers that have not authenticated; 0 means 256.
+	MaxUnauthenticated int
 	// Registerer receives the metrics; nil means none.
 	Registerer prometheus.Registerer
 }
@@ -71,6 +73,9 @@
 	self       Sender
 	listen     netip.AddrPort
 	maxWorkers int
+
+	maxUnauthenticated int
+
 	meter      *meter
 	server     *rpc.Server
 	services   map[string]*workers
@@ -134,6 +139,9 @@
 		datagrams: make(chan datagram, datagramQueue),
 	}
 	m.self = NewSender(c.ID, c.Incarnation, m.listen)
+	if m.maxUnauthenticated = c.MaxUnauthenticated; m.maxUnauthenticated <= 0 {
+		m.maxUnauthenticated = maxUnauthenticated
+	}
 	if m.maxWorkers <= 0 {
 		m.maxWorkers = defaultWorkers
 	}
--- a/internal/connection/messenger/stream.go
+++ b/internal/connection/messenger/stream.go
@@ -180,17 +180,31 @@
 	return &streamTable{streams: make(map[*stream]bool)}
 }
 
-// add adds a connection that has not authenticated yet. It reports false if there
-// are already limit such connections.
-func (t *streamTable) add(s *stream, limit int) bool {
+// minHandshake is how long a connection may take to authenticate before it can be closed for a new
+// one. Peers take milliseconds.
+const minHandshake = 500 * time.Millisecond
+
+// add adds a connection that has not authenticated yet. If there are already limit such connections, it
+// returns the oldest one, which must be closed. It reports false if that one is too young, so that the
+// new one must be closed.
+func (t *streamTable) add(s *stream, limit int) (oldest *stream, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.unauthenticated >= limit {
-		return false
+		for other, established := range t.streams {
+			if !established && (oldest == nil || other.opened.Before(oldest.opened)) {
+				oldest = other
+			}
+		}
+		if oldest == nil || s.opened.Sub(oldest.opened) < minHandshake {
+			return nil, false
+		}
+		t.unauthenticated--
+		delete(t.streams, oldest)
 	}
 	t.streams[s] = false
 	t.unauthenticated++
-	return true
+	return oldest, true
 }
 
 func (t *streamTable) establish(s *stream) {
--- a/internal/connection/screener/drain.go
+++ b/internal/connection/screener/drain.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"hyssoprudder/internal/process/reserver"
 )
 
 const (
@@ -86,18 +88,27 @@
 	return ok && s.isDraining && now.Sub(s.drainedAt) < maxLastAccepts && limited.SetDeadline(now.Add(lastWait)) == nil
 }
 
-// add registers a connection. It reports false if the screener has been drained.
-func (s *Screener) add(c *conn) bool {
+// errTooMany means that there are as many connections as there may be.
+var errTooMany = errors.New("too many connections")
+
+// add registers a connection. The error is http.ErrServerClosed if the screener has been drained, or
+// errTooMany.
+func (s *Screener) add(c *conn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isEmptied {
-		return false
+		return http.ErrServerClosed
 	}
+	if !s.makeRoom(c.address) {
+		s.bounds.Budget.Count(reserver.TooManyConnections)
+		return errTooMany
+	}
+	c.openAccount()
 	s.conns[c] = struct{}{}
 	if s.isDraining {
 		c.drain()
 	}
-	return true
+	return nil
 }
 
 func (s *Screener) remove(c *conn) {
@@ -137,6 +148,7 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.screener.remove(c)
+	c.account.Close()
 	return c.Conn.Close()
 }
 
@@ -161,6 +173,7 @@
 	defer c.mu.Unlock()
 	c.isDraining = true
 	c.endIdle()
+	c.boundReceiving()
 }
 
 // endIdle interrupts the read from an idle connection that is to be closed. The reader
@@ -186,9 +199,18 @@
 		return nil
 	}
 	c.hasBytes, c.isLastRead = true, false
-	if c.isDraining && c.isIdle {
-		return c.Conn.SetReadDeadline(c.readDeadline)
+	if !c.isIdle {
+		return nil
+	}
+	c.idleAt = c.screener.now()
+	c.account.Enter(reserver.Receiving)
+	if !c.isDraining {
+		return nil
+	}
+	if err := c.Conn.SetReadDeadline(c.readDeadline); err != nil {
+		return err
 	}
+	c.boundReceiving()
 	return nil
 }
 
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -9,11 +9,15 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"hyssoprudder/internal/process/reserver"
 )
 
 const (
@@ -52,6 +56,7 @@
 type Screener struct {
 	limits func() Limits
 	now    func() time.Time
+	bounds Bounds
 
 	mu         sync.Mutex
 	listeners  []net.Listener
@@ -84,20 +89,26 @@
 
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	l.screener.beginAccept(l)
-	inner, err := l.Listener.Accept()
-	if l.screener.mayAcceptAgain(l.Listener, err) {
-		inner, err = l.Listener.Accept()
-	}
-	if err != nil {
-		return nil, l.screener.acceptError(l, err)
-	}
-	c := &conn{Conn: inner, screener: l.screener, isIdle: true, acceptedAt: l.screener.now()}
-	if !l.screener.add(c) {
+	for {
+		l.screener.beginAccept(l)
+		inner, err := l.Listener.Accept()
+		if l.screener.mayAcceptAgain(l.Listener, err) {
+			inner, err = l.Listener.Accept()
+		}
+		if err != nil {
+			return nil, l.screener.acceptError(l, err)
+		}
+		now := l.screener.now()
+		c := &conn{Conn: inner, screener: l.screener, address: addressOf(inner), isIdle: true, acceptedAt: now, idleAt: now}
+		switch err := l.screener.add(c); {
+		case err == nil:
+			return c, nil
+		case errors.Is(err, http.ErrServerClosed):
+			inner.Close()
+			return nil, err
+		}
 		inner.Close()
-		return nil, http.ErrServerClosed
 	}
-	return c, nil
 }
 
 type contextKey struct{}
@@ -105,7 +116,11 @@
 // ConnContext is the server's ConnContext hook. It stores the connection in the context of
 // its requests, where Guard finds it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, c)
+	ctx = context.WithValue(ctx, contextKey{}, c)
+	if screened, ok := c.(*conn); ok && screened.account != nil {
+		ctx = reserver.NewContext(ctx, screened.account)
+	}
+	return ctx
 }
 
 // ConnState is the server's ConnState hook. It records which connections are idle.
@@ -129,6 +144,9 @@
 			return
 		}
 		next.ServeHTTP(w, r)
+		if c := connOf(r); c != nil {
+			c.boundDrain()
+		}
 	})
 }
 
@@ -153,10 +171,21 @@
 	isUnbounded   bool   // all following bytes are delivered unparsed, since the end of the request is unknown
 	isEnded       bool   // nothing after the current head is delivered
 
-	acceptedAt time.Time
+	acceptedAt  time.Time
+	address     string
+	account     *reserver.Account // nil without a budget
+	headCharge  int64             // charged for the head that is being received
+	left        atomic.Int64      // number of bytes of the current body not yet delivered, or 1 if that is not known
+	isSendEnded atomic.Bool       // nothing more is written
+	isDisplaced bool              // closed for a new connection; guarded by screener.mu
 
 	mu           sync.Mutex
 	framings     []Framing
+	charges      []int64   // charged for the heads of framings
+	idleAt       time.Time // when the connection became idle
+	pipelined    int       // requests in a row that arrived before the answer to the one before
+	isLast       bool      // the connection is closed after the next answer
+	receiveUntil time.Time // end of the time for the rest of a request during a drain
 	isIdle       bool      // the server handles no request
 	hasBytes     bool      // bytes of the current or, if idle, of the next request were received
 	hasServed    bool      // a request was handled
@@ -168,12 +197,16 @@
 func (c *conn) nextFraming() (Framing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	isLast := c.isDraining || c.isLast
 	if len(c.framings) == 0 {
-		return Plain, c.isDraining
+		return Plain, isLast
 	}
 	v := c.framings[0]
 	c.framings = c.framings[1:]
-	return v, c.isDraining
+	if len(c.charges) > 0 {
+		c.charges = c.charges[1:]
+	}
+	return v, isLast
 }
 
 func (c *conn) setIdle(idle bool) {
@@ -187,9 +220,35 @@
 	// Nothing is being read at this moment. Bytes are left if the caller sends the next
 	// request before it has the answer.
 	c.hasBytes = len(c.pending) > 0
+	c.idleAt = c.screener.now()
+	c.account.Enter(reserver.Serving)
+	c.account.Shrink(c.waitingCharge())
+	c.countPipelined()
 	c.endIdle()
 }
 
+// waitingCharge returns what is charged for heads that were received before their turn. The caller holds c.mu.
+func (c *conn) waitingCharge() int64 {
+	sum := c.headCharge
+	for _, n := range c.charges {
+		sum += n
+	}
+	return sum
+}
+
+// countPipelined counts requests that did not wait for the answer to the one before. The caller holds c.mu.
+func (c *conn) countPipelined() {
+	if !c.hasServed || !c.hasBytes {
+		c.pipelined = 0
+		return
+	}
+	c.pipelined++
+	if most := c.screener.bounds.Pipelined; most > 0 && c.pipelined >= most && !c.isLast {
+		c.isLast = true
+		c.account.Count(reserver.Pipelined)
+	}
+}
+
 // isWaiting reports whether the server waits for a request. While it handles one, the head of
 // the next one has no limit, since the server takes a failed read for the loss of the caller.
 func (c *conn) isWaiting() bool {
@@ -216,6 +275,12 @@
 	if c.isDraining && c.isIdle && !c.hasBytes {
 		return nil // the deadline of the drain applies
 	}
+	if c.account.IsEnded() {
+		t = longAgo
+	}
+	if c.isReceiving() && !c.receiveUntil.IsZero() && (t.IsZero() || t.After(c.receiveUntil)) {
+		t = c.receiveUntil
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -252,6 +317,7 @@
 	}
 	if !c.isUnbounded {
 		c.bodyRemaining -= int64(n)
+		c.left.Store(c.bodyRemaining)
 	}
 	return n, err
 }
@@ -273,8 +339,7 @@
 					return err
 				}
 			}
-			c.setFraming(end)
-			return nil
+			return c.setFraming(end)
 		}
 		if len(c.pending) > maxHeadBytes {
 			c.headRemaining, c.isUnbounded = len(c.pending), true
@@ -293,6 +358,10 @@
 		if err := c.received(); err != nil {
 			return err
 		}
+		if !c.chargePending(n) {
+			c.refuse(refusedMemory)
+			return io.EOF
+		}
 		if limit := c.screener.limits().Head; n > 0 && limit > 0 && !hasDeadline && c.isWaiting() {
 			hasDeadline = true
 			if err := c.Conn.SetReadDeadline(c.screener.now().Add(limit)); err != nil {
@@ -328,11 +397,28 @@
 	return 0
 }
 
+// chargePending charges n bytes of a head that have arrived.
+func (c *conn) chargePending(n int) bool {
+	if !c.account.Charge(int64(n)) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headCharge += int64(n)
+	return true
+}
+
 // setFraming determines the framing of the request whose head ends at end, and thereby how
 // its body is delivered.
-func (c *conn) setFraming(end int) {
+func (c *conn) setFraming(end int) error {
+	charged, refusal := c.chargeHead(c.pending[:end], bytes.Count(c.pending[:end], []byte("\n")))
+	if refusal != "" {
+		c.refuse(refusal)
+		return io.EOF
+	}
 	c.headRemaining = end
 	framing := Plain
+	left := int64(0)
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.pending[:end])))
 	switch {
 	case err != nil:
@@ -342,12 +428,20 @@
 		framing, c.isEnded = Ambiguous, true
 	case len(request.TransferEncoding) > 0:
 		framing, c.isUnbounded = Chunked, true
+		left = 1
 	case request.ContentLength > 0:
 		c.bodyRemaining = request.ContentLength
+		left = c.bodyRemaining
 	}
+	c.left.Store(left)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framings = append(c.framings, framing)
+	c.framings, c.charges = append(c.framings, framing), append(c.charges, charged+c.headCharge)
+	c.headCharge = 0
+	if c.isIdle {
+		c.account.Enter(reserver.Serving)
+	}
+	return nil
 }
 
 // hasLength reports whether a head that http.ReadRequest accepted has a Content-Length.
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -20,6 +20,7 @@
 
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/messenger"
+	"hyssoprudder/internal/connection/screener"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/registrar"
@@ -99,6 +100,7 @@
 	entry     *entry             // entries only
 	keeper    *keeperRole        // keepers only
 	metrics   *listener.Listener
+	clients   *clients
 }
 
 // New creates a node from its settings. The node listens only after Start.
@@ -109,10 +111,13 @@
 	}
 	n.incarnation = uint64(n.bootClock.Now().UnixNano())
 	n.registry.MustRegister(collectors.NewGoCollector())
+	n.clients = newClients(n)
+	n.registry.MustRegister(n.clients)
+	n.limitMemory()
 	var err error
 	n.messenger, err = messenger.New(messenger.Config{
 		ID: s.ID(), Incarnation: n.incarnation, Listen: s.Nodes(), Key: []byte(s.Secret()), Clock: n.clock,
-		Log: l.With("part", "messenger"), Registerer: n.registry,
+		Log: l.With("part", "messenger"), Registerer: n.registry, MaxUnauthenticated: n.clients.unauthenticated(),
 	})
 	if err != nil {
 		return nil, err
@@ -146,22 +151,28 @@
 	}
 	if address := n.settings.Metrics(); address.IsValid() {
 		n.metrics = listener.New("metrics", &http.Server{
-			Handler: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: time.Second,
+			Handler: screener.Guard(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: time.Second,
 		}, nil, n.log)
+		n.metrics.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 		if err := n.metrics.Start(address); err != nil {
 			return err
 		}
 	}
+	n.clients.start()
 	n.log.Info("started", "nodes", n.messenger.Address(), "callers", n.settings.Callers(), "control", n.settings.Control())
 	return nil
 }
 
+// probeLimits bounds the time for the head of a readiness check or of a request for metrics.
+func probeLimits() screener.Limits { return screener.Limits{Head: time.Second} }
+
 // Failed returns a channel that receives the error of a component that can't continue.
 func (n *Node) Failed() <-chan error { return n.failed }
 
 // Stop shuts the node down. Calls in flight may complete until the deadline of ctx.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
+	n.clients.stop()
 	if n.entry != nil {
 		n.entry.stop(ctx)
 	}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -111,8 +111,9 @@
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
-	e.screener = screener.New(e.limits, n.clock.Now)
-	e.ready = listener.New("the balancer", &http.Server{Handler: n.adapter.ReadyHandler(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
+	e.screener = n.clients.screener(e.limits, n.clients.callers())
+	e.ready = listener.New("the balancer", &http.Server{Handler: screener.Guard(n.adapter.ReadyHandler(e.isReady)), ReadHeaderTimeout: time.Second}, nil, n.log)
+	e.ready.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 }
 
 // isConfirmed reports whether the rules were confirmed recently enough that no key
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -112,7 +112,7 @@
 	k.control = listener.New("operators", &http.Server{
 		Handler: screener.Guard(a.OperatorHandler(operators)), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
 	}, nil, n.log)
-	k.control.Screen(screener.New(func() screener.Limits { return screener.Limits{Head: controlHeadTimeout} }, n.clock.Now))
+	k.control.Screen(n.clients.screener(func() screener.Limits { return screener.Limits{Head: controlHeadTimeout} }, n.clients.probes()))
 	return nil
 }
 
--- a/internal/process/reserver/reserver.go
+++ b/internal/process/reserver/reserver.go
@@ -1,5 +1,6 @@
 // Package reserver bounds the memory that concurrent answers take together, so that endpoints
-// that send without end can't use up the memory of a node.
+// that send without end can't use up the memory of a node, and the memory that clients make a
+// process hold.
 package reserver
 
 import (
@@ -27,13 +28,18 @@
 
 // Reservation is the part of a Memory that one answer holds. It is not safe for concurrent use.
 type Reservation struct {
-	memory *Memory
-	held   int64
+	memory  *Memory
+	account *Account // nil if the answer does not belong to a client's connection
+	held    int64
 }
 
 // Reserve returns an empty reservation.
 func (m *Memory) Reserve() Reservation { return Reservation{memory: m} }
 
+// ReserveFor returns an empty reservation for an answer to a client, which is also charged to the
+// client's account.
+func (m *Memory) ReserveFor(a *Account) Reservation { return Reservation{memory: m, account: a} }
+
 // Hold makes the reservation hold a buffer of size bytes, and reports whether there is enough
 // memory. Otherwise the reservation is unchanged.
 func (r *Reservation) Hold(size int) bool {
@@ -45,6 +51,10 @@
 		r.memory.used.Add(-needed)
 		return false
 	}
+	if !r.account.Charge(needed) {
+		r.memory.used.Add(-needed)
+		return false
+	}
 	r.held += needed
 	return true
 }
@@ -53,6 +63,7 @@
 func (r *Reservation) Release() {
 	if r.held > 0 {
 		r.memory.used.Add(-r.held)
+		r.account.Release(r.held)
 		r.held = 0
 	}
 }
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -35,6 +35,7 @@
 	provider   Provider
 	bounds     Bounds
 	machine    Machine
+	limits     ClientLimits
 }
 
 // Provider describes the API that lists endpoints and accepts orders for capacity.
@@ -167,6 +168,42 @@
 // Descriptors returns the number of file descriptors that the process may have.
 func (m Machine) Descriptors() int { return m.descriptors }
 
+// ClientLimits bound what clients may make a node hold.
+type ClientLimits struct {
+	memory      int64
+	connections int
+	share       float64
+	grace       time.Duration
+	rate        float64
+	write       time.Duration
+	pipelined   int
+	fields      int
+}
+
+// Memory returns the memory in bytes for what all clients make the node hold, 0 if it follows the machine's.
+func (l ClientLimits) Memory() int64 { return l.memory }
+
+// Connections returns the number of callers' connections, 0 if it follows the machine's descriptors.
+func (l ClientLimits) Connections() int { return l.connections }
+
+// Share returns the fraction of a port's connections that one address may have while there are no others left.
+func (l ClientLimits) Share() float64 { return l.share }
+
+// Grace returns the time for which a body needs no minimum progress.
+func (l ClientLimits) Grace() time.Duration { return l.grace }
+
+// Rate returns the minimum progress of a body after Grace, in bytes per second since its start.
+func (l ClientLimits) Rate() float64 { return l.rate }
+
+// Write returns how long a client may take to read 16 KB of an answer.
+func (l ClientLimits) Write() time.Duration { return l.write }
+
+// Pipelined returns how many requests in a row a connection may send before the answer to the one before.
+func (l ClientLimits) Pipelined() int { return l.pipelined }
+
+// Fields returns the largest number of header fields of a request.
+func (l ClientLimits) Fields() int { return l.fields }
+
 // File returns the path of the settings file.
 func (m *Managed) File() string { return m.file }
 
@@ -228,6 +265,9 @@
 // Machine returns what the machine of the node has.
 func (m *Managed) Machine() Machine { return m.machine }
 
+// ClientLimits returns the bounds on what clients make the node hold.
+func (m *Managed) ClientLimits() ClientLimits { return m.limits }
+
 // managedFile is the TOML layout of a managed node's settings file.
 type managedFile struct {
 	ID       value         `toml:"id"`
@@ -245,6 +285,19 @@
 	Provider fileProvider  `toml:"provider"`
 	Bounds   fileBounds    `toml:"bounds"`
 	Machine  fileMachine   `toml:"machine"`
+
+	Limits fileClientLimits `toml:"limits"`
+}
+
+type fileClientLimits struct {
+	Memory      value `toml:"memory"`
+	Connections value `toml:"connections"`
+	Share       value `toml:"share"`
+	Grace       value `toml:"grace"`
+	Rate        value `toml:"rate"`
+	Write       value `toml:"write"`
+	Pipelined   value `toml:"pipelined"`
+	Fields      value `toml:"fields"`
 }
 
 type managedListen struct {
@@ -298,7 +351,8 @@
 	"bounds.contact", "bounds.acknowledge", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
 	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
 	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback", "bounds.coldover", "bounds.coldslack", "bounds.evacuation",
-	"machine.memory", "machine.descriptors"}
+	"machine.memory", "machine.descriptors",
+	"limits.memory", "limits.connections", "limits.share", "limits.grace", "limits.rate", "limits.write", "limits.pipelined", "limits.fields"}
 
 // Defaults of settings that the file omits, and limits of their values.
 const (
@@ -328,6 +382,16 @@
 	maxCount     = 1e12      // maximum of a number
 	maxTolerated = 1000
 
+	// No client within the rules reaches these: it sends whole bodies within 20 s, which is faster than
+	// defaultBodyRate for all but small ones, and one request at a time; a head of 16,384 bytes has fewer than
+	// defaultFields fields.
+	defaultShare     = 0.5
+	defaultBodyGrace = 3 * time.Second
+	defaultBodyRate  = 16_384.0 // bytes per second
+	defaultWrite     = 10 * time.Second
+	defaultPipelined = 16
+	defaultFields    = 5_500
+
 	maxMachineMemory = 1 << 24 // MB
 	maxDescriptors   = 1 << 24
 )
@@ -387,6 +451,7 @@
 			descriptors: r.count("machine.descriptors", f.Machine.Descriptors, 0, maxDescriptors),
 		},
 	}
+	m.limits = r.clientLimits(&f.Limits)
 	for _, name := range r.texts("roles", f.Roles) {
 		m.roles = append(m.roles, r.role(name))
 	}
@@ -399,6 +464,19 @@
 	return m
 }
 
+func (r *reader) clientLimits(f *fileClientLimits) ClientLimits {
+	return ClientLimits{
+		memory:      int64(r.count("limits.memory", f.Memory, 0, maxMachineMemory)) << 20,
+		connections: r.count("limits.connections", f.Connections, 0, maxDescriptors),
+		share:       r.number("limits.share", f.Share, defaultShare),
+		grace:       r.bound("limits.grace", f.Grace, defaultBodyGrace),
+		rate:        r.number("limits.rate", f.Rate, defaultBodyRate),
+		write:       r.bound("limits.write", f.Write, defaultWrite),
+		pipelined:   r.count("limits.pipelined", f.Pipelined, defaultPipelined, maxDescriptors),
+		fields:      r.count("limits.fields", f.Fields, defaultFields, maxDescriptors),
+	}
+}
+
 func (r *reader) bounds(f *fileBounds) Bounds {
 	return Bounds{
 		contact:     r.bound("bounds.contact", f.Contact, defaultContact),
@@ -472,6 +550,9 @@
 	if len(m.roles) == 0 {
 		r.fault("roles", `is needed; for example ["entry"]`)
 	}
+	if m.limits.share > 1 {
+		r.fault("limits.share", fmt.Sprintf("%v is out of range; choose from 0 to 1", m.limits.share))
+	}
 	if m.Has(RoleEntry) && (!m.callers.IsValid() || !m.ready.IsValid()) {
 		r.fault("listen", `callers and ready are needed on a node with the role "entry"`)
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -45,7 +45,7 @@
 
 // attempt sends the call to one endpoint.
 func (x *exchange) attempt(to *secured) step {
-	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned, memory: x.f.answerMemory.Reserve()}
+	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned, memory: x.f.answerMemory.ReserveFor(reserver.FromContext(x.ctx))}
 	// Deferred, so that it also runs when a panic aborts the caller's connection.
 	defer a.end()
 	return a.run()
@@ -344,7 +344,7 @@
 func (x *exchange) keep(answer *bufferedAnswer, memory *reserver.Reservation) {
 	x.bufferedMemory.Release()
 	x.buffered, x.bufferedMemory = answer, *memory
-	*memory = x.f.answerMemory.Reserve()
+	*memory = x.f.answerMemory.ReserveFor(reserver.FromContext(x.ctx))
 }
 
 // deliver sends the buffered answer to the caller.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -115,6 +115,10 @@
 	AllowanceUnknown Refusal = "allowance unknown"
 	// Busy means that no capacity is available in time.
 	Busy Refusal = "no capacity"
+	// Crowded means that the memory for requests is used up.
+	Crowded Refusal = "no memory for the body"
+	// TooSlow means that the body did not arrive in time.
+	TooSlow Refusal = "body too slow"
 	// Isolated means that the request, or a block of its prompt, crashes endpoints.
 	Isolated Refusal = "request crashes endpoints"
 	// Unknown means that the call was sent and no complete answer arrived; it may
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -105,7 +105,6 @@
 	refused      refusals
 	rulesWaiters atomic.Int64 // calls that wait for confirmed rules
 	longestWaits sync.Map     // *longestWait by route name
-	bodyBytes    atomic.Int64 // bytes reserved for bodies
 	answerMemory *reserver.Memory
 }
 
@@ -153,7 +152,6 @@
 	service        *registrar.Service
 	customer       *registrar.Customer
 	body           []byte
-	reserved       int64     // bytes of memory reserved for the body
 	deadline       time.Time // end of the caller's or the route's time, whichever is earlier
 	random         float64   // random number in [0, 1) that selects the version
 	hash           *uint64   // fingerprint of the request, nil if not computed yet
@@ -186,7 +184,6 @@
 // connection.
 func (x *exchange) end() {
 	x.releaseNext()
-	x.f.bodyBytes.Add(-x.reserved)
 	x.bufferedMemory.Release()
 	x.result.Took = x.f.config.Clock.Now().Sub(x.call.Arrived)
 	x.f.config.CallEnded(x.call, &x.result)
@@ -225,10 +222,11 @@
 	if refusal := x.checkSize(); refusal != None {
 		return refusal, 0
 	}
-	if refusal, after := x.readBody(table.Limits().BodyBytes); refusal != None {
+	// The body of a call beyond its customer's limit is not read. If the body is refused, the charge is returned.
+	if refusal, after := x.charge(); refusal != None {
 		return refusal, after
 	}
-	return x.charge()
+	return x.readBody(table.Limits().BodyBytes)
 }
 
 // checkSize refuses a call that no endpoint can serve as it is stated.
