--- a/internal/connection/screener/screener_test.go
+++ b/internal/connection/screener/screener_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/goleak"
 
 	"hyssoprudder/internal/connection/screener"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/reserver"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,6 +28,7 @@
 	server  *http.Server
 	done    chan struct{}
 	listen  net.Listener
+	budget  *reserver.Budget
 
 	mu     sync.Mutex
 	served []string
@@ -37,7 +40,10 @@
 	require.NoError(t, err)
 	f := &front{t: t, address: l.Addr().String(), done: make(chan struct{})}
 	f.server = &http.Server{Handler: screener.Guard(f), ConnContext: screener.ConnContext, ConnState: screener.ConnState}
-	f.listen = screener.New(func() screener.Limits { return limits }, time.Now).Wrap(l)
+	s := screener.New(func() screener.Limits { return limits }, time.Now)
+	f.budget = reserver.NewBudget(1<<20, clock.System{})
+	s.SetBounds(screener.Bounds{Budget: f.budget, Write: 10 * time.Second, Fields: 5500})
+	f.listen = s.Wrap(l)
 	go f.run()
 	t.Cleanup(f.close)
 	return f
@@ -51,6 +57,7 @@
 func (f *front) close() {
 	f.server.Close()
 	<-f.done
+	require.Eventually(f.t, func() bool { return f.budget.Used() == 0 }, 10*time.Second, time.Millisecond, "memory is charged for closed connections")
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
