Bound what callers and operators make a node of the own composition hold

The callers' and operators' servers charge heads and bodies to one budget of 80 MB. The fuzz test of framing hung in its own client on bodies that lack their end; the client now closes its sending side.

--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -19,11 +20,13 @@
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/screener"
 	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/reserver"
 )
 
 const (
 	maxBodyBytes  = 2 << 20 // bytes
 	headerTimeout = 5 * time.Second
+	bodyTimeout   = 20 * time.Second
 	idleTimeout   = time.Minute
 )
 
@@ -37,6 +40,8 @@
 	Clock     clock.Clock
 	Log       *log.Logger
 	Metrics   http.Handler
+	// Budget bounds what operators may make the process hold. It may be nil.
+	Budget *reserver.Budget
 
 	Rules     func(ctx context.Context) (Rules, error)
 	Apply     func(ctx context.Context, change Change) (ChangeResult, error)
@@ -65,7 +70,9 @@
 	s.listener = listener.New("operators", &http.Server{
 		Handler: screener.Guard(s.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}, cfg.Certifier, cfg.Log)
-	s.listener.Screen(screener.New(func() screener.Limits { return screener.Limits{Head: headerTimeout} }, cfg.Clock.Now))
+	screen := screener.New(func() screener.Limits { return screener.Limits{Head: headerTimeout} }, cfg.Clock.Now)
+	screen.SetBounds(screener.Bounds{Budget: cfg.Budget})
+	s.listener.Screen(screen)
 	return s
 }
 
@@ -114,11 +121,40 @@
 			writeFault(w, http.StatusUnauthorized, &Fault{Code: CodeInvalid, Message: "the operators' token is missing or wrong; name its file with -token"})
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		if fault := s.receive(w, r); fault != nil {
+			w.Header().Set("Connection", "close") // the rest of the body is not read
+			writeFault(w, statuses[fault.Code], fault)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// receive reads the body of a request, in time and within the memory for requests.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request) *Fault {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	body, err := reserver.FromContext(r.Context()).ReadBody(r.Body, r.ContentLength, maxBodyBytes, func(received int64) error {
+		if received > 0 {
+			return nil
+		}
+		return control.SetReadDeadline(s.cfg.Clock.Now().Add(bodyTimeout))
+	})
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
+	switch {
+	case errors.Is(err, reserver.ErrFull):
+		return &Fault{Code: CodeUnavailable, Message: err.Error()}
+	case err != nil:
+		return &Fault{Code: CodeInvalid, Message: "the body cannot be read: " + err.Error()}
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 func (s *Server) apply(r *http.Request) (any, error) {
 	change, err := decode[Change](r)
 	if err != nil {
--- a/internal/connection/screener/screener_test.go
+++ b/internal/connection/screener/screener_test.go
@@ -30,8 +30,9 @@
 	listen  net.Listener
 	budget  *reserver.Budget
 
-	mu     sync.Mutex
-	served []string
+	endsSending bool // callers close their sending side, so that a body that lacks its end is not waited for
+	mu          sync.Mutex
+	served      []string
 }
 
 func newFront(t *testing.T, limits screener.Limits) *front {
@@ -86,6 +87,9 @@
 		}
 		raw = raw[n:]
 	}
+	if f.endsSending {
+		_ = c.(*net.TCPConn).CloseWrite() // fails only if the server has closed the connection
+	}
 	r := bufio.NewReader(c)
 	var statuses []int
 	for len(statuses) < answers {
@@ -184,6 +188,7 @@
 	f.Add("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, fields, body string) {
 		front := newFront(t, screener.Limits{Head: time.Second, Idle: time.Second})
+		front.endsSending = true
 		front.send("POST /one HTTP/1.1\r\nHost: a\r\n"+fields+"\r\n"+body, 1<<20, 1)
 		for _, served := range front.paths()[min(1, len(front.paths())):] {
 			require.NotContains(t, strings.ToLower(fields), "chunked", "%s was served after a chunked request", served)
--- a/internal/connection/server/reader.go
+++ b/internal/connection/server/reader.go
@@ -5,13 +5,13 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/request/handler"
 )
 
@@ -133,12 +133,16 @@
 	if err := control.SetReadDeadline(s.cfg.Clock.Now().Add(s.cfg.Limits.Read())); err != nil {
 		return nil, refuse(http.StatusInternalServerError, "Connection", err.Error())
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.Limits.Body()))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "Body too large", fmt.Sprintf("the body may have %d bytes", large.Limit))
-	}
+	body, err := reserver.FromContext(r.Context()).ReadBody(r.Body, r.ContentLength, s.cfg.Limits.Body(), func(int64) error { return nil })
 	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	switch {
+	case errors.Is(err, reserver.ErrTooLarge):
+		return nil, refuse(http.StatusRequestEntityTooLarge, "Body too large", fmt.Sprintf("the body may have %d bytes", s.cfg.Limits.Body()))
+	case errors.Is(err, reserver.ErrFull):
+		return nil, refuse(http.StatusServiceUnavailable, "Busy", "the memory for requests is full").RetryAfter(time.Second)
+	case err != nil:
 		return nil, refuse(http.StatusRequestTimeout, "Body cut", "the body did not arrive whole in time")
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -20,10 +20,14 @@
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/meter"
 	"hyssoprudder/internal/process/parser"
+	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/process/settings"
 	"hyssoprudder/internal/request/handler"
 )
 
+// maxPipelined is how many requests in a row may arrive on a connection before the answer to the one before.
+const maxPipelined = 16
+
 // Config holds the settings and dependencies of a server.
 type Config struct {
 	Listen    netip.AddrPort
@@ -36,6 +40,8 @@
 	Rules func() *parser.Rules
 	// Ready returns nil if the node is ready for calls, or else the reason why not.
 	Ready func() error
+	// Budget bounds what callers may make the process hold. It may be nil.
+	Budget *reserver.Budget
 	// Serve answers a call.
 	Serve func(ctx context.Context, w http.ResponseWriter, call *handler.Call) handler.Result
 }
@@ -63,7 +69,9 @@
 		IdleTimeout:       cfg.Limits.Idle(),
 		MaxHeaderBytes:    cfg.Limits.Header(),
 	}, cfg.Certifier, cfg.Log)
-	s.listener.Screen(screener.New(func() screener.Limits { return screener.Limits{} }, cfg.Clock.Now))
+	screen := screener.New(func() screener.Limits { return screener.Limits{} }, cfg.Clock.Now)
+	screen.SetBounds(screener.Bounds{Budget: cfg.Budget, Pipelined: maxPipelined})
+	s.listener.Screen(screen)
 	return s
 }
 
--- a/internal/node/runner/deployment_test.go
+++ b/internal/node/runner/deployment_test.go
@@ -82,6 +82,7 @@
 // loopback address.
 type deployment struct {
 	t               *testing.T
+	programs        string // folder of the programs
 	folder          string
 	host            string
 	nodes           map[string]*process
@@ -109,7 +110,13 @@
 func startWith(t *testing.T, nodes, keepers int, startServices func(d *deployment)) *deployment {
 	t.Helper()
 	t.Parallel()
-	d := &deployment{t: t, folder: t.TempDir(), nodes: make(map[string]*process)}
+	return startOf(t, programs, nodes, keepers, startServices)
+}
+
+// startOf starts a deployment of the programs in a folder. It does not make the test parallel.
+func startOf(t *testing.T, programs string, nodes, keepers int, startServices func(d *deployment)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, programs: programs, folder: t.TempDir(), nodes: make(map[string]*process)}
 	// Each test has its own address, since tests run in parallel.
 	d.host = fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()>>8&0x3f, os.Getpid()&0xff, deploymentCount.Add(1))
 	t.Cleanup(d.stopAll)
@@ -181,7 +188,7 @@
 	d.t.Helper()
 	log, err := os.OpenFile(d.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(d.t, err)
-	command := exec.Command(filepath.Join(programs, program), args...)
+	command := exec.Command(filepath.Join(d.programs, program), args...)
 	command.Stderr = log
 	command.Stdout = out
 	require.NoError(d.t, command.Start())
@@ -295,7 +302,7 @@
 func (d *deployment) command(args ...string) commandResult { return d.commandAt(d.names[0], args...) }
 
 func (d *deployment) commandAt(node string, args ...string) commandResult {
-	command := exec.Command(filepath.Join(programs, "hyssoprudder"), args...)
+	command := exec.Command(filepath.Join(d.programs, "hyssoprudder"), args...)
 	command.Env = append(os.Environ(), "HYSSOPRUDDER_ADDRESS="+d.operatorsAddress(node).String(), "HYSSOPRUDDER_TOKEN="+d.path("operators.token"))
 	var stdout, stderr bytes.Buffer
 	command.Stdout, command.Stderr = &stdout, &stderr
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -28,9 +28,14 @@
 	"hyssoprudder/internal/process/gossiper"
 	"hyssoprudder/internal/process/lister"
 	"hyssoprudder/internal/process/meter"
+	"hyssoprudder/internal/process/reserver"
 	"hyssoprudder/internal/process/settings"
 )
 
+// clientMemory is the memory in bytes that callers and operators may make a node hold, besides streams. It
+// follows the bound of managed nodes whose machine is not described.
+const clientMemory = 80 << 20
+
 // Runner runs one node.
 type Runner struct {
 	settings      *settings.Settings
@@ -53,6 +58,7 @@
 	versions  *versions
 	entry     *entry         // nil without the role entry
 	callers   *server.Server // nil without the role entry
+	clients   *reserver.Budget
 	operators *operator.Server
 }
 
@@ -65,6 +71,7 @@
 		failed:      make(chan error, 1),
 		table:       lister.NewTable(),
 		dialer:      dialer.New(),
+		clients:     reserver.NewBudget(clientMemory, c),
 	}
 	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r.registry.MustRegister(&collector{runner: r})
@@ -130,7 +137,7 @@
 func (r *Runner) buildCallers(cert *certifier.Certifier) {
 	r.callers = server.New(server.Config{
 		Listen: r.settings.Callers(), Limits: r.settings.Limits(), Certifier: cert,
-		Clock: r.clock, Log: r.log, Meter: meter.NewCalls(r.registry),
+		Clock: r.clock, Log: r.log, Meter: meter.NewCalls(r.registry), Budget: r.clients,
 		Rules: r.rules.rules, Ready: r.ready, Serve: r.entry.handler.Serve,
 	})
 }
@@ -144,7 +151,7 @@
 		return fmt.Errorf("%s holds no token; make one with \"hyssoprudder key create\"", r.settings.Token())
 	}
 	config := operator.Config{
-		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Certifier: cert, Clock: r.clock, Log: r.log,
+		Listen: r.settings.Operators(), Token: strings.TrimSpace(string(token)), Budget: r.clients, Certifier: cert, Clock: r.clock, Log: r.log,
 		Metrics: promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}),
 		Rules:   r.currentRules, Apply: r.applyRules, History: r.history, Waiting: r.waiting,
 		Members: r.members, Endpoints: r.endpoints, Moves: r.moves, Abort: r.abort, Claim: r.claim, State: r.dump,
--- a/internal/process/settings/managed_test.go
+++ b/internal/process/settings/managed_test.go
@@ -42,12 +42,16 @@
 	require.Equal(t, 3*time.Second, m.Bounds().Drain(), "omitted bounds have defaults")
 	require.Equal(t, 4*time.Second, m.Bounds().CatchUp())
 	require.Equal(t, 1, m.Tolerated())
+	require.Equal(t, 5_500, m.ClientLimits().Fields())
+	require.Zero(t, m.ClientLimits().Connections(), "omitted bounds follow the machine")
 }
 
 func TestLoadManagedFaults(t *testing.T) {
 	cases := map[string]struct{ old, replacement, key, want string }{
 		"unknown key":     {"revoke", "revoek", "bounds.revoek", `did you mean "bounds.revoke"?`},
 		"wrong type":      {`secret = "s"`, "secret = 1", "secret", "must be text in quotes"},
+		"share above 1":   {"[bounds]", "[limits]\nshare = 1.5\n[bounds]", "limits.share", "choose from 0 to 1"},
+		"part of a field": {"[bounds]", "[limits]\nfields = 2.5\n[bounds]", "limits.fields", "must be an integer from 0 to"},
 		"no number":       {"110000", `"many"`, "bounds.quotaslack", "must be a number"},
 		"half a loss":     {`secret = "s"`, "secret = \"s\"\ntolerate = 0.5", "tolerate", "must be an integer from 0 to"},
 		"below 0":         {"= 0.2", "= -0.2", "bounds.retryratio", "out of range"},
