--- a/internal/connection/screener/bounds_test.go
+++ b/internal/connection/screener/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -148,3 +149,33 @@
 		})
 	}
 }
+
+// Requests that were received in part delayed a planned stop until its end.
+func TestDrainDoesNotWaitForIncompleteRequests(t *testing.T) {
+	for name, text := range map[string]string{"part of a head": partOfAHead, "part of a body": partOfABody} {
+		t.Run(name, func(t *testing.T) {
+			began := make(chan struct{}, 1)
+			s := screener.New(func() screener.Limits { return screener.Limits{} }, time.Now)
+			s.SetBounds(screener.Bounds{Budget: reserver.NewBudget(1<<20, clock.System{})})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := &http.Server{ConnContext: screener.ConnContext, ConnState: screener.ConnState, Handler: screener.Guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				began <- struct{}{}
+				_, _ = reserver.FromContext(r.Context()).ReadBody(r.Body, r.ContentLength, 1<<20, func(int64) error { return nil })
+				http.Error(w, "too slow", http.StatusRequestTimeout)
+			}))}
+			go func() { _ = server.Serve(s.Wrap(l)) }()
+			defer server.Close()
+			f := &boundedFront{address: l.Addr().String()}
+			f.send(t, text)
+			if text == partOfABody {
+				<-began
+			} else {
+				require.Eventually(t, func() bool { return s.Counts().Receiving == 1 }, 30*time.Second, time.Millisecond)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			require.NoError(t, s.Drain(ctx))
+		})
+	}
+}
