--- a/internal/process/settings/managed_test.go
+++ b/internal/process/settings/managed_test.go
@@ -46,6 +46,8 @@
 	require.Equal(t, 4*time.Second, m.Bounds().CatchUp())
 	require.Equal(t, 1, m.Tolerated())
 	require.Equal(t, map[string]string{"focsani": "north", "adjud": "south"}, m.Regions())
+	require.Equal(t, 5_500, m.ClientLimits().Fields())
+	require.Zero(t, m.ClientLimits().Connections(), "omitted bounds follow the machine")
 }
 
 func TestLoadManagedFaults(t *testing.T) {
@@ -62,6 +64,8 @@
 		"no seeds":                    {`seeds = ["10.0.0.1:8229", "10.0.0.2:8229"]`, "", "seeds", "is needed"},
 		"keeper's data":               {`"entry"`, `"entry", "keeper"`, "data", "is needed"},
 		"not TOML":                    {`secret = "s"`, "secret = s", "line 6", "expected"},
+		"share above 1":               {"[bounds]", "[limits]\nshare = 1.5\n[bounds]", "limits.share", "choose from 0 to 1"},
+		"part of a field":             {"[bounds]", "[limits]\nfields = 2.5\n[bounds]", "limits.fields", "must be an integer from 0 to"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
