Show cold endpoints as soon as a ruleset makes their service warm up

The leader applies the last list again when a service begins to warm up.

TestListFromBeforeTheRulesetShowsColdEndpoints guards against it.

--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -202,7 +202,7 @@
 		return
 	}
 	c.core.SetLimits(c.config.Limits(decoded), now)
-	c.core.SetWarming(c.warming(decoded), c.config.ListLag)
+	c.core.SetWarming(c.warming(decoded), c.config.ListLag, now)
 }
 
 // warming returns the services whose endpoints warm up.
--- a/internal/process/coordinator/warm.go
+++ b/internal/process/coordinator/warm.go
@@ -39,7 +39,8 @@
 	records  map[noticeKey]*coldRecord
 	suspects map[string]time.Time // domains, with the time after which the list must have been read
 	granter  *warmer.Granter
-	readAt   time.Time // start of the last read of the list
+	read     []Endpoint // the list as it was read last
+	readAt   time.Time  // start of that read
 }
 
 func newWarmth(started time.Time) warmth {
@@ -51,8 +52,19 @@
 }
 
 // SetWarming sets the services whose endpoints warm up, and by how much the provider's list may lag.
-func (c *Core) SetWarming(services map[string]Warming, lag time.Duration) {
-	c.warmth.services, c.warmth.lag = services, lag
+func (c *Core) SetWarming(services map[string]Warming, lag time.Duration, now time.Time) {
+	w := &c.warmth
+	isNew := false
+	for name := range services {
+		_, ok := w.services[name]
+		isNew = isNew || !ok
+	}
+	w.services, w.lag = services, lag
+	if isNew && w.read != nil {
+		// Entries get the ruleset before the next list, so this one has to show which endpoints of
+		// these services are cold.
+		c.ReadEndpoints(w.read, w.readAt, now)
+	}
 }
 
 // ReadEndpoints replaces the list by one whose reading began at readAt, and reports whether it changed. In
@@ -62,7 +74,7 @@
 	if isChanged {
 		c.sums.extend(len(c.list.byPosition))
 	}
-	c.warmth.readAt = readAt
+	c.warmth.readAt, c.warmth.read = readAt, endpoints
 	c.setCold(now)
 	return isChanged
 }
--- a/internal/process/coordinator/warm_test.go
+++ b/internal/process/coordinator/warm_test.go
@@ -149,7 +149,7 @@
 
 func (w *warming) setLeader(term uint64) {
 	w.term, w.leader = term, coordinator.NewCore(term, w.now, allowanceLifetime, window)
-	w.leader.SetWarming(warmingServices, listLag)
+	w.leader.SetWarming(warmingServices, listLag, w.now)
 	w.readAt = w.now
 }
 
@@ -424,7 +424,7 @@
 // older than an earlier one, or lets the end of being cold vary.
 func TestListThatVariesKeepsEndpointsCold(t *testing.T) {
 	c := coordinator.NewCore(1, start, allowanceLifetime, window)
-	c.SetWarming(warmingServices, listLag)
+	c.SetWarming(warmingServices, listLag, start)
 	listed := func(remaining time.Duration) []coordinator.Endpoint {
 		return []coordinator.Endpoint{{ID: "e", Service: "desk", ColdUntil: remaining.Milliseconds()}}
 	}
@@ -453,7 +453,7 @@
 // can show it.
 func TestSuspectedDomainIsColdUntilTheListSaysOtherwise(t *testing.T) {
 	c := coordinator.NewCore(1, start, allowanceLifetime, window)
-	c.SetWarming(warmingServices, listLag)
+	c.SetWarming(warmingServices, listLag, start)
 	listed := []coordinator.Endpoint{{ID: "e1", Service: "desk", Domain: "a"}, {ID: "e2", Service: "desk", Domain: "b"}, {ID: "e3", Service: "plain", Domain: "a"}}
 	c.ReadEndpoints(listed, start, start)
 	cold := func() []bool {
@@ -473,7 +473,7 @@
 	require.Equal(t, []bool{true, false, false}, cold(), "this list may be older")
 	c.ReadEndpoints(listed, now.Add(2*time.Second), now.Add(6*time.Second))
 	require.Equal(t, []bool{false, false, false}, cold())
-	c.SetWarming(nil, listLag)
+	c.SetWarming(nil, listLag, start)
 	c.SuspectCold("a", now)
 	require.Equal(t, []bool{false, false, false}, cold(), "no service warms up")
 }
@@ -494,7 +494,7 @@
 // take the list for newer than it is.
 func TestWarmupsThroughARelay(t *testing.T) {
 	leader, relay := coordinator.NewCore(1, start, allowanceLifetime, window), newRelayNode("r0", 1<<32)
-	leader.SetWarming(warmingServices, listLag)
+	leader.SetWarming(warmingServices, listLag, start)
 	listed := []coordinator.Endpoint{{ID: "e0", Service: "desk"}, {ID: "e1", Service: "desk", ColdUntil: 60_000}}
 	var entries []*entryNode
 	for i := range 30 {
@@ -536,3 +536,19 @@
 		require.Equal(t, since < warmer.Lifetime, leases > 0)
 	}
 }
+
+// Guards against calls without a lease to a cold endpoint whose list was read before the ruleset came that makes
+// its service warm up: entries get that ruleset at once, and the next list only later.
+func TestListFromBeforeTheRulesetShowsColdEndpoints(t *testing.T) {
+	c := coordinator.NewCore(1, start, allowanceLifetime, window)
+	var service string
+	for service = range warmingServices {
+		break
+	}
+	c.SetEndpoints([]coordinator.Endpoint{{ID: "e", Service: service, ColdUntil: 5000}}, start)
+	byPosition, _ := c.Endpoints()
+	require.Zero(t, byPosition[0].ColdUntil, "the service is not known to warm up")
+	c.SetWarming(warmingServices, listLag, start.Add(200*time.Millisecond))
+	byPosition, _ = c.Endpoints()
+	require.Greater(t, byPosition[0].ColdUntil, start.UnixMilli())
+}
