--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -109,7 +109,7 @@
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
-		Quotas:     e.quotas, Placer: e.placer, Rationer: e.rationer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+		Quotas:     e.quotas, Placer: e.placer, Rationer: e.forwarderRationer(), Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
 	e.forwarder.SetMaxCalls(maxCallsOn(n.settings.Machine()))
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
@@ -124,6 +124,14 @@
 	e.ready.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 }
 
+// forwarderRationer returns the rationer, or nil if the settings don't ask for rationing.
+func (e *entry) forwarderRationer() *rationer.Rationer {
+	if !e.node.settings.IsRationed() {
+		return nil
+	}
+	return e.rationer
+}
+
 // isConfirmed reports whether the rules were confirmed recently enough that no key
 // in them can have been revoked for longer than the bound on revoked keys, and whether
 // rules that are known to be replaced may still be in force.
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -210,7 +210,7 @@
 	out := make(map[string]Warming)
 	for i := range r.Services {
 		if s := &r.Services[i]; s.ColdRate > 0 && c.config.WarmupBound != nil {
-			out[s.Name] = Warming{Leases: warmer.Holders(c.config.WarmupBound(s.ColdRate))}
+			out[s.Name] = Warming{Leases: warmer.Holders(s.ColdRate, c.config.WarmupBound(s.ColdRate))}
 		}
 	}
 	return out
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -25,6 +25,7 @@
 	data       string
 	secret     string
 	firstStart bool
+	rationed   bool
 	logLevel   string
 	callers    netip.AddrPort
 	ready      netip.AddrPort
@@ -240,6 +241,10 @@
 // IsFirstStart reports whether the deployment as a whole starts for the first time.
 func (m *Managed) IsFirstStart() bool { return m.firstStart }
 
+// IsRationed reports whether queue times are rationed by priority, customer and size while
+// capacity is short.
+func (m *Managed) IsRationed() bool { return m.rationed }
+
 // LogLevel returns the minimum level of messages that are logged.
 func (m *Managed) LogLevel() string { return m.logLevel }
 
@@ -284,6 +289,7 @@
 	First    value            `toml:"first"`
 	Seeds    value            `toml:"seeds"`
 	Relayed  value            `toml:"relayed"`
+	Ration   value            `toml:"ration"`
 	Tolerate value            `toml:"tolerate"`
 	Log      fileLog          `toml:"log"`
 	Listen   managedListen    `toml:"listen"`
@@ -351,7 +357,7 @@
 	Descriptors value `toml:"descriptors"`
 }
 
-var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "tolerate", "log.level",
+var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "ration", "tolerate", "log.level",
 	"listen.callers", "listen.ready", "listen.nodes", "listen.control", "listen.metrics",
 	"provider.address", "provider.rate", "provider.lag", "provider.duties",
 	"bounds.contact", "bounds.acknowledge", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
@@ -439,7 +445,7 @@
 		domains: r.texts("domains", f.Domains), data: r.filePath(r.text("data", f.Data, false)),
 		relayed:   int(r.number("relayed", f.Relayed, defaultRelayed)),
 		tolerated: r.count("tolerate", f.Tolerate, defaultTolerated, maxTolerated),
-		secret:    r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
+		secret:    r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), rationed: r.flag("ration", f.Ration), logLevel: r.level(f.Log.Level),
 		callers: r.address("listen.callers", f.Listen.Callers, false),
 		ready:   r.address("listen.ready", f.Listen.Ready, false),
 		nodes:   r.address("listen.nodes", f.Listen.Nodes, true),
--- a/internal/process/settings/managed_test.go
+++ b/internal/process/settings/managed_test.go
@@ -46,6 +46,7 @@
 	require.Equal(t, 4*time.Second, m.Bounds().CatchUp())
 	require.Equal(t, 1, m.Tolerated())
 	require.Equal(t, map[string]string{"focsani": "north", "adjud": "south"}, m.Regions())
+	require.False(t, m.IsRationed(), "rationing is off unless it is asked for")
 	require.Equal(t, 5_500, m.ClientLimits().Fields())
 	require.Zero(t, m.ClientLimits().Connections(), "omitted bounds follow the machine")
 }
--- a/internal/process/warmer/warmer.go
+++ b/internal/process/warmer/warmer.go
@@ -27,10 +27,11 @@
 	widenInterval = 500 * time.Millisecond
 )
 
-// Holders returns the number of nodes that may hold a lease at a time, given how many calls an
-// endpoint may get in a second. With jitter, two calls of a holder arrive in the same second.
-func Holders(bound float64) int {
-	return int(math.Max(1, math.Floor(math.Min(bound, math.MaxUint16)/2)))
+// Holders returns the number of nodes that may hold a lease at a time, given how many calls a
+// second an endpoint tolerates and how many it may get. A holder sends at most one in any second;
+// what is left of the bound is for calls of nodes that have not heard yet that the endpoint is cold.
+func Holders(rate, bound float64) int {
+	return int(math.Max(1, math.Floor(math.Min((min(rate, bound)+bound)/2, math.MaxUint16))))
 }
 
 // Key identifies an endpoint. One under another address is another endpoint.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -89,7 +89,7 @@
 	AttemptStarted func(route string, endpoint placer.Endpoint)
 	AttemptEnded   func(result *AttemptResult)
 	// Quotas, Placer, Rationer, Pool and Budget are shared with other components of the node.
-	// Without a Rationer the forwarder has its own.
+	// Without a Rationer, how long a call may queue does not depend on other calls.
 	Quotas   *apportioner.Quotas
 	Placer   *placer.Placer
 	Rationer *rationer.Rationer
@@ -114,9 +114,6 @@
 
 // New returns a forwarder without rules.
 func New(c Config) *Forwarder {
-	if c.Rationer == nil {
-		c.Rationer = rationer.New()
-	}
 	return &Forwarder{config: c, started: c.Clock.Now(), answerMemory: reserver.New(maxAnswerMemory, freeAnswer)}
 }
 
--- a/internal/request/forwarder/rationing.go
+++ b/internal/request/forwarder/rationing.go
@@ -17,12 +17,16 @@
 
 // allow determines what the call may use at an endpoint.
 func (x *exchange) allow(now time.Time) {
+	if x.f.config.Rationer == nil {
+		x.allowance = rationer.Usual(x.rationed(now))
+		return
+	}
 	x.allowance = x.f.config.Rationer.Allow(x.rationed(now), now)
 }
 
 // recordAdmitted counts the call once as admitted.
 func (x *exchange) recordAdmitted(choice *placer.Choice) {
-	if x.isRationed {
+	if x.isRationed || x.f.config.Rationer == nil {
 		return
 	}
 	now := x.f.config.Clock.Now()
@@ -37,7 +41,7 @@
 	if refused == placer.RefusedLate && wait > 0 {
 		x.result.Queue = x.result.Allowed + wait
 	}
-	if x.isRationed || refused != placer.RefusedLate && refused != placer.RefusedFull {
+	if x.isRationed || x.f.config.Rationer == nil || refused != placer.RefusedLate && refused != placer.RefusedFull {
 		return
 	}
 	now := x.f.config.Clock.Now()
@@ -66,7 +70,7 @@
 	wait = max(wait, minRetryAfter)
 	now := x.f.config.Clock.Now()
 	c := x.rationed(now)
-	if c.Prompt <= 0 || c.Capacity <= 0 || x.call.MaxWait <= 0 {
+	if x.f.config.Rationer == nil || c.Prompt <= 0 || c.Capacity <= 0 || x.call.MaxWait <= 0 {
 		return x.f.retryAfter(wait)
 	}
 	delay, _ := x.f.config.Rationer.Return(c, wait, c.Capacity/float64(max(x.f.Entries(), 1)), now)
--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -113,14 +113,18 @@
 // New returns a rationer that has seen no calls.
 func New() *Rationer { return &Rationer{services: make(map[string]*service)} }
 
+// Usual returns what a call may use that is decided about by itself.
+func Usual(c *Call) Allowance { return Allowance{queueTime: baseQueueTime(c), level: 1} }
+
 // Allow returns what a call may use now.
 func (r *Rationer) Allow(c *Call, now time.Time) Allowance {
-	base := baseQueueTime(c)
+	usual := Usual(c)
+	base := usual.queueTime
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[c.Service]
 	if s == nil {
-		return Allowance{queueTime: base, level: 1}
+		return usual
 	}
 	s.decay(now)
 	level := s.level(c.rank(), now)
