--- a/internal/connection/screener/screener_test.go
+++ b/internal/connection/screener/screener_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/goleak"
 
 	"hyssoprudder/internal/connection/screener"
+	"hyssoprudder/internal/process/clock"
+	"hyssoprudder/internal/process/reserver"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,9 +28,11 @@
 	server  *http.Server
 	done    chan struct{}
 	listen  net.Listener
+	budget  *reserver.Budget
 
-	mu     sync.Mutex
-	served []string
+	endsSending bool // callers close their sending side, so that a body that lacks its end is not waited for
+	mu          sync.Mutex
+	served      []string
 }
 
 func newFront(t *testing.T, limits screener.Limits) *front {
@@ -37,7 +41,10 @@
 	require.NoError(t, err)
 	f := &front{t: t, address: l.Addr().String(), done: make(chan struct{})}
 	f.server = &http.Server{Handler: screener.Guard(f), ConnContext: screener.ConnContext, ConnState: screener.ConnState}
-	f.listen = screener.New(func() screener.Limits { return limits }, time.Now).Wrap(l)
+	s := screener.New(func() screener.Limits { return limits }, time.Now)
+	f.budget = reserver.NewBudget(1<<20, clock.System{})
+	s.SetBounds(screener.Bounds{Budget: f.budget, Write: 10 * time.Second, Fields: 5500})
+	f.listen = s.Wrap(l)
 	go f.run()
 	t.Cleanup(f.close)
 	return f
@@ -51,6 +58,7 @@
 func (f *front) close() {
 	f.server.Close()
 	<-f.done
+	require.Eventually(f.t, func() bool { return f.budget.Used() == 0 }, 10*time.Second, time.Millisecond, "memory is charged for closed connections")
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -79,6 +87,9 @@
 		}
 		raw = raw[n:]
 	}
+	if f.endsSending {
+		_ = c.(*net.TCPConn).CloseWrite() // fails only if the server has closed the connection
+	}
 	r := bufio.NewReader(c)
 	var statuses []int
 	for len(statuses) < answers {
@@ -177,6 +188,7 @@
 	f.Add("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, fields, body string) {
 		front := newFront(t, screener.Limits{Head: time.Second, Idle: time.Second})
+		front.endsSending = true
 		front.send("POST /one HTTP/1.1\r\nHost: a\r\n"+fields+"\r\n"+body, 1<<20, 1)
 		for _, served := range front.paths()[min(1, len(front.paths())):] {
 			require.NotContains(t, strings.ToLower(fields), "chunked", "%s was served after a chunked request", served)
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -20,6 +20,7 @@
 
 	"hyssoprudder/internal/connection/listener"
 	"hyssoprudder/internal/connection/messenger"
+	"hyssoprudder/internal/connection/screener"
 	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/coordinator"
 	"hyssoprudder/internal/process/registrar"
@@ -40,6 +41,10 @@
 	StartMove func(ctx context.Context, service, version string, within time.Duration) error
 	// Move returns the state of a service's move; ok is false if no move was ordered.
 	Move func(ctx context.Context, service string) (s mover.State, ok bool, err error)
+	// IsDomain reports whether the deployment has a failure domain.
+	IsDomain func(domain string) bool
+	// SetEvacuated starts or ends the evacuation of a failure domain.
+	SetEvacuated func(ctx context.Context, domain string, evacuated bool) error
 	// Log records operators' requests.
 	Log *log.Logger
 }
@@ -99,6 +104,7 @@
 	entry     *entry             // entries only
 	keeper    *keeperRole        // keepers only
 	metrics   *listener.Listener
+	clients   *clients
 }
 
 // New creates a node from its settings. The node listens only after Start.
@@ -109,10 +115,13 @@
 	}
 	n.incarnation = uint64(n.bootClock.Now().UnixNano())
 	n.registry.MustRegister(collectors.NewGoCollector())
+	n.clients = newClients(n)
+	n.registry.MustRegister(n.clients)
+	n.limitMemory()
 	var err error
 	n.messenger, err = messenger.New(messenger.Config{
 		ID: s.ID(), Incarnation: n.incarnation, Listen: s.Nodes(), Key: []byte(s.Secret()), Clock: n.clock,
-		Log: l.With("part", "messenger"), Registerer: n.registry,
+		Log: l.With("part", "messenger"), Registerer: n.registry, MaxUnauthenticated: n.clients.unauthenticated(),
 	})
 	if err != nil {
 		return nil, err
@@ -125,7 +134,7 @@
 	if s.Has(settings.RoleEntry) {
 		n.buildEntry()
 	}
-	n.registry.MustRegister(&contact{n})
+	n.registry.MustRegister(&contact{n}, &evacuated{n})
 	return n, nil
 }
 
@@ -146,22 +155,28 @@
 	}
 	if address := n.settings.Metrics(); address.IsValid() {
 		n.metrics = listener.New("metrics", &http.Server{
-			Handler: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: time.Second,
+			Handler: screener.Guard(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: time.Second,
 		}, nil, n.log)
+		n.metrics.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 		if err := n.metrics.Start(address); err != nil {
 			return err
 		}
 	}
+	n.clients.start()
 	n.log.Info("started", "nodes", n.messenger.Address(), "callers", n.settings.Callers(), "control", n.settings.Control())
 	return nil
 }
 
+// probeLimits bounds the time for the head of a readiness check or of a request for metrics.
+func probeLimits() screener.Limits { return screener.Limits{Head: time.Second} }
+
 // Failed returns a channel that receives the error of a component that can't continue.
 func (n *Node) Failed() <-chan error { return n.failed }
 
 // Stop shuts the node down. Calls in flight may complete until the deadline of ctx.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
+	n.clients.stop()
 	if n.entry != nil {
 		n.entry.stop(ctx)
 	}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"hyssoprudder/internal/request/forwarder"
 	"hyssoprudder/internal/request/isolator"
 	"hyssoprudder/internal/request/placer"
+	"hyssoprudder/internal/request/rationer"
 )
 
 const (
@@ -49,6 +51,7 @@
 	placer         *placer.Placer
 	pool           *pooler.Pool
 	quotas         *apportioner.Quotas
+	rationer       *rationer.Rationer
 	counter        *accountant.Counter
 	recorder       *recorder
 	versions       *versions
@@ -64,6 +67,7 @@
 	until          atomic.Pointer[time.Time] // when calls that arrive now must have ended; nil unless the node stops
 	done           chan struct{}
 	group          sync.WaitGroup
+	uneven         map[string]bool // services whose endpoints were logged as different; used by the sweeper
 
 	mu            sync.Mutex
 	freshness     registrar.Freshness
@@ -72,19 +76,22 @@
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
 	granter       uint64                 // relay that granted the allowances, 0 for a leader
+	evacuated     coordinator.Evacuated
 }
 
 func (n *Node) buildEntry() {
 	b := n.settings.Bounds()
 	e := &entry{
-		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(),
+		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(), rationer: rationer.New(),
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
 		isolator: isolator.New(),
 	}
 	n.entry = e
+	e.pool.SetLost(func(address netip.AddrPort) { e.placer.LoseContact(address, n.bootClock.Now()) })
 	e.placer.SetDrain(b.Drain())
+	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
-	n.registry.MustRegister(&notices{e})
+	n.registry.MustRegister(&notices{e}, &warmups{e}, &speeds{e}, &callsInService{e}, &rationing{e})
 	e.versions = newVersions(n.settings.ID(), n.incarnation, e.clusterTime, n.log.With("part", "versions"))
 	config := reporter.Config{
 		Clock: n.bootClock, Log: n.log.With("part", "reporter"), Call: n.call, Seeds: n.settings.Seeds(), Fill: e.fill, Apply: e.apply,
@@ -102,8 +109,9 @@
 		Encode: n.adapter.Encode, Decode: n.adapter.Decode, Refuse: n.adapter.Refuse, CallBegan: e.callBegan, CallEnded: e.recorder.callEnded,
 		Version: e.versions.choose, AttemptStarted: e.versions.attemptStarted, AttemptEnded: e.attemptEnded,
 		IsIsolated: e.isIsolated,
-		Quotas:     e.quotas, Placer: e.placer, Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
+		Quotas:     e.quotas, Placer: e.placer, Rationer: e.forwarderRationer(), Pool: e.pool, Budget: forwarder.NewBudget(b.RetryRatio(), b.RetryExtra(), b.RetryWindow()),
 	})
+	e.forwarder.SetMaxCalls(maxCallsOn(n.settings.Machine()))
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
 	e.callers = &http.Server{
@@ -111,8 +119,17 @@
 		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
 		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
-	e.screener = screener.New(e.limits, n.clock.Now)
-	e.ready = listener.New("the balancer", &http.Server{Handler: n.adapter.ReadyHandler(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
+	e.screener = n.clients.screener(e.limits, n.clients.callers())
+	e.ready = listener.New("the balancer", &http.Server{Handler: screener.Guard(n.adapter.ReadyHandler(e.isReady)), ReadHeaderTimeout: time.Second}, nil, n.log)
+	e.ready.Screen(n.clients.screener(probeLimits, n.clients.probes()))
+}
+
+// forwarderRationer returns the rationer, or nil if the settings don't ask for rationing.
+func (e *entry) forwarderRationer() *rationer.Rationer {
+	if !e.node.settings.IsRationed() {
+		return nil
+	}
+	return e.rationer
 }
 
 // isConfirmed reports whether the rules were confirmed recently enough that no key
@@ -180,6 +197,8 @@
 	for clock.Sleep(s.node.clock, sweepInterval, s.done) {
 		s.pool.Sweep(s.placer.IsWanted)
 		(&notices{s.entry}).expire()
+		(&warmups{s.entry}).log()
+		(&speeds{s.entry}).check()
 		s.lives.check()
 		s.recorder.flush()
 		s.versions.check()
@@ -259,22 +278,33 @@
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	r.Suspects = e.isolator.Suspects()
+	r.Rationing = exportRationing(e.rationer.Report(now))
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
 	e.mu.Unlock()
 	r.Notices = (&notices{e}).report()
-	for position, l := range e.placer.Loads() {
+	loads := e.placer.Loads()
+	for position, measured := range e.placer.Prefills(now) {
+		l := loads[position]
+		l.PrefillTokens, l.PrefillTime = measured.PrefillTokens, measured.PrefillTime
+		loads[position] = l
+	}
+	for position, l := range loads {
 		r.Loads = append(r.Loads, coordinator.Load{
 			Position: uint16(position), InFlight: uint16(l.InFlight), Waiting: uint16(l.Waiting), PendingPrefill: uint32(max(l.PendingPrefill, 0)), KVTokens: uint32(max(l.KVTokens, 0)),
+			PrefillTokens: uint32(max(l.PrefillTokens, 0)), PrefillTime: uint32(max(l.PrefillTime, 0)),
+			PendingFirst: uint32(max(l.PendingFirst, 0)), PendingSecond: uint32(max(l.PendingSecond, 0)),
 		})
 	}
+	r.LoadFields = coordinator.LoadFields
 }
 
 // apply applies the directive that answered a report sent at sentAt. It reports whether the
 // directive names a ruleset and that ruleset or a newer one is in force at the node.
 func (e *entry) apply(d *coordinator.Directive, sentAt time.Time) bool {
 	now, inForce := e.node.clock.Now(), e.forwarder.Table().Number()
+	e.applyEvacuated(d) // before the list, so that no endpoint of such a domain gets a call
 	if d.RulesetNumber > inForce {
 		e.retriever.Retrieve(d.RulesetNumber, d.Keepers, d.Leader)
 	}
@@ -295,8 +325,11 @@
 		(&notices{e}).hear(endpoints)
 	}
 	if isCurrent {
+		(&warmups{e}).apply(d, sentAt)
+		coordinator.AssumeUrgent(d.Loads, d.LoadFields)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
+	e.rationer.SetShared(importRationing(d.Rationing), now)
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
 	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
@@ -347,6 +380,9 @@
 		e.node.log.Error("endpoint list can't be applied; the previous list stays in use", "err", err)
 		return false
 	}
+	if e.listID.Term != d.ListID.Term {
+		e.placer.DoubtCold(e.node.bootClock.Now())
+	}
 	e.listID, e.endpoints, e.received = d.ListID, endpoints, d.Received
 	e.placer.SetEndpoints(endpointsOf(endpoints))
 	return true
@@ -362,6 +398,7 @@
 	}
 	t := registrar.NewTable(r)
 	e.quotas.SetRates(ratesOf(t))
+	(&warmups{e}).setRules(r)
 	e.forwarder.SetTable(t)
 	e.node.log.Info("rules in force", "number", number, "routes", len(r.Routes), "customers", len(r.Customers),
 		"bytes", len(body), "took", e.node.clock.Now().Sub(started))
@@ -390,7 +427,11 @@
 func loadsOf(list []coordinator.Load) map[int]placer.Load {
 	out := make(map[int]placer.Load, len(list))
 	for _, l := range list {
-		out[int(l.Position)] = placer.Load{InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens)}
+		out[int(l.Position)] = placer.Load{
+			InFlight: int(l.InFlight), Waiting: int(l.Waiting), PendingPrefill: int(l.PendingPrefill), KVTokens: int(l.KVTokens),
+			PrefillTokens: int(l.PrefillTokens), PrefillTime: int(l.PrefillTime),
+			PendingFirst: int(l.PendingFirst), PendingSecond: int(l.PendingSecond),
+		}
 	}
 	return out
 }
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -59,6 +59,7 @@
 	receivedAt  time.Time
 	clockOffset time.Duration // of the node's wall clock, relative to the leader's clock
 	isSummed    bool          // its loads are included in the sums
+	isRationed  bool          // its rationing is included in the sums
 }
 
 // newNode returns a node that reported at now.
@@ -90,9 +91,14 @@
 	attributor *attributor.Core
 	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
 
-	said map[noticeKey]said // what listed endpoints said to nodes
+	evacuations    map[string]*evacuation
+	hasEvacuations bool // SetEvacuations was called in this term
+
+	said   map[noticeKey]said // what listed endpoints said to nodes
+	warmth warmth
 
 	sums              loadSums // over all nodes
+	rationing         rationingSums
 	relays            []RelayAddress
 	relayed           int           // number of entries from which on they report to relays
 	isRelayed         bool          // entries report to relays
@@ -108,7 +114,8 @@
 	return &Core{
 		term: term, started: now, nodes: make(map[string]*node), list: newList(term), divider: divider.New(term, allowanceLifetime),
 		ledger: accountant.NewLedger(window, now), attributor: attributor.New(),
-		said: make(map[noticeKey]said), relayed: defaultRelayed,
+		said: make(map[noticeKey]said), warmth: newWarmth(now), evacuations: make(map[string]*evacuation),
+		relayed: defaultRelayed, rationing: make(rationingSums),
 	}
 }
 
@@ -130,13 +137,10 @@
 	return c.list.byPosition, c.list.isLoaded()
 }
 
-// SetEndpoints replaces the list of endpoints. It reports whether the list changed.
+// SetEndpoints replaces the list of endpoints by one that was read at now. It reports whether the
+// list changed.
 func (c *Core) SetEndpoints(endpoints []Endpoint, now time.Time) bool {
-	if !c.list.update(c.withNotices(endpoints), now) {
-		return false
-	}
-	c.sums.extend(len(c.list.byPosition))
-	return true
+	return c.ReadEndpoints(endpoints, now, now)
 }
 
 // SetLimits replaces the limits of customers.
@@ -152,6 +156,7 @@
 	if r.Entry && c.isRelayed && !r.NeedsLeader && len(c.relays) > 0 {
 		return c.redirect(now)
 	}
+	AssumeUrgent(r.Loads, r.LoadFields)
 	c.replaceReport(r, now)
 	c.recordNotices(r, now)
 	c.ledger.Add(r.Node, r.Incarnation, r.Usage)
@@ -173,6 +178,7 @@
 	if r.Group != nil {
 		report.Held = r.Group.Held
 	}
+	d.Rationing = c.rationing.export()
 	grant := c.divider.Renew(&report, now)
 	d.Allowances, d.Sequence = grant.Allowances, grant.Sequence
 	if c.list.isLoaded() {
@@ -180,7 +186,8 @@
 		if d.Received < d.Length {
 			d.ReportInterval = pageInterval
 		}
-		d.Loads = c.sums.except(c.nodes[r.Node].summedLoads())
+		c.grantWarmups(r, &d, now)
+		d.Loads = ReadableLoads(c.sums.except(c.nodes[r.Node].summedLoads()), r.LoadFields)
 	}
 	return d
 }
@@ -188,11 +195,12 @@
 // newDirective returns a directive with what all nodes are told.
 func (c *Core) newDirective(now time.Time) Directive {
 	d := Directive{
-		Leads: true, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
+		Leads: true, LoadFields: LoadFields, ListID: c.list.version, ClusterTime: now.Add(c.clusterTimeOffset).UnixNano(), AllowanceLifetime: c.divider.AllowanceLifetime(), Entries: c.entries,
 	}
 	if c.isRelayed {
 		d.Relays = c.relays
 	}
+	d.Evacuated, d.EvacuationNumber = c.evacuated()
 	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
 	if c.Age(now) < startupWindow {
 		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
@@ -276,7 +284,9 @@
 func (c *Core) replaceReport(r *Report, now time.Time) {
 	last := c.nodes[r.Node]
 	c.removeLoads(last)
+	c.rationing.remove(last)
 	n := newNode(r, now)
+	c.rationing.include(n)
 	c.entries += n.entries()
 	if last != nil {
 		c.entries -= last.entries()
@@ -314,6 +324,7 @@
 	for name, n := range c.nodes {
 		if now.Sub(n.receivedAt) > nodeTimeout {
 			c.removeLoads(n)
+			c.rationing.remove(n)
 		}
 		switch {
 		case now.Sub(n.receivedAt) > maxClockAge:
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -15,6 +15,7 @@
 	"hyssoprudder/internal/process/divider"
 	"hyssoprudder/internal/process/keeper"
 	"hyssoprudder/internal/process/registrar"
+	"hyssoprudder/internal/process/warmer"
 )
 
 // Config configures a Coordinator.
@@ -37,8 +38,16 @@
 	AllowanceLifetime time.Duration
 	// Window is the length of a usage window.
 	Window time.Duration
+	// Evacuations returns the recorded evacuations of failure domains; nil if there are none.
+	// EvacuationBound is the time after an order within which entries send no more calls there.
+	Evacuations     func() []applier.Evacuation
+	EvacuationBound time.Duration
 	// Relayed is the number of entries from which on they report to relays; 0 for the default.
 	Relayed int
+	// WarmupBound returns how many calls a second a cold endpoint may get that tolerates the given
+	// rate, and ListLag is by how much the provider's list may lag.
+	WarmupBound func(rate float64) float64
+	ListLag     time.Duration
 }
 
 // Coordinator answers the reports of all nodes while this node is the leader. It is safe for
@@ -106,6 +115,7 @@
 	now := c.config.Clock.Now()
 	c.enterTerm(lease, now)
 	c.setLimits(ruleset, now)
+	c.setEvacuations(now)
 	d := c.core.HandleReport(r, now)
 	for _, i := range c.core.TakeIsolated() {
 		c.logIsolated(i)
@@ -124,10 +134,8 @@
 
 // Take grants what waiting calls need, if this node is the leader.
 func (c *Coordinator) Take(r *AllowanceRequest) (AllowanceReply, bool) {
-	ruleset := c.config.Ruleset()
 	var reply AllowanceReply
 	ok := c.Do(func(core *Core, _ keeper.Lease, now time.Time) {
-		c.setLimits(ruleset, now)
 		reply = core.Take(r, now)
 	})
 	return reply, ok
@@ -194,10 +202,26 @@
 		return
 	}
 	c.core.SetLimits(c.config.Limits(decoded), now)
+	c.core.SetWarming(c.warming(decoded), c.config.ListLag, now)
+}
+
+// warming returns the services whose endpoints warm up.
+func (c *Coordinator) warming(r *registrar.Ruleset) map[string]Warming {
+	out := make(map[string]Warming)
+	for i := range r.Services {
+		if s := &r.Services[i]; s.ColdRate > 0 && c.config.WarmupBound != nil {
+			out[s.Name] = Warming{Leases: warmer.Holders(s.ColdRate, c.config.WarmupBound(s.ColdRate))}
+		}
+	}
+	return out
 }
 
 // Do runs f with the state of the term if this node is the leader. f must not block.
 func (c *Coordinator) Do(f func(core *Core, lease keeper.Lease, now time.Time)) bool {
+	var ruleset applier.Ruleset
+	if c.config.Ruleset != nil {
+		ruleset = c.config.Ruleset()
+	}
 	lease, ok := c.config.Lease()
 	if !ok {
 		return false
@@ -206,6 +230,8 @@
 	defer c.mu.Unlock()
 	now := c.config.Clock.Now()
 	c.enterTerm(lease, now)
+	c.setLimits(ruleset, now)
+	c.setEvacuations(now)
 	f(c.core, lease, now)
 	return true
 }
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -95,7 +95,8 @@
 	LeavingSince int64 `msgpack:"ls,omitempty"`
 	Born         int64 `msgpack:"b,omitempty"`
 	// ColdUntil is when the endpoint stops to be cold after its start, in cluster time, in
-	// milliseconds since 1970; 0 if it is warm.
+	// milliseconds since 1970; 0 if it is warm. In the list as the provider sends it, it is the
+	// remaining time in milliseconds.
 	ColdUntil int64 `msgpack:"cu,omitempty"`
 }
 
@@ -130,6 +131,9 @@
 	maxLoadFields = 9
 )
 
+// LoadFields is the number of fields of a load that this release reads.
+const LoadFields = maxLoadFields
+
 // maxDecodedLoadFields bounds the fields of a load that are skipped if a later release sends
 // more than are known.
 const maxDecodedLoadFields = 64
@@ -203,6 +207,9 @@
 	// its entries' clocks, and 0 without entries.
 	WallClock int64  `msgpack:"w"`
 	Loads     []Load `msgpack:"l,omitempty"`
+	// LoadFields is the number of fields of a load that the node reads; an earlier release, which
+	// does not state it, reads only the first five.
+	LoadFields int `msgpack:"lf,omitempty"`
 	// Demand is what customers with limits request a second. Unspent is what the node has
 	// not spent of the allowances that it received with the grant Sequence.
 	Demand   map[string]float64 `msgpack:"d,omitempty"`
@@ -227,6 +234,8 @@
 	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
 	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
 	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
+	// Rationing is the work that calls asked the node for lately.
+	Rationing Rationing `msgpack:"ra,omitempty"`
 	// Notices are what listed endpoints said of themselves: at most MaxNotices.
 	Notices []Notice `msgpack:"no,omitempty"`
 	// Suspects are the requests that an earlier leader suspected, while the leader does not know them.
@@ -298,12 +307,16 @@
 	// Loads are the loads of all other nodes. In a large fleet they cover only the endpoints
 	// with the highest load.
 	Loads []Load `msgpack:"o,omitempty"`
+	// LoadFields is the number of fields of a load that the answering node reads.
+	LoadFields int `msgpack:"lf,omitempty"`
 	// Allowances are the node's parts of the customers' limits, granted under Sequence. They
 	// are valid for AllowanceLifetime from when the report was sent.
 	Allowances        map[string]float64 `msgpack:"s,omitempty"`
 	Sequence          uint64             `msgpack:"q,omitempty"`
 	Granter           uint64             `msgpack:"gr,omitempty"`
 	AllowanceLifetime time.Duration      `msgpack:"a"`
+	// Rationing is the sum over all nodes, with the one that reported.
+	Rationing Rationing `msgpack:"ra,omitempty"`
 	// ClusterTime is the cluster time, in nanoseconds since 1970.
 	ClusterTime int64 `msgpack:"c"`
 	// Moves are the encoded states of all moves, in the form of package mover, if the node has
@@ -316,6 +329,18 @@
 	Suspects      []attributor.Suspect   `msgpack:"su,omitempty"`
 	Isolations    []attributor.Isolation `msgpack:"is,omitempty"`
 	HasIsolations bool                   `msgpack:"hi,omitempty"`
+	// Warmups are the positions of the cold endpoints for which the node holds a warm-up lease, for
+	// WarmupLifetime from when the report was sent. A relay that may pass several on gets a position as
+	// often. ListRead is when the reading of the list began, in cluster time, in nanoseconds since 1970; 0
+	// if no service has endpoints that warm up.
+	Warmups        []uint16      `msgpack:"wu,omitempty"`
+	WarmupLifetime time.Duration `msgpack:"wl,omitempty"`
+	ListRead       int64         `msgpack:"lr,omitempty"`
+	// Evacuated are the failure domains whose endpoints get no new calls, sorted. EvacuationNumber
+	// counts the changes of evacuations in the log: a node ignores Evacuated if it is lower than
+	// one that it has seen, or 0, with which a node that knows of no order leaves it out.
+	Evacuated        []string `msgpack:"ev,omitempty"`
+	EvacuationNumber uint64   `msgpack:"en,omitempty"`
 	// Entries is the number of nodes that serve callers.
 	Entries int `msgpack:"m"`
 	// ReportInterval is how long the node waits before its next report.
--- a/internal/process/settings/managed.go
+++ b/internal/process/settings/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -19,10 +20,12 @@
 	id         string
 	domain     string
 	domains    []string
+	regions    map[string]string
 	roles      []Role
 	data       string
 	secret     string
 	firstStart bool
+	rationed   bool
 	logLevel   string
 	callers    netip.AddrPort
 	ready      netip.AddrPort
@@ -35,6 +38,7 @@
 	provider   Provider
 	bounds     Bounds
 	machine    Machine
+	limits     ClientLimits
 }
 
 // Provider describes the API that lists endpoints and accepts orders for capacity.
@@ -167,6 +171,42 @@
 // Descriptors returns the number of file descriptors that the process may have.
 func (m Machine) Descriptors() int { return m.descriptors }
 
+// ClientLimits bound what clients may make a node hold.
+type ClientLimits struct {
+	memory      int64
+	connections int
+	share       float64
+	grace       time.Duration
+	rate        float64
+	write       time.Duration
+	pipelined   int
+	fields      int
+}
+
+// Memory returns the memory in bytes for what all clients make the node hold, 0 if it follows the machine's.
+func (l ClientLimits) Memory() int64 { return l.memory }
+
+// Connections returns the number of callers' connections, 0 if it follows the machine's descriptors.
+func (l ClientLimits) Connections() int { return l.connections }
+
+// Share returns the fraction of a port's connections that one address may have while there are no others left.
+func (l ClientLimits) Share() float64 { return l.share }
+
+// Grace returns the time for which a body needs no minimum progress.
+func (l ClientLimits) Grace() time.Duration { return l.grace }
+
+// Rate returns the minimum progress of a body after Grace, in bytes per second since its start.
+func (l ClientLimits) Rate() float64 { return l.rate }
+
+// Write returns how long a client may take to read 16 KB of an answer.
+func (l ClientLimits) Write() time.Duration { return l.write }
+
+// Pipelined returns how many requests in a row a connection may send before the answer to the one before.
+func (l ClientLimits) Pipelined() int { return l.pipelined }
+
+// Fields returns the largest number of header fields of a request.
+func (l ClientLimits) Fields() int { return l.fields }
+
 // File returns the path of the settings file.
 func (m *Managed) File() string { return m.file }
 
@@ -179,6 +219,9 @@
 // Domains returns all failure domains of the deployment.
 func (m *Managed) Domains() []string { return m.domains }
 
+// Regions returns the region of each failure domain, as far as the file states it.
+func (m *Managed) Regions() map[string]string { return m.regions }
+
 // Has reports whether the node has the role.
 func (m *Managed) Has(role Role) bool { return slices.Contains(m.roles, role) }
 
@@ -198,6 +241,10 @@
 // IsFirstStart reports whether the deployment as a whole starts for the first time.
 func (m *Managed) IsFirstStart() bool { return m.firstStart }
 
+// IsRationed reports whether queue times are rationed by priority, customer and size while
+// capacity is short.
+func (m *Managed) IsRationed() bool { return m.rationed }
+
 // LogLevel returns the minimum level of messages that are logged.
 func (m *Managed) LogLevel() string { return m.logLevel }
 
@@ -228,23 +275,41 @@
 // Machine returns what the machine of the node has.
 func (m *Managed) Machine() Machine { return m.machine }
 
+// ClientLimits returns the bounds on what clients make the node hold.
+func (m *Managed) ClientLimits() ClientLimits { return m.limits }
+
 // managedFile is the TOML layout of a managed node's settings file.
 type managedFile struct {
-	ID       value         `toml:"id"`
-	Domain   value         `toml:"domain"`
-	Domains  value         `toml:"domains"`
-	Roles    value         `toml:"roles"`
-	Data     value         `toml:"data"`
-	Secret   value         `toml:"secret"`
-	First    value         `toml:"first"`
-	Seeds    value         `toml:"seeds"`
-	Relayed  value         `toml:"relayed"`
-	Tolerate value         `toml:"tolerate"`
-	Log      fileLog       `toml:"log"`
-	Listen   managedListen `toml:"listen"`
-	Provider fileProvider  `toml:"provider"`
-	Bounds   fileBounds    `toml:"bounds"`
-	Machine  fileMachine   `toml:"machine"`
+	ID       value            `toml:"id"`
+	Domain   value            `toml:"domain"`
+	Domains  value            `toml:"domains"`
+	Roles    value            `toml:"roles"`
+	Data     value            `toml:"data"`
+	Secret   value            `toml:"secret"`
+	First    value            `toml:"first"`
+	Seeds    value            `toml:"seeds"`
+	Relayed  value            `toml:"relayed"`
+	Ration   value            `toml:"ration"`
+	Tolerate value            `toml:"tolerate"`
+	Log      fileLog          `toml:"log"`
+	Listen   managedListen    `toml:"listen"`
+	Provider fileProvider     `toml:"provider"`
+	Bounds   fileBounds       `toml:"bounds"`
+	Machine  fileMachine      `toml:"machine"`
+	Regions  map[string]value `toml:"regions"`
+
+	Limits fileClientLimits `toml:"limits"`
+}
+
+type fileClientLimits struct {
+	Memory      value `toml:"memory"`
+	Connections value `toml:"connections"`
+	Share       value `toml:"share"`
+	Grace       value `toml:"grace"`
+	Rate        value `toml:"rate"`
+	Write       value `toml:"write"`
+	Pipelined   value `toml:"pipelined"`
+	Fields      value `toml:"fields"`
 }
 
 type managedListen struct {
@@ -292,13 +357,14 @@
 	Descriptors value `toml:"descriptors"`
 }
 
-var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "tolerate", "log.level",
+var managedKeys = []string{"id", "domain", "domains", "roles", "data", "secret", "first", "seeds", "relayed", "ration", "tolerate", "log.level",
 	"listen.callers", "listen.ready", "listen.nodes", "listen.control", "listen.metrics",
 	"provider.address", "provider.rate", "provider.lag", "provider.duties",
 	"bounds.contact", "bounds.acknowledge", "bounds.catchup", "bounds.drain", "bounds.grace", "bounds.change", "bounds.revoke", "bounds.lease",
 	"bounds.retryratio", "bounds.retryextra", "bounds.retrywindow", "bounds.quotawindow", "bounds.quotaover", "bounds.quotaslack",
 	"bounds.usagewindow", "bounds.usagelate", "bounds.exposure", "bounds.exposed", "bounds.rollback", "bounds.coldover", "bounds.coldslack", "bounds.evacuation",
-	"machine.memory", "machine.descriptors"}
+	"machine.memory", "machine.descriptors", "regions",
+	"limits.memory", "limits.connections", "limits.share", "limits.grace", "limits.rate", "limits.write", "limits.pipelined", "limits.fields"}
 
 // Defaults of settings that the file omits, and limits of their values.
 const (
@@ -328,6 +394,16 @@
 	maxCount     = 1e12      // maximum of a number
 	maxTolerated = 1000
 
+	// No client within the rules reaches these: it sends whole bodies within 20 s, which is faster than
+	// defaultBodyRate for all but small ones, and one request at a time; a head of 16,384 bytes has fewer than
+	// defaultFields fields.
+	defaultShare     = 0.5
+	defaultBodyGrace = 3 * time.Second
+	defaultBodyRate  = 16_384.0 // bytes per second
+	defaultWrite     = 10 * time.Second
+	defaultPipelined = 16
+	defaultFields    = 5_500
+
 	maxMachineMemory = 1 << 24 // MB
 	maxDescriptors   = 1 << 24
 )
@@ -369,7 +445,7 @@
 		domains: r.texts("domains", f.Domains), data: r.filePath(r.text("data", f.Data, false)),
 		relayed:   int(r.number("relayed", f.Relayed, defaultRelayed)),
 		tolerated: r.count("tolerate", f.Tolerate, defaultTolerated, maxTolerated),
-		secret:    r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), logLevel: r.level(f.Log.Level),
+		secret:    r.text("secret", f.Secret, true), firstStart: r.flag("first", f.First), rationed: r.flag("ration", f.Ration), logLevel: r.level(f.Log.Level),
 		callers: r.address("listen.callers", f.Listen.Callers, false),
 		ready:   r.address("listen.ready", f.Listen.Ready, false),
 		nodes:   r.address("listen.nodes", f.Listen.Nodes, true),
@@ -387,6 +463,11 @@
 			descriptors: r.count("machine.descriptors", f.Machine.Descriptors, 0, maxDescriptors),
 		},
 	}
+	m.regions = make(map[string]string, len(f.Regions))
+	for domain, v := range f.Regions {
+		m.regions[domain] = r.text("regions."+domain, v, false)
+	}
+	m.limits = r.clientLimits(&f.Limits)
 	for _, name := range r.texts("roles", f.Roles) {
 		m.roles = append(m.roles, r.role(name))
 	}
@@ -399,6 +480,19 @@
 	return m
 }
 
+func (r *reader) clientLimits(f *fileClientLimits) ClientLimits {
+	return ClientLimits{
+		memory:      int64(r.count("limits.memory", f.Memory, 0, maxMachineMemory)) << 20,
+		connections: r.count("limits.connections", f.Connections, 0, maxDescriptors),
+		share:       r.number("limits.share", f.Share, defaultShare),
+		grace:       r.bound("limits.grace", f.Grace, defaultBodyGrace),
+		rate:        r.number("limits.rate", f.Rate, defaultBodyRate),
+		write:       r.bound("limits.write", f.Write, defaultWrite),
+		pipelined:   r.count("limits.pipelined", f.Pipelined, defaultPipelined, maxDescriptors),
+		fields:      r.count("limits.fields", f.Fields, defaultFields, maxDescriptors),
+	}
+}
+
 func (r *reader) bounds(f *fileBounds) Bounds {
 	return Bounds{
 		contact:     r.bound("bounds.contact", f.Contact, defaultContact),
@@ -469,9 +563,17 @@
 	if m.domain != "" && len(m.domains) > 0 && !slices.Contains(m.domains, m.domain) {
 		r.fault("domain", fmt.Sprintf("%q is not in domains; add it there", m.domain))
 	}
+	for _, domain := range slices.Sorted(maps.Keys(m.regions)) {
+		if !slices.Contains(m.domains, domain) {
+			r.fault("regions."+domain, "is not in domains; add it there")
+		}
+	}
 	if len(m.roles) == 0 {
 		r.fault("roles", `is needed; for example ["entry"]`)
 	}
+	if m.limits.share > 1 {
+		r.fault("limits.share", fmt.Sprintf("%v is out of range; choose from 0 to 1", m.limits.share))
+	}
 	if m.Has(RoleEntry) && (!m.callers.IsValid() || !m.ready.IsValid()) {
 		r.fault("listen", `callers and ready are needed on a node with the role "entry"`)
 	}
--- a/internal/process/submitter/submitter.go
+++ b/internal/process/submitter/submitter.go
@@ -94,6 +94,8 @@
 	DueAfter time.Duration
 	// IsCounted reports whether an endpoint counts for the size of its service.
 	IsCounted func(e coordinator.Endpoint) bool
+	// Evacuated returns the failure domains that are evacuated; nil if there are none.
+	Evacuated func() []string
 	// HasUsage and HasSize select the duties to run.
 	HasUsage bool
 	HasSize  bool
@@ -187,6 +189,7 @@
 func (s *listReader) read() {
 	ctx, cancel := context.WithTimeout(s.ctx, listTimeout)
 	defer cancel()
+	readAt := s.config.Clock.Now()
 	list, err := s.config.List(ctx)
 	if err != nil {
 		if !s.failing {
@@ -200,7 +203,7 @@
 	}
 	s.failing = false
 	s.config.Do(func(core *coordinator.Core, _ keeper.Lease, now time.Time) {
-		if core.SetEndpoints(list, now) {
+		if core.ReadEndpoints(list, readAt, now) {
 			s.config.Log.Debug("list of endpoints changed", "endpoints", len(list))
 		}
 	})
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -44,7 +44,7 @@
 
 // attempt sends the call to one endpoint.
 func (x *exchange) attempt(to *secured) step {
-	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned, memory: x.f.answerMemory.Reserve()}
+	a := &attempt{x: x, choice: to.choice, conn: to.conn, outcome: placer.Abandoned, memory: x.f.answerMemory.ReserveFor(reserver.FromContext(x.ctx))}
 	// Deferred, so that it also runs when a panic aborts the caller's connection.
 	defer a.end()
 	return a.run()
@@ -55,6 +55,9 @@
 		a.x.stream.partial = nil // what no other attempt continues
 	}
 	a.memory.Release()
+	if a.isBroken || a.outcome == placer.Unreached {
+		a.x.loseContact(a.choice)
+	}
 	now := a.x.f.config.Clock.Now()
 	a.x.f.config.Placer.End(a.choice, a.outcome, now)
 	a.report(now)
@@ -127,6 +130,7 @@
 	}
 	a.reply = x.f.config.Decode(a.response)
 	a.recordNotice()
+	a.recordLoad()
 	return a.readAnswer()
 }
 
@@ -217,6 +221,9 @@
 	var failure *pooler.Failure
 	if errors.As(err, &failure) && !failure.IsSent() {
 		a.isUnsent = true
+		if a.isConnectionLost(err) {
+			x.loseContact(a.choice)
+		}
 		if a.conn.IsFresh() && x.ctx.Err() == nil {
 			a.outcome = placer.Unreached
 		}
@@ -344,7 +351,7 @@
 func (x *exchange) keep(answer *bufferedAnswer, memory *reserver.Reservation) {
 	x.bufferedMemory.Release()
 	x.buffered, x.bufferedMemory = answer, *memory
-	*memory = x.f.answerMemory.Reserve()
+	*memory = x.f.answerMemory.ReserveFor(reserver.FromContext(x.ctx))
 }
 
 // deliver sends the buffered answer to the caller.
@@ -383,6 +390,9 @@
 	}
 	if err != nil {
 		a.conn.Close()
+		if x.ctx.Err() == nil {
+			x.loseContact(a.choice)
+		}
 		x.result.Refusal, x.result.Detail = Unknown, "the answer broke off: "+err.Error()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -115,6 +115,10 @@
 	AllowanceUnknown Refusal = "allowance unknown"
 	// Busy means that no capacity is available in time.
 	Busy Refusal = "no capacity"
+	// Crowded means that the memory for requests is used up.
+	Crowded Refusal = "no memory for the body"
+	// TooSlow means that the body did not arrive in time.
+	TooSlow Refusal = "body too slow"
 	// Isolated means that the request, or a block of its prompt, crashes endpoints.
 	Isolated Refusal = "request crashes endpoints"
 	// Unknown means that the call was sent and no complete answer arrived; it may
@@ -142,6 +146,15 @@
 	// endpoint.
 	Predicted time.Duration
 	Took      time.Duration
+	// Priority is the priority of the call; 0 is the most urgent.
+	Priority int
+	// Shortage is why no endpoint took the call, if capacity was short: it would have queued for
+	// Queue, or an unknown time if that is 0, and was allowed to queue for Allowed.
+	Shortage placer.Refusal
+	Queue    time.Duration
+	Allowed  time.Duration
+	// Told is the retry delay that a refused caller was told.
+	Told time.Duration
 	// Fingerprint identifies the request if the refusal is Isolated.
 	Fingerprint uint64
 }
--- a/internal/request/placer/ask.go
+++ b/internal/request/placer/ask.go
@@ -42,6 +42,14 @@
 	PendingPrefill int
 	// KVTokens is the number of KV cache tokens reserved for these calls.
 	KVTokens int
+	// PrefillTokens is a number of prompt tokens that the endpoint has processed lately, and
+	// PrefillTime how long it took, in milliseconds.
+	PrefillTokens int
+	PrefillTime   int
+	// PendingFirst is the part of PendingPrefill of calls with priority 0, and PendingSecond
+	// that of calls with priority 1.
+	PendingFirst  int
+	PendingSecond int
 }
 
 // ReportedLoad is the load that an endpoint reports of itself in an answer.
@@ -63,10 +71,15 @@
 	// generate tokens.
 	Prompt int
 	Answer int
+	// Priority is the priority of the call at endpoints; 0 is the most urgent.
+	Priority int
 	// MaxFirst is the longest acceptable time to the first event, and MaxQueueTime the
 	// longest acceptable time until the endpoint starts to process the prompt.
 	MaxFirst     time.Duration
 	MaxQueueTime time.Duration
+	// Reserve is the fraction of the slots and of the KV cache of an endpoint that the call
+	// leaves free for more urgent ones.
+	Reserve float64
 	// KVSize is the size of an endpoint's KV cache in tokens, or 0 if it has none.
 	KVSize int
 	// Exclude lists the IDs of endpoints that must not be chosen, since they were
@@ -76,7 +89,11 @@
 	// that must not be chosen.
 	Version  string
 	Unwanted []string
-	Now      time.Time
+	// RouteHomes and CustomerHomes are the regions in which the call may run; an empty list
+	// allows all.
+	RouteHomes    []string
+	CustomerHomes []string
+	Now           time.Time
 	// Boot is the time of a clock that also counts suspension, by which pauses end.
 	Boot time.Time
 	// IsLastResort allows endpoints that have said not long ago that they leave. It is set
@@ -97,6 +114,10 @@
 	RefusedEmpty Refusal = "no endpoint"
 	// RefusedPaused means that all endpoints of the service asked for a pause.
 	RefusedPaused Refusal = "endpoints paused"
+	// RefusedCold means that all eligible endpoints are cold and get no call from this node now.
+	RefusedCold Refusal = "endpoints cold"
+	// RefusedEvacuated means that all endpoints of the service are in evacuated domains.
+	RefusedEvacuated Refusal = "endpoints evacuated"
 	// RefusedFull means that all eligible endpoints are full.
 	RefusedFull Refusal = "endpoints full"
 	// RefusedLate means that no endpoint is expected to begin its answer in time.
@@ -109,12 +130,21 @@
 	listed         Endpoint      // as listed when it was chosen; the list may change it later
 	predicted      time.Duration // time to the first event
 	pendingPrefill int           // tokens that the endpoint has to prefill for this call
+	queuedPrefill  int           // tokens that waited there before this call
 	kvTokens       int           // KV cache tokens reserved for this call
+	priority       int
+	begun          [ranks]int // what the endpoint had counted when the call was placed
 	started        time.Time
 	hasFirst       bool // the first event has arrived
 	isOnlyWaiter   bool // no other call was waiting for its first event
 	isLastResort   bool // a leaving endpoint was allowed
+	isEndedEarly   bool // ended without a complete answer
+	isUnanswered   bool // ended without a byte of the answer
+	isPlain        bool // chosen by the load that endpoints report
+	isReportedFree bool // the endpoint reported free slots in its answer
 	returning      *returning
+	warm           *warmth   // nil if the endpoint need not warm up
+	chargedAt      time.Time // when MaySend last allowed to send the call, if it warms up
 }
 
 // Endpoint returns the chosen endpoint, as it was listed then.
--- a/internal/request/placer/homes.go
+++ b/internal/request/placer/homes.go
@@ -1,9 +1,5 @@
 package placer
 
-import (
-	"math/rand/v2"
-)
-
 // affinity ranks endpoints for a prompt by rendezvous hashing of its shared blocks,
 // so that all nodes send prompts with the same blocks to the same few endpoints
 // without coordination.
@@ -45,7 +41,7 @@
 	for _, e := range list {
 		s := a.score(e)
 		// The score is cheaper than the check, and rules out most endpoints.
-		if a.best[1] != nil && s <= a.scores[1] || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
+		if a.best[1] != nil && s <= a.scores[1] || !e.isOpen(req.Boot) || !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
 		switch {
@@ -61,22 +57,50 @@
 // prefers reports whether e is the affinity endpoint of the prompt.
 func (a *affinity) prefers(e *endpoint) bool { return a.best[0] == e }
 
+// reportedSample is the number of usable endpoints, the affinity endpoints among them and at least
+// one drawn at random, that are compared in a service whose endpoints report their load. Nodes
+// that compare more of them on the same outdated sums choose the same few endpoints together.
+const reportedSample = 2
+
 // candidates returns the endpoints to compare: all of a small service, otherwise the
 // affinity endpoints of the prompt and a random sample.
 func (p *Placer) candidates(req *Request, aff *affinity) []*endpoint {
 	list := p.services[req.Service]
 	aff.rank(p, list, req)
-	if len(list) <= sampleThreshold {
+	isSampled := req.Prompt > 0 && len(list) > 2*reportedSample && p.reportsLoad(req.Service, req.Now)
+	if len(list) <= sampleThreshold && !isSampled {
 		return list
 	}
+	usable := 0
 	out := make([]*endpoint, 0, 2*sampleSize+len(aff.best))
 	for _, e := range aff.best {
 		if e != nil {
 			out = append(out, e)
+			if isSampled && p.isUsable(e, req, aff) {
+				usable++
+			}
 		}
 	}
 	for range 2 * sampleSize {
-		out = append(out, list[rand.IntN(len(list))])
+		e := draw(list, req.Boot)
+		out = append(out, e)
+		if isSampled && p.isUsable(e, req, aff) {
+			if usable++; usable >= reportedSample {
+				break
+			}
+		}
+	}
+	if isSampled && usable == 0 && len(list) <= sampleThreshold {
+		return list
 	}
 	return out
 }
+
+// isUsable reports whether the endpoint can take the call in time.
+func (p *Placer) isUsable(e *endpoint, req *Request, aff *affinity) bool {
+	if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) || !e.isOpen(req.Boot) || p.isFull(e, req) {
+		return false
+	}
+	_, _, late := p.estimate(e, req, aff)
+	return late <= 0
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -66,9 +66,16 @@
 // endpoint is the state of an endpoint as seen by this node.
 type endpoint struct {
 	Endpoint
+	region       string  // empty if it is not known
+	isEvacuated  bool    // its failure domain is evacuated
 	notice       *notice // nil if the endpoint has said nothing of itself
+	warm         *warmth // nil if the endpoint need not warm up
+	told         told
+	plain        plain
+	speed        speed
 	hash         uint64
 	ownLoad      Load
+	begun        [ranks]int // number of calls of this node by rank
 	peerLoad     Load
 	prefillRate  float64 // prompt tokens per millisecond
 	failureRatio float64 // smoothed fraction of calls that failed
@@ -86,8 +93,14 @@
 	byID         map[string]*endpoint
 	positions    []*endpoint // by position in the endpoint list; nil if empty
 	notices      map[noticeKey]*notice
+	regions      map[string]string // by failure domain
+	evacuated    map[string]bool   // failure domains
 	drain        time.Duration
+	warming      warming
 	peersUpdated time.Time
+	reportedAt   map[string]time.Time // when an endpoint of the service last reported its load
+	speeds       map[string]*serviceSpeed
+	capacities   map[string]float64 // by service
 }
 
 // New returns a placer without endpoints.
@@ -119,11 +132,14 @@
 		}
 		e.Endpoint = listed
 		e.notice = p.notices[listed.noticeKey()]
+		e.setWarmth(p)
+		e.isEvacuated, e.region = p.evacuated[listed.Domain], p.regions[listed.Domain]
 		byID[listed.ID] = e
 		p.services[listed.Service] = append(p.services[listed.Service], e)
 		p.positions = append(p.positions, e)
 	}
 	p.byID = byID
+	p.measureCapacities()
 }
 
 // meanPrefillRates returns the mean prefill rate of the known endpoints by service.
@@ -148,8 +164,11 @@
 	for position, e := range p.positions {
 		if e != nil {
 			e.peerLoad = loads[position]
+			e.plain.peerMean += peerMeanSmoothing * (float64(e.peerLoad.InFlight) - e.plain.peerMean)
 		}
 	}
+	p.predictSpeeds(now)
+	p.measureCapacities()
 }
 
 // Loads returns the load of this node's own calls, by position in the endpoint list.
@@ -165,12 +184,12 @@
 	return out
 }
 
-// HasEndpoint reports whether the service has an endpoint that is not leaving.
+// HasEndpoint reports whether the service has an endpoint that is neither leaving nor evacuated.
 func (p *Placer) HasEndpoint(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.services[service] {
-		if !e.isLeaving() {
+		if !e.isLeaving() && !e.isEvacuated {
 			return true
 		}
 	}
@@ -207,11 +226,15 @@
 	var bestFirst float64
 	refusal := RefusedEmpty
 	soonest := math.Inf(1)
-	aff := newAffinity(req)
+	aff, isCold, isPlain := newAffinity(req), false, p.isPlain(req)
 	for _, e := range p.candidates(req, aff) {
 		if !e.isEligible(req) || e.notice != nil && !p.isWilling(e.notice, req) {
 			continue
 		}
+		if !e.isOpen(req.Boot) {
+			isCold = true
+			continue
+		}
 		if p.isFull(e, req) {
 			refusal = RefusedFull
 			continue
@@ -221,6 +244,9 @@
 			refusal, soonest = RefusedLate, min(soonest, late)
 			continue
 		}
+		if isPlain {
+			cost = p.plainCost(e, req)
+		}
 		if cost < bestCost {
 			best, bestCost, bestFirst = e, cost, first
 		}
@@ -230,6 +256,12 @@
 			if wait, isPaused := p.pausedFor(req.Service, req.Boot); isPaused {
 				return nil, RefusedPaused, wait
 			}
+			if isCold {
+				return nil, RefusedCold, p.warmupWait(req)
+			}
+			if p.isAllEvacuated(req.Service) {
+				return nil, RefusedEvacuated, evacuationRetryDelay
+			}
 			return nil, RefusedEmpty, 0
 		}
 		if refusal != RefusedLate {
@@ -241,7 +273,7 @@
 }
 
 func (e *endpoint) isEligible(req *Request) bool {
-	if e.Leaving || req.Now.Before(e.ejectedUntil) {
+	if e.Leaving || e.isEvacuated || !req.isHome(e) || req.Now.Before(e.ejectedUntil) {
 		return false
 	}
 	if req.Version != "" && e.Version != req.Version || slices.Contains(req.Unwanted, e.Version) {
@@ -267,11 +299,16 @@
 func (p *Placer) isFull(e *endpoint, req *Request) bool {
 	peers := p.peerLoadOf(e, req.Now)
 	calls := e.ownLoad.InFlight + peers.InFlight
-	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction) {
+	if p.isPlain(req) {
+		// The sum of the other nodes' calls is older than the calls in it, so it does not
+		// refuse a call. An endpoint that is full rejects it.
+		calls = e.ownLoad.InFlight
+	}
+	if e.Slots > 0 && float64(calls) >= float64(e.Slots)*(1+queueFraction)*(1-req.Reserve) {
 		return true
 	}
 	kvTokens := e.ownLoad.KVTokens + peers.KVTokens + req.Prompt + req.Answer
-	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*float64(req.KVSize)
+	return req.KVSize > 0 && calls > 0 && float64(kvTokens) > fullFraction*(1-req.Reserve)*float64(req.KVSize)
 }
 
 // estimate returns the expected time to the first event in milliseconds, the cost by
@@ -279,13 +316,19 @@
 func (p *Placer) estimate(e *endpoint, req *Request, aff *affinity) (first, cost, late float64) {
 	peers := p.peerLoadOf(e, req.Now)
 	prefill := float64(e.estimatePrefill(req, aff))
-	queue := float64(e.ownLoad.PendingPrefill+peers.PendingPrefill) / e.prefillRate
-	first = queue + prefill/e.prefillRate
+	rate := e.rate(req.Now)
+	ahead, behind := e.pendingPrefill(peers, req.Priority)
+	queue := ahead / rate
+	first = queue + prefill/rate
+	isCold := e.isCold(req.Boot)
+	if isCold {
+		queue, first = coldFactor*queue, coldFactor*first
+	}
 	if req.Prompt > 0 {
 		late = max(queue-milliseconds(req.MaxQueueTime), first-milliseconds(req.MaxFirst), 0)
 	}
 	calls := float64(e.ownLoad.InFlight + peers.InFlight)
-	cost = first + prefillPenalty*prefill/e.prefillRate + inFlightPenalty*calls + failurePenalty*e.failureRatio*e.failureRatio
+	cost = first + prefillPenalty*prefill/rate + inFlightPenalty*calls*e.effort(req.Now) + failurePenalty*e.failureRatio*e.failureRatio + lessUrgentPenalty*behind/rate
 	if e.Slots > 0 {
 		// Plain calls run in slots; a call beyond the slots has to wait.
 		over := calls + 1 - float64(e.Slots)
@@ -299,6 +342,9 @@
 	if e.Domain != req.Domain {
 		cost += remotePenalty
 	}
+	if isCold {
+		cost += coldPenalty
+	}
 	return first, cost + req.Random*0.01*float64(e.hash%97), late
 }
 
@@ -327,13 +373,18 @@
 	c := &Choice{
 		endpoint: e, listed: e.Endpoint, predicted: time.Duration(first * float64(time.Millisecond)), started: req.Now,
 		pendingPrefill: e.estimatePrefill(req, &affinity{}), kvTokens: req.Prompt + req.Answer,
-		isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
+		queuedPrefill: e.ownLoad.PendingPrefill + p.peerLoadOf(e, req.Now).PendingPrefill,
+		priority:      req.Priority, isOnlyWaiter: e.ownLoad.Waiting+p.peerLoadOf(e, req.Now).Waiting == 0,
 	}
 	c.beginReturn(e.notice)
-	c.isLastResort = req.IsLastResort
+	c.reserve(req.Boot)
+	c.isLastResort, c.isPlain = req.IsLastResort, p.isPlain(req)
+	c.begun = e.begun
+	e.recordBegin(c.priority)
 	e.ownLoad.InFlight++
+	e.beginPlain(req.Now)
 	e.ownLoad.Waiting++
-	e.ownLoad.PendingPrefill += c.pendingPrefill
+	e.ownLoad.addPending(c.priority, c.pendingPrefill)
 	e.ownLoad.KVTokens += c.kvTokens
 	e.recordBlocks(req)
 	return c
@@ -387,8 +438,9 @@
 	c.hasFirst = true
 	e := c.endpoint
 	e.ownLoad.Waiting--
-	e.ownLoad.PendingPrefill -= c.pendingPrefill
-	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
+	e.ownLoad.addPending(c.priority, -c.pendingPrefill)
+	c.measurePrefill(now)
+	if took := float64(now.Sub(c.started)) / float64(time.Millisecond); c.isOnlyWaiter && e.isUndisturbed(c) && c.pendingPrefill >= minMeasuredPrompt && took > 0 {
 		e.prefillRate += prefillRateSmoothing * (float64(c.pendingPrefill)/took - e.prefillRate)
 	}
 }
@@ -418,11 +470,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
-	c.isOnlyWaiter = c.isOnlyWaiter && outcome == Answered
+	c.isOnlyWaiter, c.isEndedEarly, c.isUnanswered = c.isOnlyWaiter && outcome == Answered, outcome != Answered, !c.hasFirst
 	p.recordFirst(c, now)
 	c.endReturn(outcome == Answered)
+	c.releaseWarmup()
 	e.ownLoad.InFlight--
 	e.ownLoad.KVTokens -= c.kvTokens
+	p.endPlain(c, outcome, now)
 	switch outcome {
 	case Answered:
 		e.failureRatio -= failureSmoothing * e.failureRatio
@@ -437,7 +491,9 @@
 		clear(e.blockTokens)
 		e.cachedTokens = 0
 	case Rejected:
-		e.ejectedUntil = now.Add(minEjection / 4)
+		if !c.isPlain {
+			e.ejectedUntil = now.Add(minEjection / 4)
+		}
 	case Abandoned:
 	}
 }
