--- a/internal/process/warmer/warmer_test.go
+++ b/internal/process/warmer/warmer_test.go
@@ -31,10 +31,10 @@
 		want        int
 	}{
 		"between what is tolerated and the bound": {12, 23, 17},
-		"rounded down":                            {2, 3, 2},
-		"at least one":                            {0.2, 0.4, 1},
-		"rate above the bound":                    {9, 4, 4},
-		"huge":                                    {1e9, 1e12, 65535},
+		"rounded down":         {2, 3, 2},
+		"at least one":         {0.2, 0.4, 1},
+		"rate above the bound": {9, 4, 4},
+		"huge":                 {1e9, 1e12, 65535},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, warmer.Holders(c.rate, c.bound)) })
