Apply the empty list of a new leader

When a new leader had read a list without endpoints, relays and entries kept the list of the former leader: a directive without positions counted as one without a list. A directive now has a list if it names the number of an update.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -369,7 +369,7 @@
 // applyList applies the changes of the endpoint list, and reports whether the node has
 // the newest list. The caller holds e.mu.
 func (e *entry) applyList(d *coordinator.Directive) bool {
-	if d.Length == 0 {
+	if !d.HasList() {
 		return false
 	}
 	if e.listID == d.ListID && e.received == d.Received {
--- a/internal/process/coordinator/priority_test.go
+++ b/internal/process/coordinator/directive_test.go
@@ -62,3 +62,28 @@
 	require.Equal(t, []uint32{9, 7, 2}, send("a", now), "of b and of the relay's group")
 	require.Nil(t, send("a", now.Add(4*time.Second)), "b and the relay are gone")
 }
+
+// Guards against endpoints that stay in use although a new leader has read a list without any.
+func TestEmptyListOfANewLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := coordinator.NewGroupCore(coordinator.GroupConfig{Node: "k", Incarnation: 1, Window: time.Second})
+	beat := func(c *coordinator.Core) {
+		d := c.HandleReport(relay.Report(now), now)
+		require.NoError(t, relay.Apply(&d, now, now))
+	}
+	former := coordinator.NewCore(1, now, time.Second, time.Second)
+	former.SetEndpoints([]coordinator.Endpoint{{ID: "e", Service: "desk"}}, now)
+	beat(former)
+	next := coordinator.NewCore(2, now, time.Second, time.Second)
+	beat(next)
+	member := &coordinator.Report{Node: "m", Incarnation: 1, Entry: true, IsRedirected: true}
+	d, ok := relay.HandleReport(member, now)
+	require.True(t, ok)
+	require.Equal(t, 1, d.Length, "until the new leader has read the list")
+	next.SetEndpoints(nil, now)
+	beat(next)
+	d, ok = relay.HandleReport(member, now)
+	require.True(t, ok)
+	require.True(t, d.HasList())
+	require.Zero(t, d.Length)
+}
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -329,7 +329,7 @@
 
 // applyList applies the changes of the list of endpoints.
 func (g *GroupCore) applyList(d *Directive) error {
-	if d.Length == 0 || g.list.version == d.ListID && g.received == d.Received {
+	if !d.HasList() || g.list.version == d.ListID && g.received == d.Received {
 		return nil
 	}
 	endpoints, err := d.Apply(g.list.byPosition)
--- a/internal/process/coordinator/list.go
+++ b/internal/process/coordinator/list.go
@@ -135,6 +135,10 @@
 	return page
 }
 
+// HasList reports whether the directive leads to the newest list, which may be empty. A leader that
+// has not read the list yet states no number of an update.
+func (d *Directive) HasList() bool { return d.ListID.Number > 0 }
+
 // Apply returns a node's list after the directive. The slice passed in is not modified.
 func (d *Directive) Apply(list []Endpoint) ([]Endpoint, error) {
 	out := make([]Endpoint, d.Length)
