--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -262,7 +262,7 @@
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
 	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
 	r.Suspects = e.isolator.Suspects()
-	r.Rationing = exportRationing(e.rationer.Report(now))
+	r.Rationing = rationer.Encode(e.rationer.Report(now))
 	e.versions.report(r)
 	e.mu.Lock()
 	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
@@ -306,7 +306,7 @@
 		coordinator.AssumeUrgent(d.Loads, d.LoadFields)
 		e.placer.SetPeerLoads(loadsOf(d.Loads), now)
 	}
-	e.rationer.SetShared(importRationing(d.Rationing), now)
+	e.rationer.SetShared(rationer.Decode(d.Rationing), now)
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
 	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -186,3 +186,21 @@
 	}
 	require.Less(t, r.Allow(other, now).QueueTime(), formerQueueTime(other))
 }
+
+// Guards against figures of a node of another release that end an entry or are read as others.
+func TestFiguresOfOtherReleases(t *testing.T) {
+	works := [rationer.Ranks]rationer.Work{{Asked: 9, Bad: 2, Admitted: 8}, {}, {Asked: 5, Bad: 5}}
+	wire := rationer.Encode(map[string][rationer.Ranks]rationer.Work{"desk": works})["desk"]
+	for name, test := range map[string]struct {
+		wire []uint32
+		want [rationer.Ranks]rationer.Work
+	}{
+		"same":         {wire, works},
+		"none":         {nil, [rationer.Ranks]rationer.Work{}},
+		"fewer ranks":  {wire[:3], [rationer.Ranks]rationer.Work{works[0]}},
+		"part of rank": {wire[:8], [rationer.Ranks]rationer.Work{works[0]}},
+		"more ranks":   {append(wire, 1, 2, 3), works},
+	} {
+		require.Equal(t, test.want, rationer.Decode(map[string][]uint32{"desk": test.wire})["desk"], name)
+	}
+}
