--- a/internal/request/placer/rank.go
+++ b/internal/request/placer/rank.go
@@ -68,7 +68,7 @@
 
 // isUndisturbed reports whether no more urgent call of this node has overtaken a call, which
 // would make the endpoint look slower than it is: in a model of 6 entries at twice the capacity,
-// the measured rate fell to a third within 100 s.
+// the measured rate fell to a third within 120 s.
 func (e *endpoint) isUndisturbed(c *Choice) bool {
 	for rank := range min(max(c.priority, 0), ranks-1) {
 		if e.begun[rank] != c.begun[rank] {
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -186,3 +186,33 @@
 	}
 	require.Less(t, r.Allow(other, now).QueueTime(), formerQueueTime(other))
 }
+
+// Guards against figures of a node of another release that end an entry or are read as others.
+func TestFiguresOfOtherReleases(t *testing.T) {
+	works := [rationer.Ranks]rationer.Work{{Asked: 9, Bad: 2, Admitted: 8}, {}, {Asked: 5, Bad: 5}}
+	wire := rationer.Encode(map[string][rationer.Ranks]rationer.Work{"desk": works})["desk"]
+	for name, test := range map[string]struct {
+		wire []uint32
+		want [rationer.Ranks]rationer.Work
+	}{
+		"same":         {wire, works},
+		"none":         {nil, [rationer.Ranks]rationer.Work{}},
+		"fewer ranks":  {wire[:3], [rationer.Ranks]rationer.Work{works[0]}},
+		"part of rank": {wire[:8], [rationer.Ranks]rationer.Work{works[0]}},
+		"more ranks":   {append(wire, 1, 2, 3), works},
+	} {
+		require.Equal(t, test.want, rationer.Decode(map[string][]uint32{"desk": test.wire})["desk"], name)
+	}
+}
+
+// Guards against deployments without rationing that decide otherwise than with it while nothing is short.
+func TestUsualIsWhatIsAllowedWithoutShortage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := rationer.Call{
+			Service: "desk", Customer: "a", Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Prompt: rapid.IntRange(0, 40000).Draw(t, "prompt"),
+			Objective: time.Duration(rapid.IntRange(0, 2000).Draw(t, "objective")) * time.Millisecond, Remaining: 5 * time.Second,
+			Waited: time.Duration(rapid.IntRange(0, 3000).Draw(t, "waited")) * time.Millisecond,
+		}
+		require.Equal(t, rationer.New().Allow(&c, start), rationer.Usual(&c))
+	})
+}
