Show that a version ordered again after a roll-back is acknowledged and dropped

Until the deadline of a move, an order with the same version counts as a repetition of it, also when the move was rolled back for want of engines and operators no longer repeat orders. The second order gets 200 and is not recorded.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"hidden": hidden,
-	"parts":  parts,
+	"hidden":  hidden,
+	"parts":   parts,
+	"reorder": reorder,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standins-2/parties.go
+++ b/review/standins-2/parties.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		entries = append(entries, map[string]any{
-			"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": "v1", "Slots": e.slots, "State": "ready", "ColdRemainingMs": 0, "Id": e.id,
+			"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": e.slots, "State": "ready", "ColdRemainingMs": 0, "Id": e.id,
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -78,6 +78,7 @@
 	work     time.Duration
 	text     func(id string) string // the answer to a request; nil for a plain one
 	slots    int
+	version  string
 	listener net.Listener
 	mu       sync.Mutex
 	runs     []run
@@ -94,7 +95,7 @@
 func (f *fleet) newEngine(i int, service string) *engine {
 	return &engine{
 		fleet: f, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service: service, zone: zones[i%3],
-		address: fmt.Sprintf("%s9.%d:%d", f.prefix, i+1, portEngine), work: 15 * time.Millisecond, slots: 6, conns: make(map[net.Conn]bool),
+		address: fmt.Sprintf("%s9.%d:%d", f.prefix, i+1, portEngine), work: 15 * time.Millisecond, slots: 6, version: "v1", conns: make(map[net.Conn]bool),
 	}
 }
 
--- /dev/null
+++ b/review/standins-2/reorder.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	firstDurationS  = 20
+	secondDurationS = 30
+	asked           = 40.0 // requests a second for each route
+)
+
+// reorder orders a move to a version whose engines can't be had at first, and orders it again once they run.
+func reorder(f *fleet, trouble bool) (int, error) {
+	f.isBusy = true
+	var old, newer []*engine
+	for i := range 3 {
+		old = append(old, f.newEngine(i, "huvo11a"))
+		e := f.newEngine(3+i, "huvo11a")
+		e.version = "v2"
+		newer = append(newer, e)
+	}
+	if err := f.start(old, fmt.Sprintf(smallConfiguration, 7, "")); err != nil {
+		return notRun, err
+	}
+	done, group, answered := make(chan struct{}), new(sync.WaitGroup), new(atomic.Int64)
+	group.Add(2)
+	go f.ask(http.MethodGet, "/look/2f", done, group, answered)
+	go f.ask(http.MethodPost, "/book/2f", done, group, answered)
+	defer group.Wait()
+	defer close(done)
+	time.Sleep(4 * time.Second)
+	first := time.Now()
+	if err := f.order(firstDurationS); err != nil {
+		return notRun, err
+	}
+	f.record.add("the platform has no engine of v2 yet")
+	if state := f.await(15*time.Second, "rolled_back"); state != "rolled_back" {
+		return notRun, fmt.Errorf("the first move is %q", state)
+	}
+	for _, e := range newer {
+		if err := e.start(); err != nil {
+			return notRun, err
+		}
+	}
+	f.platform.mu.Lock()
+	f.engines = append(append([]*engine(nil), old...), newer...)
+	f.platform.mu.Unlock()
+	f.record.add("three engines of v2 run beside those of v1; all are sound")
+	// An order is repeated for AcknowledgeMs at most, which is 4 s. Without the disruption the second one comes behind
+	// the deadline of the first one.
+	wait := 5 * time.Second
+	if !trouble {
+		wait = time.Until(first.Add((firstDurationS + 2) * time.Second))
+	}
+	time.Sleep(wait)
+	if err := f.order(secondDurationS); err != nil {
+		return notRun, err
+	}
+	state := f.await((secondDurationS+1)*time.Second, "completed")
+	onNew := 0
+	for _, e := range newer {
+		e.mu.Lock()
+		onNew += len(e.runs)
+		e.mu.Unlock()
+	}
+	f.record.add("at the deadline of the second order: %q; requests answered %d, run by v2 %d", state, answered.Load(), onNew)
+	if answered.Load() < 1000 {
+		return notRun, fmt.Errorf("only %d requests were answered", answered.Load())
+	}
+	if state != "completed" {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// order orders the move to v2, as an operator does: at one node after the other, until one acknowledges it.
+func (f *fleet) order(durationS int) error {
+	body := fmt.Sprintf(`{"Service":"huvo11a","Target":"v2","DurationS":%d}`, durationS)
+	for i := range 4 {
+		m := f.cores[i%len(f.cores)]
+		status, text := f.post(m, "/Rollouts.Start", body, time.Second)
+		f.record.add("operator: POST /Rollouts.Start %s at %s: %d %s", body, m.name, status, text)
+		if status == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("the order was not acknowledged")
+}
+
+// await reads the state of the move until it is the wanted one or the time is over, and returns the last one.
+func (f *fleet) await(within time.Duration, wanted string) string {
+	last, deadline := "", time.Now().Add(within)
+	c := http.Client{Timeout: time.Second}
+	for i := 0; time.Now().Before(deadline) && last != wanted; i++ {
+		var state struct{ State, Target string }
+		if r, err := c.Get(fmt.Sprintf("http://%s:%d/Rollouts.Get/huvo11a", f.cores[i%len(f.cores)].ip, portControl)); err == nil {
+			err := json.NewDecoder(r.Body).Decode(&state)
+			r.Body.Close()
+			if err == nil && state.State != last {
+				last = state.State
+				f.record.add("operator: GET /Rollouts.Get/huvo11a: %s, target %s", state.State, state.Target)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return last
+}
+
+// ask sends requests until done is closed.
+func (f *fleet) ask(method, path string, done chan struct{}, group *sync.WaitGroup, answered *atomic.Int64) {
+	defer group.Done()
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(rand.ExpFloat64() / asked * float64(time.Second))):
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", f.fronts[i%len(f.fronts)].ip, portFront, path), nil)
+			if err != nil {
+				return
+			}
+			r.Host = hostName
+			r.Header.Set("X-Request-Id", fmt.Sprintf("%s%015x", path[1:2], i))
+			r.Header.Set("X-Request-Deadline", "2500")
+			r.Header.Set("Authorization", "Bearer "+keyOne)
+			if a, err := client.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+				if a.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		}()
+	}
+}
