--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,7 +17,6 @@
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"hidden":   hidden,
 	"parts":    parts,
-	"reorder":  reorder,
 	"exposure": exposure,
 }
 
