Delimit requests as the server does, and refuse what cannot be followed

Cause: the screener and http.Server delimited requests by rules of their own, and a request without a screening state counted as sound. The screener looked for one spelling of an empty line in all bytes received and then for another, so that a head with bare newlines reached to the end of the next one. The same came of an empty line or a return after a POST (ignored by the server there), of OPTIONS * (answered by the server past the guard, so that the next request got its state), of HTTP/1.0 with a length and chunks, and of heads longer than the screener parsed.

Change: heads end line by line, as for the server's reader; empty lines in front are removed; what cannot be followed is answered with 400 in its turn and nothing behind it is delivered; the guard compares what the server parsed with what was delivered, and refuses a request without state. One call, Install, sets guard, hooks and server settings, so that no listener has a part of them.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -51,7 +51,7 @@
 // a screened server offers only HTTP/1.1.
 func (l *Listener) Screen(s *screener.Screener) {
 	l.screener = s
-	l.server.ConnContext, l.server.ConnState = screener.ConnContext, screener.ConnState
+	s.Install(l.server)
 }
 
 // Start listens and serves until Stop.
--- a/internal/connection/operator/server.go
+++ b/internal/connection/operator/server.go
@@ -71,7 +71,7 @@
 func NewServer(cfg Config) *Server {
 	s := &Server{cfg: cfg, token: sha256.Sum256([]byte(cfg.Token))}
 	s.listener = listener.New("operators", &http.Server{
-		Handler: screener.Guard(s.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}, cfg.Certifier, cfg.Log)
 	screen := screener.New(func() screener.Limits { return screener.Limits{Head: headerTimeout} }, cfg.Clock.Now)
 	screen.SetBounds(screener.Bounds{Budget: cfg.Budget})
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// maxHeadBytes is the largest head that is parsed, in bytes. A larger one is passed on
-	// unparsed: the server's own limit is lower, so it answers with 431.
-	maxHeadBytes = 256 << 10
+	// serverSlack is how many bytes of a head http.Server reads beyond its limit on heads.
+	serverSlack = 4 << 10
+	// maxEmptyLines is how many empty lines before a request are ignored, see RFC 9112, section 2.2.
+	maxEmptyLines = 4
 	// readSize is the size of one read from a connection, in bytes.
 	readSize = 4 << 10
 )
@@ -39,11 +40,35 @@
 	// The connection must be closed after the answer, since bytes after the request
 	// may be a smuggled request.
 	Chunked
-	// Ambiguous requests have both a Content-Length and a Transfer-Encoding. They must
-	// be refused.
+	// Ambiguous requests have both a Content-Length and a Transfer-Encoding, or the latter in a version of HTTP
+	// that does not know it. They must be refused.
 	Ambiguous
+	// Malformed requests have a head that the screener can't parse. They must be refused.
+	Malformed
+	// Unscreened requests were not delimited by a screener, or by the server in another way. They must be refused.
+	Unscreened
 )
 
+// refusals are the answers to requests that must be refused.
+var refusals = map[Framing]string{
+	Ambiguous:  "a request states its length or comes in chunks, not both; chunks need HTTP/1.1",
+	Malformed:  "the head of the request is malformed",
+	Unscreened: "the beginning of the request is ambiguous",
+}
+
+// screened is what the screener knows of a request that it has delivered.
+type screened struct {
+	framing Framing
+	method  string
+	target  string
+	length  int64 // of the body, in bytes; -1 if it is unknown
+}
+
+// matches reports whether the server has parsed the same request.
+func (q screened) matches(r *http.Request) bool {
+	return q.method == r.Method && q.target == r.RequestURI && q.length == r.ContentLength
+}
+
 // Limits bound the time that a caller may take. A limit of 0 means no limit.
 type Limits struct {
 	// Head is how long a caller may take to send the head of a request.
@@ -54,9 +79,10 @@
 
 // Screener wraps listeners so that their connections are screened.
 type Screener struct {
-	limits func() Limits
-	now    func() time.Time
-	bounds Bounds
+	limits  func() Limits
+	now     func() time.Time
+	bounds  Bounds
+	maxHead int // no server reads a head with more bytes
 
 	mu         sync.Mutex
 	listeners  []net.Listener
@@ -71,7 +97,19 @@
 // New returns a screener. It calls limits each time it applies a limit, so that changes
 // take effect at once.
 func New(limits func() Limits, now func() time.Time) *Screener {
-	return &Screener{limits: limits, now: now, conns: make(map[*conn]struct{}), accepting: make(map[*listener]struct{}), emptied: make(chan struct{})}
+	return &Screener{limits: limits, now: now, maxHead: http.DefaultMaxHeaderBytes + serverSlack, conns: make(map[*conn]struct{}), accepting: make(map[*listener]struct{}), emptied: make(chan struct{})}
+}
+
+// Install makes a server refuse the requests that must be refused. It must be called once, before the server is
+// started on a listener that Wrap has returned; the server's handler and hooks must not be changed afterwards.
+func (s *Screener) Install(server *http.Server) {
+	server.Handler = guard(server.Handler)
+	server.ConnContext, server.ConnState = connContext, connState
+	// The server would answer these itself, past the guard.
+	server.DisableGeneralOptionsHandler = true
+	if server.MaxHeaderBytes > 0 {
+		s.maxHead = server.MaxHeaderBytes + serverSlack
+	}
 }
 
 // Wrap returns a listener whose connections are screened.
@@ -113,9 +151,9 @@
 
 type contextKey struct{}
 
-// ConnContext is the server's ConnContext hook. It stores the connection in the context of
-// its requests, where Guard finds it.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
+// connContext is the server's ConnContext hook. It stores the connection in the context of
+// its requests, where the guard finds it.
+func connContext(ctx context.Context, c net.Conn) context.Context {
 	ctx = context.WithValue(ctx, contextKey{}, c)
 	if screened, ok := c.(*conn); ok && screened.account != nil {
 		ctx = reserver.NewContext(ctx, screened.account)
@@ -123,24 +161,23 @@
 	return ctx
 }
 
-// ConnState is the server's ConnState hook. It records which connections are idle.
-func ConnState(c net.Conn, state http.ConnState) {
+// connState is the server's ConnState hook. It records which connections are idle.
+func connState(c net.Conn, state http.ConnState) {
 	if screened, ok := c.(*conn); ok {
 		screened.setIdle(state == http.StateIdle || state == http.StateNew)
 	}
 }
 
-// Guard returns a handler that refuses ambiguous requests and closes the connections
-// of chunked ones, and during a drain of all, after their answers. It must handle every request of a screened
-// connection, so it must be the outermost handler.
-func Guard(next http.Handler) http.Handler {
+// guard returns a handler that refuses the requests that must be refused, and closes the connections of these and of
+// chunked ones, and during a drain of all, after their answers. It must handle every request of a screened connection.
+func guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		framing, isDraining := framingOf(r.Context())
+		framing, isDraining := framingOf(r)
 		if framing != Plain || isDraining {
 			w.Header().Set("Connection", "close")
 		}
-		if framing == Ambiguous {
-			http.Error(w, "a request states its length or comes in chunks, not both", http.StatusBadRequest)
+		if reason, isRefused := refusals[framing]; isRefused {
+			http.Error(w, reason, http.StatusBadRequest)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -150,14 +187,17 @@
 	})
 }
 
-// framingOf returns the framing of the request that is handled with ctx, and whether its
-// connection is being drained.
-func framingOf(ctx context.Context) (Framing, bool) {
-	c, ok := ctx.Value(contextKey{}).(*conn)
-	if !ok {
-		return Plain, false
+// framingOf returns the framing of a request, and whether its connection is being drained.
+func framingOf(r *http.Request) (Framing, bool) {
+	c := connOf(r)
+	if c == nil {
+		return Unscreened, false
+	}
+	next, isDraining := c.nextScreened()
+	if next.framing != Malformed && !next.matches(r) {
+		return Unscreened, isDraining
 	}
-	return c.nextFraming()
+	return next.framing, isDraining
 }
 
 // conn is a connection that delivers one request at a time. Only one goroutine reads
@@ -166,10 +206,12 @@
 	net.Conn
 	screener      *Screener
 	pending       []byte // received but not yet delivered
-	headRemaining int    // number of bytes of pending that may be delivered: the rest of a head
-	bodyRemaining int64  // number of bytes of the current body that are not yet delivered
-	isUnbounded   bool   // all following bytes are delivered unparsed, since the end of the request is unknown
-	isEnded       bool   // nothing after the current head is delivered
+	lines         lineScanner
+	emptyLines    int   // before the head that is being received
+	headRemaining int   // number of bytes of pending that may be delivered: the rest of a head
+	bodyRemaining int64 // number of bytes of the current body that are not yet delivered
+	isUnbounded   bool  // all following bytes are delivered unparsed: they end the connection's last request
+	isEnded       bool  // nothing after the current head is delivered
 
 	acceptedAt  time.Time
 	address     string
@@ -180,29 +222,31 @@
 	isDisplaced bool              // closed for a new connection; guarded by screener.mu
 
 	mu           sync.Mutex
-	framings     []Framing
-	charges      []int64   // charged for the heads of framings
-	idleAt       time.Time // when the connection became idle
-	pipelined    int       // requests in a row that arrived before the answer to the one before
-	isLast       bool      // the connection is closed after the next answer
-	receiveUntil time.Time // end of the time for the rest of a request during a drain
-	isIdle       bool      // the server handles no request
-	hasBytes     bool      // bytes of the current or, if idle, of the next request were received
-	hasServed    bool      // a request was handled
-	isDraining   bool      // the connection is to be closed once it is idle
-	isLastRead   bool      // the last read before that has begun
-	readDeadline time.Time // last deadline that the server has set
+	screened     []screened // delivered, but not yet handled
+	charges      []int64    // charged for the heads of screened
+	idleAt       time.Time  // when the connection became idle
+	pipelined    int        // requests in a row that arrived before the answer to the one before
+	isLast       bool       // the connection is closed after the next answer
+	receiveUntil time.Time  // end of the time for the rest of a request during a drain
+	isIdle       bool       // the server handles no request
+	hasBytes     bool       // bytes of the current or, if idle, of the next request were received
+	hasServed    bool       // a request was handled
+	isDraining   bool       // the connection is to be closed once it is idle
+	isLastRead   bool       // the last read before that has begun
+	readDeadline time.Time  // last deadline that the server has set
 }
 
-func (c *conn) nextFraming() (Framing, bool) {
+// nextScreened returns what is known of the request that is to be handled next. Without a request that was delivered
+// it is Unscreened.
+func (c *conn) nextScreened() (screened, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isLast := c.isDraining || c.isLast
-	if len(c.framings) == 0 {
-		return Plain, isLast
+	if len(c.screened) == 0 {
+		return screened{framing: Unscreened}, isLast
 	}
-	v := c.framings[0]
-	c.framings = c.framings[1:]
+	v := c.screened[0]
+	c.screened = c.screened[1:]
 	if len(c.charges) > 0 {
 		c.charges = c.charges[1:]
 	}
@@ -219,7 +263,7 @@
 	}
 	// Nothing is being read at this moment. Bytes are left if the caller sends the next
 	// request before it has the answer.
-	c.hasBytes = len(c.pending) > 0
+	c.hasBytes = !c.skipEmptyLines() || len(c.pending) > 0
 	c.idleAt = c.screener.now()
 	c.account.Enter(reserver.Serving)
 	c.account.Shrink(c.waitingCharge())
@@ -268,7 +312,7 @@
 		limit = limits.Head
 	}
 	// Once a head was read, the server reads the body, though it may not have said so yet.
-	if t.IsZero() && c.isIdle && len(c.framings) == 0 && limit > 0 {
+	if t.IsZero() && c.isIdle && len(c.screened) == 0 && limit > 0 {
 		t = c.screener.now().Add(limit)
 	}
 	c.readDeadline = t
@@ -332,8 +376,14 @@
 // readHead receives a complete head and determines the request's framing.
 func (c *conn) readHead() error {
 	hasDeadline := false
-	for searched := 0; ; {
-		if end := headEnd(c.pending, searched); end > 0 {
+	c.lines = lineScanner{}
+	for {
+		if !c.skipEmptyLines() {
+			// The server might ignore these bytes, or follow them otherwise.
+			c.pending = bytes.Clone(malformedHead)
+			return c.deliverMalformed(len(c.pending))
+		}
+		if end := c.lines.headEnd(c.pending); end > 0 {
 			if hasDeadline {
 				if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
 					return err
@@ -341,11 +391,9 @@
 			}
 			return c.setFraming(end)
 		}
-		if len(c.pending) > maxHeadBytes {
-			c.headRemaining, c.isUnbounded = len(c.pending), true
-			return nil
+		if len(c.pending) > c.screener.maxHead {
+			return c.deliverMalformed(len(c.pending)) // the server answers with 431
 		}
-		searched = max(0, len(c.pending)-len(blankLine))
 		var chunk [readSize]byte
 		n, err := c.Conn.Read(chunk[:])
 		c.pending = append(c.pending, chunk[:n]...)
@@ -355,6 +403,9 @@
 			}
 			return c.flush(err)
 		}
+		if c.skipEmptyLines() && len(c.pending) == 0 {
+			continue
+		}
 		if err := c.received(); err != nil {
 			return err
 		}
@@ -371,6 +422,18 @@
 	}
 }
 
+// malformedHead is delivered in place of what the screener can't follow, so that the server answers with 400.
+var malformedHead = []byte("malformed\r\n\r\n")
+
+// deliverMalformed delivers the first end bytes received, which hold no head that can be parsed, so that the server
+// answers in its turn, and nothing after them.
+func (c *conn) deliverMalformed(end int) error {
+	c.headRemaining, c.isEnded = end, true
+	c.left.Store(0)
+	c.add(screened{framing: Malformed}, 0)
+	return nil
+}
+
 // flush delivers an incomplete head before it reports the connection's error. An
 // exceeded deadline is not such an error: the server sets one to interrupt a background
 // read during a handler, and continues to read afterwards.
@@ -382,21 +445,6 @@
 	return nil
 }
 
-var blankLine = []byte("\r\n\r\n")
-
-// headEnd returns the length of the head at the start of b, or 0 if it is incomplete.
-// The search begins at from. Lines may end with a bare newline, since the server
-// accepts that.
-func headEnd(b []byte, from int) int {
-	if i := bytes.Index(b[from:], blankLine); i >= 0 {
-		return from + i + len(blankLine)
-	}
-	if i := bytes.Index(b[from:], []byte("\n\n")); i >= 0 {
-		return from + i + 2
-	}
-	return 0
-}
-
 // chargePending charges n bytes of a head that have arrived.
 func (c *conn) chargePending(n int) bool {
 	if !c.account.Charge(int64(n)) {
@@ -416,17 +464,17 @@
 		c.refuse(refusal)
 		return io.EOF
 	}
-	c.headRemaining = end
-	framing := Plain
-	left := int64(0)
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.pending[:end])))
+	if err != nil {
+		return c.deliverMalformed(end)
+	}
+	c.headRemaining = end
+	framing, left := Plain, int64(0)
+	isChunked := len(request.TransferEncoding) > 0
 	switch {
-	case err != nil:
-		// The server refuses this head too and closes the connection.
-		c.isUnbounded = true
-	case len(request.TransferEncoding) > 0 && hasLength(c.pending[:end]):
+	case hasField(c.pending[:end], "Transfer-Encoding") && (!isChunked || hasField(c.pending[:end], "Content-Length")):
 		framing, c.isEnded = Ambiguous, true
-	case len(request.TransferEncoding) > 0:
+	case isChunked:
 		framing, c.isUnbounded = Chunked, true
 		left = 1
 	case request.ContentLength > 0:
@@ -434,22 +482,27 @@
 		left = c.bodyRemaining
 	}
 	c.left.Store(left)
+	c.add(screened{framing, request.Method, request.RequestURI, request.ContentLength}, charged)
+	return nil
+}
+
+// add records a request that is delivered, and what was charged for its parsed head.
+func (c *conn) add(request screened, charged int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.framings, c.charges = append(c.framings, framing), append(c.charges, charged+c.headCharge)
-	c.headCharge = 0
+	c.screened, c.charges = append(c.screened, request), append(c.charges, charged+c.headCharge)
+	c.headCharge, c.emptyLines = 0, 0
 	if c.isIdle {
 		c.account.Enter(reserver.Serving)
 	}
-	return nil
 }
 
-// hasLength reports whether a head that http.ReadRequest accepted has a Content-Length.
-// The parsed request does not tell, since net/http deletes the field of chunked requests.
-func hasLength(head []byte) bool {
+// hasField reports whether a head that http.ReadRequest accepted has a header field with the name.
+// The parsed request does not tell, since net/http deletes fields that it ignores.
+func hasField(head []byte, field string) bool {
 	for line := range bytes.Lines(head) {
 		name, _, ok := bytes.Cut(line, []byte(":"))
-		if ok && bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
+		if ok && bytes.EqualFold(bytes.TrimSpace(name), []byte(field)) {
 			return true
 		}
 	}
--- a/internal/connection/server/hidden_test.go
+++ b/internal/connection/server/hidden_test.go
@@ -22,9 +22,13 @@
 		raw    string
 		answer string
 	}{
-		"length and chunks": {"POST /answers HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
-		"chunks":            {"GET /healthz HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "200 OK"},
-		"after a request":   {"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /answers HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
+		"length and chunks":     {"POST /answers HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
+		"chunks":                {"GET /healthz HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "200 OK"},
+		"after a request":       {"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /answers HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
+		"after bare newlines":   {"GET /healthz HTTP/1.1\nHost: a\n\nPOST /answers HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
+		"after mixed line ends": {"GET /healthz HTTP/1.1\r\nHost: a\n\r\nGET /healthz HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "200 OK"},
+		"after all options":     {"OPTIONS * HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "400 Bad Request"},
+		"chunks in version 1.0": {"POST /answers HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n67\r\n" + hidden, "400 Bad Request"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -64,7 +64,7 @@
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("/", s.serveCall)
 	s.listener = listener.New("callers", &http.Server{
-		Handler:           screener.Guard(mux),
+		Handler:           mux,
 		ReadHeaderTimeout: cfg.Limits.Read(),
 		IdleTimeout:       cfg.Limits.Idle(),
 		MaxHeaderBytes:    cfg.Limits.Header(),
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -155,7 +155,7 @@
 	}
 	if address := n.settings.Metrics(); address.IsValid() {
 		n.metrics = listener.New("metrics", &http.Server{
-			Handler: screener.Guard(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})), ReadHeaderTimeout: time.Second,
+			Handler: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: time.Second,
 		}, nil, n.log)
 		n.metrics.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 		if err := n.metrics.Start(address); err != nil {
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -115,12 +115,13 @@
 	callsCtx, abortCalls := context.WithCancelCause(context.Background())
 	e.abortCalls = abortCalls
 	e.callers = &http.Server{
-		BaseContext: func(net.Listener) context.Context { return callsCtx },
-		Handler:     screener.Guard(n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now)),
-		ConnContext: screener.ConnContext, ConnState: screener.ConnState, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
+		BaseContext:    func(net.Listener) context.Context { return callsCtx },
+		Handler:        n.adapter.CallerHandler(e.forwarder.Serve, e.isClosing.Load, n.clock.Now),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.log.StandardLog(),
 	}
 	e.screener = n.clients.screener(e.limits, n.clients.callers())
-	e.ready = listener.New("the balancer", &http.Server{Handler: screener.Guard(n.adapter.ReadyHandler(e.isReady)), ReadHeaderTimeout: time.Second}, nil, n.log)
+	e.screener.Install(e.callers)
+	e.ready = listener.New("the balancer", &http.Server{Handler: n.adapter.ReadyHandler(e.isReady), ReadHeaderTimeout: time.Second}, nil, n.log)
 	e.ready.Screen(n.clients.screener(probeLimits, n.clients.probes()))
 }
 
--- a/internal/node/assembler/keeper.go
+++ b/internal/node/assembler/keeper.go
@@ -112,7 +112,7 @@
 	})
 	operators := &Operators{Put: k.put, Document: k.document, StartMove: k.startMove, Move: k.move, IsDomain: k.isDomain, SetEvacuated: k.setEvacuated, Log: n.log.With("part", "operator")}
 	k.control = listener.New("operators", &http.Server{
-		Handler: screener.Guard(a.OperatorHandler(operators)), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
+		Handler: a.OperatorHandler(operators), ReadHeaderTimeout: controlHeadTimeout, IdleTimeout: 10 * time.Second,
 	}, nil, n.log)
 	k.control.Screen(n.clients.screener(func() screener.Limits { return screener.Limits{Head: controlHeadTimeout} }, n.clients.probes()))
 	return nil
