Log what a decision on crashing requests follows from

Cause: the line of a decision did not tell how long the leader had waited, and for what. Change: it has the first crash, the time of the suspicion, the crashes counted and the interval between reports that was assumed.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -98,6 +98,17 @@
 	Until time.Time `msgpack:"u"`
 }
 
+// Decision is an isolation, and what it follows from.
+type Decision struct {
+	Isolation
+	// Since is the first crash, and SuspectedAt when crashes had been counted as often as makes a suspect.
+	Since, SuspectedAt time.Time
+	// Crashes is the number of crashes that were counted.
+	Crashes int
+	// Interval is the time between reports that the decision assumed.
+	Interval time.Duration
+}
+
 // Core decides which blocks are isolated. It is a state machine and not safe for concurrent use. All times are
 // cluster time.
 type Core struct {
@@ -218,14 +229,16 @@
 }
 
 // Review counts the crashes that all entries have had the time to report, given the interval between reports. If a
-// block has to be isolated from now on, it returns that block.
-func (c *Core) Review(now time.Time, reportInterval time.Duration) (Isolation, bool) {
+// block has to be isolated from now on, it returns that decision.
+func (c *Core) Review(now time.Time, reportInterval time.Duration) (Decision, bool) {
 	for _, k := range c.settled(now, settleReports*reportInterval) {
 		k.isCounted = true
 		c.count(k, now)
 	}
 	c.expire(now)
-	return c.decide(now, answerReports*reportInterval)
+	d, ok := c.decide(now, answerReports*reportInterval)
+	d.Interval = reportInterval
+	return d, ok
 }
 
 // settled returns the crashes to count, in the order in which they happened.
@@ -301,7 +314,7 @@
 // decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
 // It waits until entries have had the time to report that calls with it were answered. A request goes before the
 // blocks of its prompt, which other requests have too, unless the block has evidence enough beside that request.
-func (c *Core) decide(now time.Time, answerTime time.Duration) (Isolation, bool) {
+func (c *Core) decide(now time.Time, answerTime time.Duration) (Decision, bool) {
 	var best *suspect
 	var found Key
 	var repeated []*suspect // requests that were in several crashes
@@ -317,7 +330,7 @@
 		}
 	}
 	if best == nil {
-		return Isolation{}, false
+		return Decision{}, false
 	}
 	for key, s := range c.suspects {
 		if s.explains(best) && (key.IsRequest() || !found.IsRequest() || s.hasEvidenceBeside(best, repeated)) {
@@ -325,9 +338,9 @@
 		}
 	}
 	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
-		return Isolation{}, false
+		return Decision{}, false
 	}
-	return c.isolate(found, now), true
+	return Decision{Isolation: c.isolate(found, now), Since: best.since, SuspectedAt: best.suspectedAt, Crashes: len(best.seenIn)}, true
 }
 
 // hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others:
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -89,7 +89,7 @@
 	ledger  *accountant.Ledger
 
 	attributor *attributor.Core
-	isolated   []attributor.Isolation // decided since the last call of TakeIsolated
+	isolated   []attributor.Decision // made since the last call of TakeIsolated
 
 	evacuations    map[string]*evacuation
 	hasEvacuations bool // SetEvacuations was called in this term
@@ -273,8 +273,8 @@
 	d.Suspects, d.Isolations = c.attributor.Suspects(), c.attributor.Isolations(clusterTime)
 }
 
-// TakeIsolated returns the blocks that were isolated since the last call.
-func (c *Core) TakeIsolated() []attributor.Isolation {
+// TakeIsolated returns the decisions to isolate something since the last call.
+func (c *Core) TakeIsolated() []attributor.Decision {
 	isolated := c.isolated
 	c.isolated = nil
 	return isolated
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -141,13 +141,14 @@
 	return reply, ok
 }
 
-func (c *Coordinator) logIsolated(i attributor.Isolation) {
+func (c *Coordinator) logIsolated(i attributor.Decision) {
 	id := strconv.FormatUint(i.Key.Block, 16)
+	evidence := []any{"until", i.Until, "since", i.Since, "suspected", i.SuspectedAt, "crashes", i.Crashes, "interval", i.Interval}
 	if i.Key.IsRequest() {
-		c.config.Log.Warn("request crashes endpoints; refusing it", "fingerprint", id, "until", i.Until)
+		c.config.Log.Warn("request crashes endpoints; refusing it", append(evidence, "fingerprint", id)...)
 		return
 	}
-	c.config.Log.Warn("prompt block crashes endpoints; refusing its calls", "service", i.Key.Service, "block", id, "until", i.Until)
+	c.config.Log.Warn("prompt block crashes endpoints; refusing its calls", append(evidence, "service", i.Key.Service, "block", id)...)
 }
 
 // RulesetPage returns a page of the newest ruleset that this keeper has applied. It needs no lease: a committed
