Wait for the reports that hold evidence of crashes, not for those of idle relays

Cause: since the leader waited twice and three times the longest interval of all nodes that may report. Keepers that could relay report once a second while no entry reports to them, and each added that to the interval of all entries: 1.25 s in place of 0.25 s. With relayed entries the interval is that of the largest group, though most evidence is there sooner.

Change: relays count while entries report to them. Reports tell until when they hold all evidence and which directive was applied, relays those of the entry furthest behind; the leader decides as soon as all have reported, within the bounds of before. Relays ask for reports twice as often while something is suspected.

--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -76,6 +76,7 @@
 	received      int                    // number of positions of the list that were received
 	clusterOffset time.Duration          // cluster time minus the time of bootClock
 	granter       uint64                 // relay that granted the allowances, 0 for a leader
+	informedAt    int64                  // of the last directive, in cluster time, in nanoseconds since 1970
 	evacuated     coordinator.Evacuated
 }
 
@@ -277,12 +278,14 @@
 	quotas := e.quotas.Report(now)
 	r.Demand, r.Unspent, r.Sequence = quotas.Demand, quotas.Unspent, quotas.Sequence
 	r.Usage, r.Refused = e.counter.Windows(), e.forwarder.Refused()
-	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(e.clusterTime())
+	clusterTime := e.clusterTime()
+	r.Crashes, r.Answers, r.Isolations = e.isolator.Report(clusterTime)
+	r.EvidenceAt = clusterTime.UnixNano()
 	r.Suspects = e.isolator.Suspects()
 	r.Rationing = rationer.Encode(e.rationer.Report(now))
 	e.versions.report(r)
 	e.mu.Lock()
-	r.ListID, r.Received, r.Granter = e.listID, e.received, e.granter
+	r.ListID, r.Received, r.Granter, r.InformedAt = e.listID, e.received, e.granter, e.informedAt
 	e.mu.Unlock()
 	r.Notices = (&notices{e}).report()
 	loads := e.placer.Loads()
@@ -332,6 +335,9 @@
 	}
 	e.rationer.SetShared(rationer.Decode(d.Rationing), now)
 	e.isolator.Apply(d.Suspects, d.Isolations, d.HasIsolations, time.Unix(0, d.ClusterTime))
+	e.mu.Lock()
+	e.informedAt = d.InformedAt
+	e.mu.Unlock()
 	e.forwarder.SetEntries(d.Entries, now)
 	e.versions.apply(d, e.forwarder.Table())
 	age := e.node.bootClock.Now().Sub(sentAt)
--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// settleReports and answerReports are how many intervals between reports the leader waits, after a crash for
+	// settleReports and answerReports are how many intervals between reports the leader waits at most, after a crash for
 	// the reports of all entries about it, and with a suspect for their reports about answered calls.
 	settleReports = 2
 	answerReports = 3
+	// checkTime is how long an entry takes to find out that a call broke off since its endpoint ended.
+	checkTime = 300 * time.Millisecond
 	// sameCrashTime is the time within which reports about an endpoint are about the same crash. A crashed
 	// endpoint takes longer than that to serve again.
 	sameCrashTime = 1500 * time.Millisecond
@@ -105,8 +107,31 @@
 	Since, SuspectedAt time.Time
 	// Crashes is the number of crashes that were counted.
 	Crashes int
-	// Interval is the time between reports that the decision assumed.
-	Interval time.Duration
+	// Reports is what was known of the reports.
+	Reports Reports
+}
+
+// Reports tells what the leader knows of the reports that it has got.
+type Reports struct {
+	// Interval is the longest time from a report of an entry until the leader has the next one, and MinInterval what it
+	// is at least in any deployment.
+	Interval, MinInterval time.Duration
+	// EvidenceAt is until when all entries have reported their evidence, and InformedAt is until when they have
+	// reported the answers to what the leader suspected. They are zero if that is not known, since an entry is late or
+	// does not tell.
+	EvidenceAt, InformedAt time.Time
+}
+
+// areSettled reports whether all that entries know of a crash has arrived.
+func (r Reports) areSettled(at, now time.Time) bool {
+	age := now.Sub(at)
+	return age >= settleReports*r.Interval || age >= settleReports*r.MinInterval && !r.EvidenceAt.Before(at.Add(checkTime))
+}
+
+// haveAnswers reports whether entries have had the time to report answers to what is suspected since a time.
+func (r Reports) haveAnswers(suspectedAt, now time.Time) bool {
+	age := now.Sub(suspectedAt)
+	return age >= answerReports*r.Interval || age >= answerReports*r.MinInterval && !r.InformedAt.Before(suspectedAt)
 }
 
 // Core decides which blocks are isolated. It is a state machine and not safe for concurrent use. All times are
@@ -228,32 +253,32 @@
 	}
 }
 
-// Review counts the crashes that all entries have had the time to report, given the interval between reports. If a
+// Review counts the crashes that all entries have reported or have had the time to report. If a
 // block has to be isolated from now on, it returns that decision.
-func (c *Core) Review(now time.Time, reportInterval time.Duration) (Decision, bool) {
-	for _, k := range c.settled(now, settleReports*reportInterval) {
+func (c *Core) Review(now time.Time, reports Reports) (Decision, bool) {
+	for _, k := range c.settled(now, reports) {
 		k.isCounted = true
 		c.count(k, now)
 	}
 	c.expire(now)
-	d, ok := c.decide(now, answerReports*reportInterval)
-	d.Interval = reportInterval
+	d, ok := c.decide(now, reports)
+	d.Reports = reports
 	return d, ok
 }
 
 // settled returns the crashes to count, in the order in which they happened.
-func (c *Core) settled(now time.Time, settleTime time.Duration) []*crash {
+func (c *Core) settled(now time.Time, reports Reports) []*crash {
 	var out []*crash
 	for _, k := range c.crashes {
-		from := k.at
+		isSettled := reports.areSettled(k.at, now)
 		if c.isAdopting {
 			// The crash may be older than the leader, and the first report about it is not the last one.
 			if k.reviewedAt.IsZero() {
 				k.reviewedAt = now
 			}
-			from = k.reviewedAt
+			isSettled = now.Sub(k.reviewedAt) >= settleReports*reports.Interval
 		}
-		if !k.isCounted && now.Sub(from) >= settleTime {
+		if !k.isCounted && isSettled {
 			out = append(out, k)
 		}
 	}
@@ -314,7 +339,7 @@
 // decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
 // It waits until entries have had the time to report that calls with it were answered. A request goes before the
 // blocks of its prompt, which other requests have too, unless the block has evidence enough beside that request.
-func (c *Core) decide(now time.Time, answerTime time.Duration) (Decision, bool) {
+func (c *Core) decide(now time.Time, reports Reports) (Decision, bool) {
 	var best *suspect
 	var found Key
 	var repeated []*suspect // requests that were in several crashes
@@ -337,7 +362,7 @@
 			best, found = s, key
 		}
 	}
-	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || now.Sub(best.suspectedAt) < answerTime {
+	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || !reports.haveAnswers(best.suspectedAt, now) {
 		return Decision{}, false
 	}
 	return Decision{Isolation: c.isolate(found, now), Since: best.since, SuspectedAt: best.suspectedAt, Crashes: len(best.seenIn)}, true
--- a/internal/process/attributor/attributor_test.go
+++ b/internal/process/attributor/attributor_test.go
@@ -40,7 +40,7 @@
 func (s *scenario) wait(d time.Duration) []uint64 {
 	var out []uint64
 	for until := s.now.Add(d); s.now.Before(until); s.now = s.now.Add(reportInterval) {
-		if i, ok := s.core.Review(s.now, reportInterval); ok {
+		if i, ok := s.core.Review(s.now, attributor.Reports{Interval: reportInterval, MinInterval: reportInterval}); ok {
 			out = append(out, i.Key.Block)
 		}
 	}
@@ -196,7 +196,7 @@
 				}
 			}
 			running = rest
-			s.core.Review(s.now, reportInterval)
+			s.core.Review(s.now, attributor.Reports{Interval: reportInterval, MinInterval: reportInterval})
 		}
 		for _, i := range s.core.Isolations(s.now) {
 			require.EqualValues(t, deadly, i.Key.Block, "after %d crashes", crashes)
--- a/internal/process/attributor/bench_test.go
+++ b/internal/process/attributor/bench_test.go
@@ -36,7 +36,7 @@
 			}
 			now = now.Add(time.Second)
 			for b.Loop() {
-				_, isIsolated := c.Review(now, 500*time.Millisecond)
+				_, isIsolated := c.Review(now, attributor.Reports{Interval: 500 * time.Millisecond, MinInterval: 500 * time.Millisecond})
 				require.False(b, isIsolated)
 			}
 		})
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -100,9 +100,9 @@
 	sums              loadSums // over all nodes
 	rationing         rationingSums
 	relays            []RelayAddress
-	relayed           int           // number of entries from which on they report to relays
-	isRelayed         bool          // entries report to relays
-	reportInterval    time.Duration // longest time from a report of an entry until the leader has the next one
+	relayed           int                // number of entries from which on they report to relays
+	isRelayed         bool               // entries report to relays
+	reports           attributor.Reports // at the last review
 	reviewedAt        time.Time
 	entries           int           // number of entries at the last review, plus new ones
 	clusterTimeOffset time.Duration // of the cluster time, relative to the leader's clock, at the last review
@@ -201,11 +201,21 @@
 		d.Relays = c.relays
 	}
 	d.Evacuated, d.EvacuationNumber = c.evacuated()
-	d.ReportInterval = max(minReportInterval, time.Duration(d.Entries)*perEntryInterval)
+	d.ReportInterval = c.entryInterval(now)
+	return d
+}
+
+// entryInterval returns the time between two reports of an entry to the leader.
+func (c *Core) entryInterval(now time.Time) time.Duration {
+	return max(c.minInterval(now), time.Duration(c.entries)*perEntryInterval)
+}
+
+// minInterval returns the shortest time between two reports of an entry.
+func (c *Core) minInterval(now time.Time) time.Duration {
 	if c.Age(now) < startupWindow {
-		d.ReportInterval = max(startupInterval, time.Duration(d.Entries)*perEntryInterval)
+		return startupInterval
 	}
-	return d
+	return minReportInterval
 }
 
 // redirect returns the directive for an entry that is to report to a relay. It confirms the
@@ -267,9 +277,10 @@
 	for _, a := range r.Answers {
 		c.attributor.Answer(a)
 	}
-	if isolated, ok := c.attributor.Review(clusterTime, max(c.reportInterval, d.ReportInterval)); ok {
+	if isolated, ok := c.attributor.Review(clusterTime, c.reports); ok {
 		c.isolated = append(c.isolated, isolated)
 	}
+	d.InformedAt = clusterTime.UnixNano()
 	d.Suspects, d.Isolations = c.attributor.Suspects(), c.attributor.Isolations(clusterTime)
 }
 
@@ -320,7 +331,7 @@
 // nodes whose reports are too old for the cluster time, and computes the number of entries, the
 // cluster time and the weight threshold again.
 func (c *Core) review(now time.Time) {
-	c.reviewedAt, c.entries, c.reportInterval, c.relays = now, 0, 0, nil
+	c.reviewedAt, c.entries, c.relays = now, 0, nil
 	for name, n := range c.nodes {
 		if now.Sub(n.receivedAt) > nodeTimeout {
 			c.removeLoads(n)
@@ -334,13 +345,13 @@
 		}
 		if g := n.report.Group; g != nil && now.Sub(n.receivedAt) < relayTimeout {
 			c.relays = append(c.relays, RelayAddress{Address: g.Address, Domain: g.Domain})
-			c.reportInterval = max(c.reportInterval, g.Interval+c.relayInterval(now))
 		}
 	}
 	slices.SortFunc(c.relays, func(a, b RelayAddress) int { return a.Address.Compare(b.Address) })
 	c.isRelayed = c.entries >= c.relayed || c.isRelayed && float64(c.entries) > directFraction*float64(c.relayed)
 	c.clusterTimeOffset = c.ClusterTimeOffset(now)
 	c.sums.review()
+	c.reviewReports(now)
 }
 
 // TotalLoads returns the load of each endpoint over all nodes, by position in the list.
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -13,10 +13,12 @@
 
 const (
 	// minGroupInterval and maxGroupInterval bound the time between two reports of an entry to a
-	// relay, and perMemberInterval is what each entry of the group adds to it.
+	// relay, and perMemberInterval is what each entry of the group adds to it, suspectInterval while the leader
+	// suspects something to crash endpoints: a decision takes several reports.
 	minGroupInterval  = 250 * time.Millisecond
 	maxGroupInterval  = time.Second
 	perMemberInterval = 16 * time.Millisecond
+	suspectInterval   = 8 * time.Millisecond
 	// maxUsageAge is how long after its end the usage of a window is passed on.
 	maxUsageAge = 30 * time.Second
 )
@@ -99,7 +101,7 @@
 	d := Directive{
 		Leads: true, LoadFields: LoadFields, Age: now.Sub(g.confirmedAt), Relays: g.leader.Relays, RulesetNumber: g.leader.RulesetNumber, Entries: max(g.leader.Entries, 1),
 		ClusterTime: now.Add(g.clusterOffset).UnixNano(), ReportInterval: g.interval(), MovesID: g.leader.MovesID,
-		Suspects: g.leader.Suspects, Isolations: g.leader.Isolations, HasIsolations: g.leader.HasIsolations,
+		Suspects: g.leader.Suspects, Isolations: g.leader.Isolations, HasIsolations: g.leader.HasIsolations, InformedAt: g.leader.InformedAt,
 		Evacuated: g.leader.Evacuated, EvacuationNumber: g.leader.EvacuationNumber,
 	}
 	if r.MovesID != d.MovesID {
@@ -128,7 +130,11 @@
 
 // interval returns the time between two reports of an entry.
 func (g *GroupCore) interval() time.Duration {
-	return min(max(minGroupInterval, time.Duration(len(g.members))*perMemberInterval), maxGroupInterval)
+	perMember := perMemberInterval
+	if len(g.leader.Suspects) > 0 {
+		perMember = suspectInterval
+	}
+	return min(max(minGroupInterval, time.Duration(len(g.members))*perMember), maxGroupInterval)
 }
 
 func (g *GroupCore) isListComplete() bool {
@@ -249,14 +255,20 @@
 	g.reportedRationing = g.rationing.export()
 	r.Rationing = g.reportedRationing
 	r.Group.Usage = g.endedUsage(now.Add(g.clusterOffset))
-	evidence := newEvidence()
+	evidence, covered := newEvidence(), newCoverage()
 	for _, m := range g.members {
 		evidence.add(&m.report, now.Sub(m.receivedAt))
+		if now.Sub(m.receivedAt) < maxSilence*g.interval() {
+			covered.add(&m.report)
+		}
 		if len(m.report.Counts) > 0 {
 			r.Group.Counts = append(r.Group.Counts, m.report.Counts)
 		}
 	}
 	evidence.fill(r)
+	if !covered.isEmpty() {
+		r.EvidenceAt, r.InformedAt = covered.evidenceAt, covered.informedAt
+	}
 	return r
 }
 
--- a/internal/process/coordinator/service.go
+++ b/internal/process/coordinator/service.go
@@ -143,7 +143,7 @@
 
 func (c *Coordinator) logIsolated(i attributor.Decision) {
 	id := strconv.FormatUint(i.Key.Block, 16)
-	evidence := []any{"until", i.Until, "since", i.Since, "suspected", i.SuspectedAt, "crashes", i.Crashes, "interval", i.Interval}
+	evidence := []any{"until", i.Until, "since", i.Since, "suspected", i.SuspectedAt, "crashes", i.Crashes, "interval", i.Reports.Interval, "evidence", i.Reports.EvidenceAt, "informed", i.Reports.InformedAt}
 	if i.Key.IsRequest() {
 		c.config.Log.Warn("request crashes endpoints; refusing it", append(evidence, "fingerprint", id)...)
 		return
--- a/internal/process/coordinator/wire.go
+++ b/internal/process/coordinator/wire.go
@@ -234,6 +234,11 @@
 	Crashes    []attributor.Crash     `msgpack:"cr,omitempty"`
 	Answers    []attributor.Answer    `msgpack:"an,omitempty"`
 	Isolations []attributor.Isolation `msgpack:"is,omitempty"`
+	// EvidenceAt is until when the report has all crashes and answers that the node knows, and InformedAt is that of the
+	// last directive that the node has applied, in cluster time, in nanoseconds since 1970. A relay reports those of
+	// the entry that is furthest behind. 0 means that it is not known.
+	EvidenceAt int64 `msgpack:"ea,omitempty"`
+	InformedAt int64 `msgpack:"ia,omitempty"`
 	// Rationing is the work that calls asked the node for lately.
 	Rationing Rationing `msgpack:"ra,omitempty"`
 	// Notices are what listed endpoints said of themselves: at most MaxNotices.
@@ -329,6 +334,8 @@
 	Suspects      []attributor.Suspect   `msgpack:"su,omitempty"`
 	Isolations    []attributor.Isolation `msgpack:"is,omitempty"`
 	HasIsolations bool                   `msgpack:"hi,omitempty"`
+	// InformedAt is when the leader suspected these, in cluster time, in nanoseconds since 1970.
+	InformedAt int64 `msgpack:"ia,omitempty"`
 	// Warmups are the positions of the cold endpoints for which the node holds a warm-up lease, for
 	// WarmupLifetime from when the report was sent. A relay that may pass several on gets a position as
 	// often. ListRead is when the reading of the list began, in cluster time, in nanoseconds since 1970; 0
--- a/internal/request/isolator/fleet_test.go
+++ b/internal/request/isolator/fleet_test.go
@@ -136,7 +136,7 @@
 		for _, a := range answers {
 			f.leader.Answer(a)
 		}
-		f.leader.Review(f.now, reportInterval)
+		f.leader.Review(f.now, attributor.Reports{Interval: reportInterval, MinInterval: reportInterval})
 		if f.random.Float64() >= loss {
 			e.Apply(f.leader.Suspects(), f.leader.Isolations(f.now), isComplete, f.now)
 		}
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -239,7 +239,7 @@
 					for _, a := range answers {
 						leader.Answer(a)
 					}
-					_, isIsolated := leader.Review(now, reportInterval)
+					_, isIsolated := leader.Review(now, attributor.Reports{Interval: reportInterval, MinInterval: reportInterval})
 					require.False(t, isIsolated)
 					entry.Apply(leader.Suspects(), leader.Isolations(now), true, now)
 				}
