End events at an empty line, whatever the lines around it end with

Callers saw: an event whose empty line ended otherwise than the line before it (newline, then return and newline) was held back until the next event, taken for one event with that one, and lost when the stream broke off.

The other readers (dialer, loader) go line by line. Change: an empty line behind a newline ends an event, in both spellings. Measured: TestLinesOfEventsMayEndInBothWays fails before in its two mixed cases of eight, and passes.

--- a/internal/request/forwarder/events.go
+++ b/internal/request/forwarder/events.go
@@ -149,14 +149,31 @@
 	return hasValue && bytes.IndexByte(name, '-') > 0
 }
 
+// blockEnds are the ways in which a block ends: with an empty line behind a line. Each of them may end with a return
+// and a newline or with a newline alone.
+var blockEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// maxBlockEnd is the length of the longest of them.
+const maxBlockEnd = 3
+
 // nextEventEnd returns the length of the first complete block of b, or of all of b.
 func nextEventEnd(b []byte) int {
 	end := len(b)
-	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	for _, text := range blockEnds {
+		if i := bytes.Index(b[:end], text); i >= 0 {
+			end = i + len(text)
+		}
 	}
-	if i := bytes.Index(b[:end], []byte("\r\n\r\n")); i >= 0 {
-		end = i + 4
+	return end
+}
+
+// lastEventEnd returns the length of the complete events at the start of b.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, text := range blockEnds {
+		if i := bytes.LastIndex(b, text); i >= 0 {
+			end = max(end, i+len(text))
+		}
 	}
 	return end
 }
--- a/internal/request/forwarder/events_test.go
+++ b/internal/request/forwarder/events_test.go
@@ -159,3 +159,35 @@
 		})
 	}
 }
+
+// An event whose empty line ended otherwise than the line before was held back until the next one, and lost when the
+// stream broke off: each line may end with a newline or with a return and a newline.
+func TestLinesOfEventsMayEndInBothWays(t *testing.T) {
+	ends := []string{"\n", "\r\n"}
+	for _, field := range ends {
+		for _, empty := range ends {
+			for _, size := range []int{1, 1 << 10} {
+				t.Run(fmt.Sprintf("%q then %q in pieces of %d", field, empty, size), func(t *testing.T) {
+					event := func(i int) string { return fmt.Sprintf("id: %d\ndata: piece %d%s%s", i, i, field, empty) }
+					first := func(c net.Conn, r *http.Request, _ string) bool {
+						writeRaw(c, "HTTP/1.1 200 X\n%sTransfer-Encoding: chunked\n\n", headerOf(r.Header.Get(headerID), ""))
+						for text := event(1) + event(2); text != ""; {
+							n := min(size, len(text))
+							writeChunk(c, text[:n])
+							text = text[n:]
+						}
+						return false
+					}
+					var after string
+					next := func(c net.Conn, r *http.Request, body string) bool {
+						after = r.Header.Get(headerAfter)
+						return answerChunked("", event(3))(c, r, body)
+					}
+					got := streamFrom(t, "/resumable/1", first, next)
+					require.Equal(t, event(1)+event(2)+event(3), got.body)
+					require.Equal(t, "2", after)
+				})
+			}
+		}
+	}
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -95,7 +95,7 @@
 	x, s := a.x, a.x.stream
 	// What is left of earlier reads holds no complete event, so that only its last bytes can
 	// belong to the end of one.
-	searched := max(len(s.partial)-len("\r\n\r\n")+1, 0)
+	searched := max(len(s.partial)-maxBlockEnd+1, 0)
 	s.partial = append(s.partial, chunk...)
 	complete := lastEventEnd(s.partial[searched:])
 	if complete > 0 {
@@ -134,18 +134,6 @@
 	return isStream, nil
 }
 
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := bytes.LastIndex(b, []byte("\n\n"))
-	if crlf := bytes.LastIndex(b, []byte("\r\n\r\n")); crlf >= 0 && crlf+4 > end+2 {
-		return crlf + 4
-	}
-	if end < 0 {
-		return 0
-	}
-	return end + 2
-}
-
 // lastID returns the ID of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
