Count what is reported of a crash after it was counted

Cause: a crash is counted half a second after it happened; an entry may report it later (a check of 300 ms, then the next report). That report was dropped. If it alone had the deadly block, a shared block was in more crashes and explained them better.

Change: late reports count for their crash, in the order of the crashes, or show that something isolated explains it; answers after a crash clear it whenever it is counted. attributor.go is split.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -31,8 +30,6 @@
 	suspicionThreshold = 2
 	// suspectTTL is how long a crash counts against a block.
 	suspectTTL = time.Minute
-	// maxSeen bounds the crashes that are remembered of a suspect.
-	maxSeen = 64
 	// maxSuspects bounds the suspects that are sent to entries; those with the most crashes are sent.
 	maxSuspects = 64
 	// maxTracked bounds the suspects that are tracked. When it is reached, evictedSuspects of them are evicted:
@@ -45,95 +42,6 @@
 	maxIsolation = time.Hour
 )
 
-// Key identifies a block of the prompts of a service or, without a service, a request by its fingerprint.
-type Key struct {
-	Service string `msgpack:"s"`
-	Block   uint64 `msgpack:"b"`
-}
-
-// RequestKey returns the key of a request. It names no service: another one may run the same request.
-func RequestKey(fingerprint uint64) Key { return Key{Block: fingerprint} }
-
-// IsRequest reports whether the key identifies a request.
-func (k Key) IsRequest() bool { return k.Service == "" }
-
-// RequestDepth is the depth of a request in an Exposure. It is greater than that of any block: a request is in fewer
-// calls than the blocks of its prompt.
-const RequestDepth = math.MaxInt32
-
-// Exposure is a block that was in a call that broke off when an endpoint crashed. The times are cluster time.
-type Exposure struct {
-	Key Key `msgpack:"k"`
-	// Depth is the position of the block in the prompt.
-	Depth int `msgpack:"d"`
-	// StartedAt is when the last of the calls with the block was sent.
-	StartedAt time.Time `msgpack:"t"`
-	// AnsweredAt is when the entry last answered the same request, zero if it does not know of an answer.
-	AnsweredAt time.Time `msgpack:"n,omitempty"`
-}
-
-// Crash is what one entry knows of the crash of an endpoint.
-type Crash struct {
-	Endpoint  string     `msgpack:"e"`
-	At        time.Time  `msgpack:"a"`
-	Exposures []Exposure `msgpack:"x"`
-}
-
-// Suspect is a request or block that may have crashed endpoints since a time.
-type Suspect struct {
-	Key   Key       `msgpack:"k"`
-	Since time.Time `msgpack:"t"`
-	// Crashes is how often it did so without an answer in between, and LastCrash is the last time.
-	Crashes   int       `msgpack:"c"`
-	LastCrash time.Time `msgpack:"l"`
-}
-
-// Answer tells that a call with a block was answered completely at a time.
-type Answer struct {
-	Key Key       `msgpack:"k"`
-	At  time.Time `msgpack:"t"`
-}
-
-// Isolation is a block whose calls are refused until a time.
-type Isolation struct {
-	Key   Key       `msgpack:"k"`
-	Until time.Time `msgpack:"u"`
-}
-
-// Decision is an isolation, and what it follows from.
-type Decision struct {
-	Isolation
-	// Since is the first crash, and SuspectedAt when crashes had been counted as often as makes a suspect.
-	Since, SuspectedAt time.Time
-	// Crashes is the number of crashes that were counted.
-	Crashes int
-	// Reports is what was known of the reports.
-	Reports Reports
-}
-
-// Reports tells what the leader knows of the reports that it has got.
-type Reports struct {
-	// Interval is the longest time from a report of an entry until the leader has the next one, and MinInterval what it
-	// is at least in any deployment.
-	Interval, MinInterval time.Duration
-	// EvidenceAt is until when all entries have reported their evidence, and InformedAt is until when they have
-	// reported the answers to what the leader suspected. They are zero if that is not known, since an entry is late or
-	// does not tell.
-	EvidenceAt, InformedAt time.Time
-}
-
-// areSettled reports whether all that entries know of a crash has arrived.
-func (r Reports) areSettled(at, now time.Time) bool {
-	age := now.Sub(at)
-	return age >= settleReports*r.Interval || age >= settleReports*r.MinInterval && !r.EvidenceAt.Before(at.Add(checkTime))
-}
-
-// haveAnswers reports whether entries have had the time to report answers to what is suspected since a time.
-func (r Reports) haveAnswers(suspectedAt, now time.Time) bool {
-	age := now.Sub(suspectedAt)
-	return age >= answerReports*r.Interval || age >= answerReports*r.MinInterval && !r.InformedAt.Before(suspectedAt)
-}
-
 // Core decides which blocks are isolated. It is a state machine and not safe for concurrent use. All times are
 // cluster time.
 type Core struct {
@@ -150,22 +58,12 @@
 	at        time.Time
 	exposures map[Key]Exposure
 	isCounted bool
+	number    int   // of the crashes counted; 0 before, and if something isolated explains it
+	late      []Key // reported after the crash was counted
 	// reviewedAt is the first review of the crash by a leader that adopts what earlier leaders knew.
 	reviewedAt time.Time
 }
 
-type suspect struct {
-	since       time.Time // first crash
-	lastCrash   time.Time
-	crashes     int       // crashes in a row: each under a call that was sent after the crash before
-	suspectedAt time.Time // when crashes reached suspicionThreshold
-	depth       int
-	wasAnswered bool // some entry has answered the request
-	// adoptedUntil is until when an earlier leader has counted the crashes. Entries report the last ones again.
-	adoptedUntil time.Time
-	seenIn       []int // numbers of the crashes that the block was in, at most maxSeen
-}
-
 type isolation struct {
 	until    time.Time
 	duration time.Duration
@@ -190,11 +88,11 @@
 		known = &crash{at: reported.At, exposures: make(map[Key]Exposure)}
 		c.crashes[reported.Endpoint] = known
 	}
-	if known.isCounted {
-		return
-	}
 	for _, e := range reported.Exposures {
 		old, ok := known.exposures[e.Key]
+		if !ok && known.isCounted {
+			known.late = append(known.late, e.Key)
+		}
 		if ok && old.StartedAt.After(e.StartedAt) {
 			e.StartedAt = old.StartedAt
 		}
@@ -245,11 +143,10 @@
 			if len(c.suspects) >= maxTracked {
 				c.evict()
 			}
-			s = &suspect{lastCrash: adopted.LastCrash, depth: RequestDepth}
+			s = &suspect{key: key, depth: RequestDepth}
 			c.suspects[key] = s
 		}
-		s.since, s.adoptedUntil = adopted.Since, adopted.LastCrash.Add(sameCrashTime)
-		s.crashes, s.suspectedAt = max(s.crashes, adopted.Crashes), now
+		s.adopt(adopted, now)
 	}
 }
 
@@ -260,6 +157,11 @@
 		k.isCounted = true
 		c.count(k, now)
 	}
+	for _, k := range c.crashes {
+		if len(k.late) > 0 {
+			c.countLate(k, now)
+		}
+	}
 	c.expire(now)
 	d, ok := c.decide(now, reports)
 	d.Reports = reports
@@ -286,54 +188,72 @@
 	return out
 }
 
-// count counts a crash against the blocks in it, unless an isolated block explains it. Calls that were sent before
-// the last crash that counted against a block are no new evidence: a common block is in calls at many endpoints
-// that crash together. That holds for requests which have been answered before, too; one that has not may itself be
-// at many endpoints at once.
+// count counts a crash against what was in it, unless something isolated explains it.
 func (c *Core) count(k *crash, now time.Time) {
-	for key := range k.exposures {
-		if i := c.isolations[key]; i != nil && now.Before(i.until) {
-			return
-		}
+	if c.isExplained(k, now) {
+		return
 	}
 	c.counted++
+	k.number = c.counted
 	// Known suspects go first, so that none of them is evicted for a new one before the crash counts against it.
 	var unknown []Exposure
 	for key, e := range k.exposures {
-		if s := c.suspects[key]; s != nil {
-			s.count(k, e, c.counted, now)
+		if c.suspects[key] != nil {
+			c.sight(k, e, now)
 		} else {
 			unknown = append(unknown, e)
 		}
 	}
 	for _, e := range unknown {
-		if len(c.suspects) >= maxTracked {
-			c.evict()
+		c.sight(k, e, now)
+	}
+}
+
+// countLate counts what was reported after a crash was counted. A sound block that was in all crashes would otherwise
+// explain them better than the deadly one, of which one report came late.
+func (c *Core) countLate(k *crash, now time.Time) {
+	late := k.late
+	k.late = nil
+	switch {
+	case k.number == 0:
+	case c.isExplained(k, now):
+		for key, s := range c.suspects {
+			if s.remove(k.number, now) == 0 {
+				delete(c.suspects, key)
+			}
+		}
+		k.number = 0
+	default:
+		for _, key := range late {
+			c.sight(k, k.exposures[key], now)
 		}
-		s := &suspect{since: k.at, wasAnswered: !c.answers[e.Key].IsZero()}
-		c.suspects[e.Key] = s
-		s.count(k, e, c.counted, now)
 	}
 }
 
-// count counts a crash, which has a number, against the suspect.
-func (s *suspect) count(k *crash, e Exposure, number int, now time.Time) {
-	if e.AnsweredAt.After(s.since) {
-		*s = suspect{since: k.at}
-	}
-	s.wasAnswered = s.wasAnswered || !e.AnsweredAt.IsZero()
-	s.depth = max(s.depth, e.Depth)
-	if len(s.seenIn) < maxSeen {
-		s.seenIn = append(s.seenIn, number)
-	}
-	isNew := e.StartedAt.After(s.lastCrash) || e.Key.IsRequest() && !s.wasAnswered
-	if !isNew || k.at.Before(s.adoptedUntil) {
+// isExplained reports whether something that is isolated was in a crash.
+func (c *Core) isExplained(k *crash, now time.Time) bool {
+	for key := range k.exposures {
+		if i := c.isolations[key]; i != nil && now.Before(i.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// sight counts a crash against a request or block in it, unless a call with that was answered since.
+func (c *Core) sight(k *crash, e Exposure, now time.Time) {
+	if e.AnsweredAt.After(k.at) || c.answers[e.Key].After(k.at) {
 		return
 	}
-	s.crashes, s.lastCrash = s.crashes+1, k.at
-	if s.crashes == suspicionThreshold {
-		s.suspectedAt = now
+	s := c.suspects[e.Key]
+	if s == nil {
+		if len(c.suspects) >= maxTracked {
+			c.evict()
+		}
+		s = &suspect{key: e.Key, since: k.at, wasAnswered: !c.answers[e.Key].IsZero()}
+		c.suspects[e.Key] = s
 	}
+	s.see(k, e, now)
 }
 
 // decide isolates a request or a block that was in enough crashes in a row, or one that explains these crashes better.
@@ -344,7 +264,7 @@
 	var found Key
 	var repeated []*suspect // requests that were in several crashes
 	for key, s := range c.suspects {
-		if key.IsRequest() && len(s.seenIn) >= isolationThreshold {
+		if key.IsRequest() && len(s.seen) >= isolationThreshold {
 			repeated = append(repeated, s)
 		}
 		if s.crashes < isolationThreshold || best != nil && found.IsRequest() && !key.IsRequest() {
@@ -365,42 +285,7 @@
 	if c.isAdopting && !found.IsRequest() || best.crashes < suspicionThreshold || !reports.haveAnswers(best.suspectedAt, now) {
 		return Decision{}, false
 	}
-	return Decision{Isolation: c.isolate(found, now), Since: best.since, SuspectedAt: best.suspectedAt, Crashes: len(best.seenIn)}, true
-}
-
-// hasEvidenceBeside reports whether a block was in enough crashes beside those of a request, under several others:
-// no one of the requests that were in several crashes was in all of these.
-func (s *suspect) hasEvidenceBeside(request *suspect, repeated []*suspect) bool {
-	beside := without(s.seenIn, request.seenIn)
-	if s.crashes < isolationThreshold || len(beside) < isolationThreshold {
-		return false
-	}
-	return !slices.ContainsFunc(repeated, func(other *suspect) bool { return len(without(beside, other.seenIn)) == 0 })
-}
-
-// without returns the sorted numbers that are not in excluded, which is sorted.
-func without(numbers, excluded []int) []int {
-	var out []int
-	for _, number := range numbers {
-		if _, ok := slices.BinarySearch(excluded, number); !ok {
-			out = append(out, number)
-		}
-	}
-	return out
-}
-
-// explains reports whether a block or request was in all crashes that another one was in, and either in more of them or, as the
-// later one in the prompts, in fewer calls.
-func (s *suspect) explains(other *suspect) bool {
-	if len(other.seenIn) == 0 || len(s.seenIn) < len(other.seenIn) || len(s.seenIn) == len(other.seenIn) && s.depth <= other.depth {
-		return false
-	}
-	for _, number := range other.seenIn {
-		if _, ok := slices.BinarySearch(s.seenIn, number); !ok {
-			return false
-		}
-	}
-	return true
+	return Decision{Isolation: c.isolate(found, now), Since: best.since, SuspectedAt: best.suspectedAt, Crashes: len(best.seen)}, true
 }
 
 // evict removes the suspects with the fewest crashes, of these the oldest ones.
@@ -425,14 +310,14 @@
 		duration = min(2*i.duration, maxIsolation)
 	}
 	c.isolations[k] = &isolation{until: now.Add(duration), duration: duration}
-	explained := c.suspects[k].seenIn
+	explained := c.suspects[k]
 	delete(c.suspects, k)
 	for key, s := range c.suspects {
 		if !k.IsRequest() {
 			delete(c.suspects, key)
 			continue
 		}
-		s.discount(explained, key)
+		s.discount(explained)
 		if s.crashes == 0 {
 			delete(c.suspects, key)
 		}
@@ -440,25 +325,6 @@
 	return Isolation{Key: k, Until: now.Add(duration)}
 }
 
-// discount removes crashes that a request explains. For a block one of them stays: it may be the block that makes
-// the request crash endpoints, and other requests have it too. A block is not isolated before one more crash: reports
-// that the request was in some of the crashes may have been lost.
-func (s *suspect) discount(explained []int, key Key) {
-	var rest []int
-	keepOne := !key.IsRequest()
-	for _, number := range s.seenIn {
-		if _, ok := slices.BinarySearch(explained, number); !ok {
-			rest = append(rest, number)
-		} else if keepOne {
-			rest, keepOne = append(rest, number), false
-		}
-	}
-	s.seenIn, s.crashes = rest, min(s.crashes, len(rest))
-	if !key.IsRequest() {
-		s.crashes = min(s.crashes, isolationThreshold-1)
-	}
-}
-
 // expire removes what is too old. A block whose isolation ended is on probation for as long as it was isolated: it
 // is isolated again after one more crash.
 func (c *Core) expire(now time.Time) {
@@ -478,7 +344,7 @@
 		case now.Sub(i.until) > i.duration:
 			delete(c.isolations, key)
 		case c.suspects[key] == nil:
-			c.suspects[key] = &suspect{since: i.until, lastCrash: i.until, suspectedAt: i.until, crashes: isolationThreshold - 1}
+			c.suspects[key] = newProbation(key, i.until)
 		}
 	}
 	for key, s := range c.suspects {
--- a/internal/process/coordinator/crash_test.go
+++ b/internal/process/coordinator/crash_test.go
@@ -277,6 +277,7 @@
 	requireDecisions(t, map[string]crashSize{
 		"6 entries":                     {6, 5, 3, 9, 3 * time.Second},
 		"8 entries":                     {8, 5, 3, 18, 3 * time.Second},
+		"23 entries, most are down":     {23, 5, 3, 20, 3 * time.Second},
 		"56 entries":                    {56, 9, 4, 60, 4 * time.Second},
 		"74 entries":                    {74, 9, 3, 60, 4 * time.Second},
 		"80 entries, the first relayed": {80, 9, 3, 60, 4 * time.Second},
@@ -284,8 +285,3 @@
 		"370 entries":                   {370, 7, 8, 810, 5 * time.Second},
 	})
 }
-
-// Where most endpoints are down, few calls are answered, and a block that sound prompts share may be isolated.
-func TestDecisionOnCrashesWhereMostEndpointsAreDown(t *testing.T) {
-	requireDecisions(t, map[string]crashSize{"23 entries": {23, 5, 3, 20, 3 * time.Second}})
-}
