Isolate nothing on the suspicion of an earlier leader alone

Callers would see: after the loss of a leader, a sound request that was at crashing engines is refused for five minutes.

Cause: entries that missed the last directives still suspect requests whose crashes the old leader explained by the one that it isolated. The new leader adopted the number of crashes as its own evidence.

Change: it has to count a crash under the request itself; one that something isolated explains does not count.

TestSuspicionOfAnEarlierLeaderNeedsACrash failed before.

--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -267,7 +267,7 @@
 		if key.IsRequest() && len(s.seen) >= isolationThreshold {
 			repeated = append(repeated, s)
 		}
-		if s.crashes < isolationThreshold || best != nil && found.IsRequest() && !key.IsRequest() {
+		if s.crashes < isolationThreshold || !s.hasOwnEvidence() || best != nil && found.IsRequest() && !key.IsRequest() {
 			continue
 		}
 		if best == nil || key.IsRequest() && !found.IsRequest() || s.crashes > best.crashes {
--- a/internal/process/attributor/late_test.go
+++ b/internal/process/attributor/late_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/process/attributor"
 )
 
 // The only report with the deadly block in it came after a crash had been counted, so that a sound block which was in all
@@ -43,3 +45,15 @@
 	}
 	require.Empty(t, s.wait(5*time.Second))
 }
+
+// A new leader isolated a sound request without a crash of its own, since an entry still suspected it that had not heard of
+// the last decision of the leader before, which explained the crashes.
+func TestSuspicionOfAnEarlierLeaderNeedsACrash(t *testing.T) {
+	s := newScenario()
+	request := attributor.RequestKey(7)
+	s.core.SetAdopting(true)
+	s.core.AdoptSuspects([]attributor.Suspect{{Key: request, Since: s.now.Add(-2 * time.Second), Crashes: 4, LastCrash: s.now.Add(-time.Second)}}, s.now)
+	require.Empty(t, s.wait(3*time.Second))
+	s.core.Add(withRequests(crashOf("e1", s.now), 7))
+	require.Equal(t, []uint64{7}, s.wait(3*time.Second), "it is known to have crashed endpoints before")
+}
--- a/internal/process/attributor/suspect.go
+++ b/internal/process/attributor/suspect.go
@@ -47,6 +47,10 @@
 	s.settle()
 }
 
+// hasOwnEvidence reports whether this leader has counted a crash against the suspect. What an entry knows of earlier leaders may be
+// older than their last decision, which explains those crashes by something else.
+func (s *suspect) hasOwnEvidence() bool { return s.adoptedUntil.IsZero() || s.crashes > s.settled }
+
 // settle keeps the number of crashes whatever becomes of their sightings.
 func (s *suspect) settle() {
 	s.settled, s.settledAt = s.crashes, s.lastCrash
