Count endpoints as ended that are started again at once

Cause: a call that breaks off counted as a sign of a crash only if its endpoint could not be reached afterwards. A process that is back at once is reached, and what was known of its calls was dropped.

Change: entries report how many connections an endpoint closed together while none to it lives, idle ones too; the leader counts two or more, at whichever entries within half a second, as a crash. Relays merge such reports. Why this holds: a process that ends closes all its connections, a lost answer one.

--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -47,21 +47,24 @@
 	transport *http.Transport
 	opened    atomic.Uint64
 	lost      func(address netip.AddrPort)
+	broken    func(address netip.AddrPort)
 
-	mu    sync.Mutex
-	hosts map[netip.AddrPort]*host
+	mu     sync.Mutex
+	hosts  map[netip.AddrPort]*host
+	losses map[netip.AddrPort][]time.Time // when endpoints closed connections lately
 }
 
 // host holds the connections to one address.
 type host struct {
 	idle []*Conn // the most recently used connection is last
-	open int     // number of connections, including those in use
+	open int     // number of connections, including those in use and those that are being opened
+	all  map[*Conn]struct{}
 }
 
 // New returns an empty pool.
 func New(c clock.Clock) *Pool {
 	return &Pool{
-		clock: c, hosts: make(map[netip.AddrPort]*host),
+		clock: c, hosts: make(map[netip.AddrPort]*host), losses: make(map[netip.AddrPort][]time.Time),
 		transport: &http.Transport{
 			DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
 			WriteBufferSize: 32 << 10, ReadBufferSize: 8 << 10,
@@ -87,10 +90,12 @@
 	client      *http.ClientConn
 	conn        *countingConn
 	idleTimeout time.Duration // how long it is kept while idle
-	idleSince   time.Time     // when it became idle
+	openedAt    time.Time
+	idleSince   time.Time // when it became idle
 	isFresh     bool
-	closed      bool
-	refused     []uint64 // hashes of the IDs of refused calls
+	closed      atomic.Bool // by this side
+	isLost      atomic.Bool // by the endpoint
+	refused     []uint64    // hashes of the IDs of refused calls
 }
 
 // Opened returns the number of connections opened since the pool was created.
@@ -125,7 +130,7 @@
 			return c, nil
 		}
 		p.checkLost(c, now)
-		h.open--
+		h.remove(c)
 		c.closeClient()
 	}
 	if h.open >= limit {
@@ -139,7 +144,7 @@
 func (p *Pool) hostOf(address netip.AddrPort) *host {
 	h := p.hosts[address]
 	if h == nil {
-		h = &host{}
+		h = &host{all: make(map[*Conn]struct{})}
 		p.hosts[address] = h
 	}
 	return h
@@ -154,7 +159,16 @@
 		return nil, fmt.Errorf("connect to endpoint: %w", err)
 	}
 	p.opened.Add(1)
-	return &Conn{pool: p, address: address, client: client, conn: w, idleTimeout: DefaultIdleTimeout, isFresh: true}, nil
+	c := &Conn{pool: p, address: address, client: client, conn: w, idleTimeout: DefaultIdleTimeout, openedAt: p.clock.Now(), isFresh: true}
+	p.mu.Lock()
+	p.hostOf(address).all[c] = struct{}{}
+	p.mu.Unlock()
+	client.SetStateHook(func(client *http.ClientConn) {
+		if client.Err() != nil {
+			p.recordLoss(c)
+		}
+	})
+	return c, nil
 }
 
 // Check opens a connection to an address and keeps it for a later call. It returns an error
@@ -209,7 +223,7 @@
 				continue
 			}
 			p.checkLost(c, now)
-			h.open--
+			h.remove(c)
 			expired = append(expired, c)
 		}
 		h.idle = kept
@@ -217,6 +231,7 @@
 			delete(p.hosts, address)
 		}
 	}
+	p.forgetLosses(now)
 	p.mu.Unlock()
 	for _, c := range expired {
 		c.closeClient()
@@ -262,8 +277,8 @@
 // Release returns the connection to the pool. The body of the answer must have been read
 // to its end.
 func (c *Conn) Release() {
-	if c.closed || c.client.Err() != nil || len(c.refused) >= maxRefusals {
-		if !c.closed && c.client.Err() != nil && c.pool.lost != nil {
+	if c.closed.Load() || c.client.Err() != nil || len(c.refused) >= maxRefusals {
+		if !c.closed.Load() && c.client.Err() != nil && c.pool.lost != nil {
 			c.pool.lost(c.address)
 		}
 		c.Close()
@@ -278,15 +293,18 @@
 
 // Close closes the connection. If the endpoint still runs a call, closing cancels it.
 func (c *Conn) Close() {
-	if c.closed {
+	if c.closed.Load() {
 		return
 	}
 	c.closeClient()
+	c.pool.mu.Lock()
+	delete(c.pool.hosts[c.address].all, c)
+	c.pool.mu.Unlock()
 	c.pool.releaseSlot(c.address)
 }
 
 func (c *Conn) closeClient() {
-	c.closed = true
+	c.closed.Store(true)
 	// The connection is not used any more, so an error has no consequence.
 	_ = c.client.Close()
 }
--- a/internal/connection/pooler/pooler_test.go
+++ b/internal/connection/pooler/pooler_test.go
@@ -387,3 +387,57 @@
 		})
 	}
 }
+
+// A survey tells connections that the endpoint has closed, used or idle, from those that live there and elsewhere. Those that
+// this side closes are not lost.
+func TestSurveyTellsLostConnectionsFromLivingOnes(t *testing.T) {
+	ends := make(chan struct{})
+	ending := newEndpoint(t, func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/idle" {
+			answerOK(c, r)
+		}
+		<-ends
+		c.Close()
+	})
+	other := newEndpoint(t, answerOK)
+	p := pooler.New(clock.System{})
+	defer p.Close()
+	var broken atomic.Int32
+	p.SetBroken(func(address netip.AddrPort) {
+		if address == ending.address() {
+			broken.Add(1)
+		}
+	})
+	open := func(e *endpoint) *pooler.Conn {
+		c, err := p.Get(context.Background(), e.address(), 9)
+		require.NoError(t, err)
+		return c
+	}
+	idle, used, closed, elsewhere := open(ending), open(ending), open(ending), open(other)
+	for _, c := range []*pooler.Conn{idle, elsewhere} {
+		response, err := c.Do(get("/idle"))
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		response.Body.Close()
+		c.Release()
+	}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := used.Do(get("/used"))
+		failed <- err
+	}()
+	require.Eventually(t, func() bool { return ending.requests.Load() == 2 }, 30*time.Second, time.Millisecond)
+	closed.Close()
+	require.Equal(t, pooler.Survey{Alive: 2, IsAliveElsewhere: true}, p.Survey(ending.address(), time.Now()))
+	at := time.Now()
+	close(ends)
+	require.Error(t, <-failed)
+	require.Eventually(t, func() bool {
+		return p.Survey(ending.address(), at) == pooler.Survey{Lost: 2, IsAliveElsewhere: true}
+	}, 30*time.Second, time.Millisecond)
+	require.EqualValues(t, 2, broken.Load())
+	require.Equal(t, pooler.Survey{Alive: 1}, p.Survey(other.address(), at))
+	require.NoError(t, p.Check(context.Background(), other.address(), 9))
+	require.Equal(t, pooler.Survey{Alive: 1}, p.Survey(other.address(), at), "later connections do not count")
+}
--- a/internal/node/assembler/entry.go
+++ b/internal/node/assembler/entry.go
@@ -70,6 +70,7 @@
 	uneven         map[string]bool // services whose endpoints were logged as different; used by the sweeper
 
 	mu            sync.Mutex
+	lossChecks    map[netip.AddrPort]bool // endpoints whose lost connections are being checked
 	freshness     registrar.Freshness
 	listID        coordinator.ListID
 	endpoints     []coordinator.Endpoint // the endpoint list, by position
@@ -85,10 +86,11 @@
 	e := &entry{
 		node: n, placer: placer.New(), pool: pooler.New(n.clock), quotas: apportioner.New(), rationer: rationer.New(),
 		counter: accountant.NewCounter(b.UsageWindow()), recorder: newRecorder(n.log, n.clock, n.registry), done: make(chan struct{}),
-		isolator: isolator.New(),
+		isolator: isolator.New(), lossChecks: make(map[netip.AddrPort]bool),
 	}
 	n.entry = e
 	e.pool.SetLost(func(address netip.AddrPort) { e.placer.LoseContact(address, n.bootClock.Now()) })
+	e.pool.SetBroken(e.connectionLost)
 	e.placer.SetDrain(b.Drain())
 	e.placer.SetRegions(n.settings.Regions())
 	e.lives = newLives(e)
--- a/internal/process/attributor/attributor.go
+++ b/internal/process/attributor/attributor.go
@@ -20,6 +20,10 @@
 	// sameCrashTime is the time within which reports about an endpoint are about the same crash. A crashed
 	// endpoint takes longer than that to serve again.
 	sameCrashTime = 1500 * time.Millisecond
+	// minLost is the number of connections to an endpoint that are lost together if it has ended, at least.
+	minLost = 2
+	// sameLossTime is the time within which connections are lost together.
+	sameLossTime = 500 * time.Millisecond
 	// crashTTL is how long a crash is remembered after it was counted, so that late reports do not count again.
 	crashTTL = 10 * time.Second
 	// isolationThreshold is the number of crashes in a row, without a complete answer between them, after which
@@ -58,12 +62,24 @@
 	at        time.Time
 	exposures map[Key]Exposure
 	isCounted bool
-	number    int   // of the crashes counted; 0 before, and if something isolated explains it
-	late      []Key // reported after the crash was counted
+	isEnded   bool           // some entry can't reach the endpoint
+	lost      map[string]int // connections lost together, by who reported them
+	number    int            // of the crashes counted; 0 before, and if something isolated explains it
+	late      []Key          // reported after the crash was counted
 	// reviewedAt is the first review of the crash by a leader that adopts what earlier leaders knew.
 	reviewedAt time.Time
 }
 
+// isCertain reports whether the endpoint has ended. One that is started again at once can be reached; then several
+// connections were lost together. A single one may have been closed for the sake of its call.
+func (k *crash) isCertain() bool {
+	lost := 0
+	for _, n := range k.lost {
+		lost += n
+	}
+	return k.isEnded || lost >= minLost
+}
+
 type isolation struct {
 	until    time.Time
 	duration time.Duration
@@ -74,8 +90,8 @@
 	return &Core{crashes: make(map[string]*crash), suspects: make(map[Key]*suspect), isolations: make(map[Key]*isolation), answers: make(map[Key]time.Time), adopted: make(map[Key]bool)}
 }
 
-// Add adds the report of an entry about a crash. Reports may be repeated.
-func (c *Core) Add(reported *Crash) {
+// Add adds the report of an entry, or of a relay for several, about a crash. Reports may be repeated.
+func (c *Core) Add(reported *Crash, from string) {
 	known := c.crashes[reported.Endpoint]
 	if known != nil && !known.isCounted && reported.At.Before(known.at) && known.at.Sub(reported.At) <= sameCrashTime {
 		// A call that an entry repeated right after the crash was sent before other entries saw it.
@@ -85,19 +101,20 @@
 		if known != nil && reported.At.Before(known.at) {
 			return
 		}
-		known = &crash{at: reported.At, exposures: make(map[Key]Exposure)}
+		known = &crash{at: reported.At, exposures: make(map[Key]Exposure), lost: make(map[string]int)}
 		c.crashes[reported.Endpoint] = known
 	}
+	known.isEnded = known.isEnded || reported.Lost == 0
+	if reported.At.Sub(known.at).Abs() <= sameLossTime {
+		known.lost[from] = max(known.lost[from], reported.Lost)
+	}
 	for _, e := range reported.Exposures {
 		old, ok := known.exposures[e.Key]
 		if !ok && known.isCounted {
 			known.late = append(known.late, e.Key)
 		}
-		if ok && old.StartedAt.After(e.StartedAt) {
-			e.StartedAt = old.StartedAt
-		}
-		if ok && old.AnsweredAt.After(e.AnsweredAt) {
-			e.AnsweredAt = old.AnsweredAt
+		if ok {
+			e = e.merge(old)
 		}
 		known.exposures[e.Key] = e
 	}
@@ -180,7 +197,7 @@
 			}
 			isSettled = now.Sub(k.reviewedAt) >= settleReports*reports.Interval
 		}
-		if !k.isCounted && isSettled {
+		if !k.isCounted && isSettled && k.isCertain() {
 			out = append(out, k)
 		}
 	}
--- a/internal/process/attributor/attributor_test.go
+++ b/internal/process/attributor/attributor_test.go
@@ -55,7 +55,7 @@
 	s := newScenario()
 	var isolated []uint64
 	for i := range 5 {
-		s.core.Add(crashOf(fmt.Sprint("e", i), s.now, common, subject, deadly))
+		s.core.Add(crashOf(fmt.Sprint("e", i), s.now, common, subject, deadly), "entry")
 		isolated = append(isolated, s.wait(500*time.Millisecond)...)
 		s.answer(common)
 	}
@@ -68,12 +68,12 @@
 	cases := map[string]func(s *scenario){
 		"a failure domain is lost": func(s *scenario) {
 			for i := range 20 {
-				s.core.Add(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*time.Millisecond), 1, 2))
+				s.core.Add(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*time.Millisecond), 1, 2), "entry")
 			}
 		},
 		"calls are answered between crashes": func(s *scenario) {
 			for i := range 20 {
-				s.core.Add(crashOf(fmt.Sprint("e", i), s.now, 1))
+				s.core.Add(crashOf(fmt.Sprint("e", i), s.now, 1), "entry")
 				s.wait(time.Second)
 				s.answer(1)
 			}
@@ -83,15 +83,15 @@
 			for range 20 {
 				c := crashOf("e1", at, 1, 2)
 				at = at.Add(10 * time.Millisecond)
-				s.core.Add(c)
+				s.core.Add(c, "entry")
 				s.wait(reportInterval)
-				s.core.Add(c)
+				s.core.Add(c, "entry")
 			}
 		},
 		"two crashes": func(s *scenario) {
-			s.core.Add(crashOf("e1", s.now, 1, 2))
+			s.core.Add(crashOf("e1", s.now, 1, 2), "entry")
 			s.wait(time.Second)
-			s.core.Add(crashOf("e2", s.now, 1, 2))
+			s.core.Add(crashOf("e2", s.now, 1, 2), "entry")
 		},
 	}
 	for name, run := range cases {
@@ -107,7 +107,7 @@
 func isolate(s *scenario, block uint64) []uint64 {
 	var out []uint64
 	for i := range 3 {
-		s.core.Add(crashOf(fmt.Sprint("x", block, "-", i), s.now, block))
+		s.core.Add(crashOf(fmt.Sprint("x", block, "-", i), s.now, block), "entry")
 		out = append(out, s.wait(time.Second)...)
 	}
 	return append(out, s.wait(time.Second)...)
@@ -124,7 +124,7 @@
 	s.now = until.Add(time.Second)
 	require.Empty(t, s.core.Isolations(s.now), "the time is over")
 	s.wait(time.Second)
-	s.core.Add(crashOf("again", s.now, 7))
+	s.core.Add(crashOf("again", s.now, 7), "entry")
 	require.Equal(t, []uint64{7}, s.wait(2*time.Second), "one more crash isolates it again")
 	require.Greater(t, s.core.Isolations(s.now)[0].Until.Sub(s.now), until.Sub(start), "and for longer")
 }
@@ -186,7 +186,7 @@
 					for i := range report.Exposures {
 						report.Exposures[i].StartedAt = c.sent
 					}
-					s.core.Add(report)
+					s.core.Add(report, "entry")
 				case s.now.Sub(c.sent) >= 400*time.Millisecond:
 					for _, b := range c.blocks {
 						s.answer(b)
--- a/internal/process/attributor/bench_test.go
+++ b/internal/process/attributor/bench_test.go
@@ -32,7 +32,7 @@
 				if isRepeated && i >= crashes-3 {
 					add(attributor.RequestKey(1<<40), attributor.RequestDepth)
 				}
-				c.Add(&crash)
+				c.Add(&crash, "entry")
 			}
 			now = now.Add(time.Second)
 			for b.Loop() {
--- a/internal/process/attributor/evidence.go
+++ b/internal/process/attributor/evidence.go
@@ -37,6 +37,45 @@
 	Endpoint  string     `msgpack:"e"`
 	At        time.Time  `msgpack:"a"`
 	Exposures []Exposure `msgpack:"x"`
+	// Lost is the number of connections that an endpoint which can be reached has closed together, while none to it lives. 0
+	// means that it can't be reached.
+	Lost int `msgpack:"l,omitempty"`
+}
+
+// Merge adds what other entries know of the same crash. It reports false if the other one is not the same.
+func (c *Crash) Merge(other *Crash) bool {
+	if c.Endpoint != other.Endpoint || c.At.Sub(other.At).Abs() > sameCrashTime {
+		return false
+	}
+	switch {
+	case c.Lost == 0 || other.Lost == 0:
+		c.Lost = 0
+	case c.At.Sub(other.At).Abs() <= sameLossTime:
+		c.Lost += other.Lost
+	default:
+		c.Lost = max(c.Lost, other.Lost)
+	}
+	if other.At.Before(c.At) {
+		c.At = other.At
+	}
+	known := make(map[Key]int, len(c.Exposures))
+	for i, e := range c.Exposures {
+		known[e.Key] = i
+	}
+	for _, e := range other.Exposures {
+		if i, ok := known[e.Key]; ok {
+			c.Exposures[i] = c.Exposures[i].merge(e)
+		} else {
+			c.Exposures = append(c.Exposures, e)
+		}
+	}
+	return true
+}
+
+// merge returns the exposure with the later times of both.
+func (e Exposure) merge(other Exposure) Exposure {
+	e.StartedAt, e.AnsweredAt = latest(e.StartedAt, other.StartedAt), latest(e.AnsweredAt, other.AnsweredAt)
+	return e
 }
 
 // Suspect is a request or block that may have crashed endpoints since a time.
--- a/internal/process/attributor/request_test.go
+++ b/internal/process/attributor/request_test.go
@@ -34,16 +34,16 @@
 	const deadly, block = 900, 1
 	cases := map[string]func(s *scenario, number int){
 		"without a prompt": func(s *scenario, number int) {
-			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now), deadly, uint64(number)))
+			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now), deadly, uint64(number)), "entry")
 		},
 		"with blocks that were in no other crash": func(s *scenario, number int) {
-			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, block, 2), deadly, uint64(number)))
+			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, block, 2), deadly, uint64(number)), "entry")
 		},
 		"with a block that was in another crash too": func(s *scenario, number int) {
 			if number == 2 {
-				s.core.Add(withRequests(crashOf("lost", s.now.Add(-150*time.Millisecond), block), 50))
+				s.core.Add(withRequests(crashOf("lost", s.now.Add(-150*time.Millisecond), block), 50), "entry")
 			}
-			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, block), deadly, uint64(number)))
+			s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, block), deadly, uint64(number)), "entry")
 		},
 	}
 	for name, crash := range cases {
@@ -64,7 +64,7 @@
 func TestSoundRequestsAreNotIsolated(t *testing.T) {
 	s := newScenario()
 	for i := range 20 {
-		s.core.Add(withRequests(crashOf(fmt.Sprint("e", i), s.now), 7, 8))
+		s.core.Add(withRequests(crashOf(fmt.Sprint("e", i), s.now), 7, 8), "entry")
 		s.wait(time.Second)
 		s.core.Answer(attributor.Answer{Key: attributor.RequestKey(7), At: s.now})
 		s.core.Answer(attributor.Answer{Key: attributor.RequestKey(8), At: s.now})
@@ -80,7 +80,7 @@
 	number := 0
 	crash := func(fingerprint uint64) {
 		number++
-		s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, deadly), fingerprint))
+		s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now, deadly), fingerprint), "entry")
 		s.wait(time.Second)
 	}
 	for range 3 {
@@ -99,7 +99,7 @@
 	const deadly = 3
 	s := newScenario()
 	for number, fingerprint := range []uint64{900, 901, 901, 902, 902, 902} {
-		s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now.Add(time.Duration(number)*200*time.Millisecond), deadly), fingerprint))
+		s.core.Add(withRequests(crashOf(fmt.Sprint("e", number), s.now.Add(time.Duration(number)*200*time.Millisecond), deadly), fingerprint), "entry")
 	}
 	s.wait(3 * time.Second)
 	require.Equal(t, []attributor.Key{key(deadly)}, s.isolated())
@@ -108,8 +108,8 @@
 func TestTwoRequestsThatCrashEndpointsAreIsolated(t *testing.T) {
 	s := newScenario()
 	for i := range 3 {
-		s.core.Add(withRequests(crashOf(fmt.Sprint("a", i), s.now, 1), 900))
-		s.core.Add(withRequests(crashOf(fmt.Sprint("b", i), s.now, 1), 901))
+		s.core.Add(withRequests(crashOf(fmt.Sprint("a", i), s.now, 1), 900), "entry")
+		s.core.Add(withRequests(crashOf(fmt.Sprint("b", i), s.now, 1), 901), "entry")
 		s.wait(time.Second)
 	}
 	s.wait(time.Second)
@@ -122,10 +122,10 @@
 	at := s.now
 	for i := range 3 {
 		endpoint := fmt.Sprint("e", i)
-		s.core.Add(withRequests(crashOf(endpoint, at.Add(20*time.Millisecond)), uint64(i)))
+		s.core.Add(withRequests(crashOf(endpoint, at.Add(20*time.Millisecond)), uint64(i)), "entry")
 		c := withRequests(crashOf(endpoint, at), 900)
 		c.Exposures[0].StartedAt = at.Add(-10 * time.Millisecond)
-		s.core.Add(c)
+		s.core.Add(c, "entry")
 		at = at.Add(15 * time.Millisecond)
 	}
 	s.wait(3 * time.Second)
@@ -137,7 +137,7 @@
 func TestRequestThatEndsEndpointsAtOnceIsIsolated(t *testing.T) {
 	s := newScenario()
 	for i := range 3 {
-		s.core.Add(withRequests(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*10*time.Millisecond)), 900, uint64(i)))
+		s.core.Add(withRequests(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*10*time.Millisecond)), 900, uint64(i)), "entry")
 	}
 	s.wait(3 * time.Second)
 	require.Equal(t, []attributor.Key{attributor.RequestKey(900)}, s.isolated())
@@ -156,14 +156,14 @@
 		"a domain is lost": func(s *scenario) {
 			at := s.now.Add(-time.Second)
 			for i := range 6 {
-				s.core.Add(answered(withRequests(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*10*time.Millisecond)), 7), at))
+				s.core.Add(answered(withRequests(crashOf(fmt.Sprint("e", i), s.now.Add(time.Duration(i)*10*time.Millisecond)), 7), at), "entry")
 			}
 		},
 		"answered before the second crash": func(s *scenario) {
-			s.core.Add(withRequests(crashOf("e1", s.now), 7))
+			s.core.Add(withRequests(crashOf("e1", s.now), 7), "entry")
 			s.wait(20 * time.Second)
-			s.core.Add(answered(withRequests(crashOf("e2", s.now), 7), s.now.Add(-time.Second)))
-			s.core.Add(withRequests(crashOf("e3", s.now.Add(500*time.Millisecond)), 7))
+			s.core.Add(answered(withRequests(crashOf("e2", s.now), 7), s.now.Add(-time.Second)), "entry")
+			s.core.Add(withRequests(crashOf("e3", s.now.Add(500*time.Millisecond)), 7), "entry")
 		},
 	}
 	for name, run := range cases {
@@ -179,14 +179,14 @@
 // What a leader suspected was lost with it: each new leader began to count again.
 func TestSuspectedRequestsSurviveTheLeader(t *testing.T) {
 	s := newScenario()
-	crash := func(endpoint string) { s.core.Add(withRequests(crashOf(endpoint, s.now, 1), 900)) }
+	crash := func(endpoint string) { s.core.Add(withRequests(crashOf(endpoint, s.now, 1), 900), "entry") }
 	crash("e1")
 	s.wait(time.Second)
 	crash("e2")
 	s.wait(time.Second)
 	suspects := s.core.Suspects()
 	s.core = attributor.New()
-	s.core.Add(withRequests(crashOf("e2", s.now.Add(-time.Second), 1), 900)) // reported again
+	s.core.Add(withRequests(crashOf("e2", s.now.Add(-time.Second), 1), 900), "entry") // reported again
 	for range 3 {
 		s.core.AdoptSuspects(suspects, s.now)
 		s.wait(time.Second)
@@ -221,7 +221,7 @@
 			fingerprint++
 			withRequests(c, fingerprint)
 		}
-		s.core.Add(c)
+		s.core.Add(c, "entry")
 		s.wait(time.Second)
 	}
 	for i := range 3 {
--- a/internal/process/coordinator/core.go
+++ b/internal/process/coordinator/core.go
@@ -272,7 +272,7 @@
 		c.attributor.AdoptSuspects(r.Suspects, clusterTime)
 	}
 	for i := range r.Crashes {
-		c.attributor.Add(&r.Crashes[i])
+		c.attributor.Add(&r.Crashes[i], r.Node)
 	}
 	for _, a := range r.Answers {
 		c.attributor.Answer(a)
--- a/internal/process/coordinator/group.go
+++ b/internal/process/coordinator/group.go
@@ -390,7 +390,7 @@
 
 // evidence collects what entries report of crashes, and of what endpoints said of themselves.
 type evidence struct {
-	crashes    []attributor.Crash
+	crashes    map[string][]*attributor.Crash // by endpoint
 	answers    map[attributor.Key]attributor.Answer
 	isolations map[attributor.Key]attributor.Isolation
 	suspects   map[attributor.Key]attributor.Suspect
@@ -400,6 +400,7 @@
 
 func newEvidence() *evidence {
 	return &evidence{
+		crashes: make(map[string][]*attributor.Crash),
 		answers: make(map[attributor.Key]attributor.Answer), isolations: make(map[attributor.Key]attributor.Isolation),
 		suspects: make(map[attributor.Key]attributor.Suspect), notices: make(map[noticeKey]Notice), pauses: make(map[noticeKey][]time.Duration),
 	}
@@ -407,7 +408,9 @@
 
 // add adds a report that was received some time ago.
 func (e *evidence) add(r *Report, age time.Duration) {
-	e.crashes = append(e.crashes, r.Crashes...)
+	for i := range r.Crashes {
+		e.addCrash(&r.Crashes[i])
+	}
 	for _, a := range r.Answers {
 		if a.At.After(e.answers[a.Key].At) {
 			e.answers[a.Key] = a
@@ -428,6 +431,17 @@
 	}
 }
 
+// addCrash merges the reports of a crash, so that what is sent does not grow with the number of entries.
+func (e *evidence) addCrash(reported *attributor.Crash) {
+	same := e.crashes[reported.Endpoint]
+	if slices.ContainsFunc(same, func(c *attributor.Crash) bool { return c.Merge(reported) }) {
+		return
+	}
+	own := *reported
+	own.Exposures = slices.Clone(reported.Exposures)
+	e.crashes[reported.Endpoint] = append(same, &own)
+}
+
 func (e *evidence) addNotice(n *Notice, age time.Duration) {
 	key := n.key()
 	sum, ok := e.notices[key]
@@ -444,7 +458,11 @@
 
 // fill fills in a report of the group.
 func (e *evidence) fill(r *Report) {
-	r.Crashes = e.crashes
+	for _, crashes := range e.crashes {
+		for _, c := range crashes {
+			r.Crashes = append(r.Crashes, *c)
+		}
+	}
 	r.Answers = slices.Collect(maps.Values(e.answers))
 	r.Isolations = slices.Collect(maps.Values(e.isolations))
 	r.Suspects = slices.Collect(maps.Values(e.suspects))
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -244,6 +244,15 @@
 	return a.x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// breakOff closes the connection after the answer broke off.
+func (a *attempt) breakOff(err error) {
+	if a.isBroken = a.isConnectionLost(err); a.isBroken {
+		a.conn.Lose()
+		return
+	}
+	a.conn.Close()
+}
+
 // readAnswer checks the head of the answer and reads the rest.
 func (a *attempt) readAnswer() step {
 	x := a.x
@@ -323,7 +332,7 @@
 	body, isWhole, err := a.memory.ReadAll(a.response.Body, maxBufferedAnswer)
 	a.endWait()
 	if err != nil {
-		a.isBroken = a.isConnectionLost(err)
+		a.breakOff(err)
 		return a.unusableAnswer("the answer broke off: " + err.Error())
 	}
 	a.recordFirstByte()
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -158,6 +158,9 @@
 	s := a.x.stream
 	if len(s.partial) > 0 || !s.isStarted || a.events.isResumed && !a.events.isStarted {
 		a.isBroken = true
+		if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
+			a.conn.Lose() // the end of the connection ended the answer
+		}
 		return a.unusableAnswer("the stream ended without an event or within one")
 	}
 	a.outcome = placer.Answered
@@ -168,10 +171,9 @@
 // streamBroken ends an attempt whose stream broke off.
 func (a *attempt) streamBroken(err error) step {
 	x := a.x
-	a.conn.Close()
+	a.breakOff(err)
 	x.mayRun = true
 	x.result.Detail = "the stream broke off: " + err.Error()
-	a.isBroken = a.isConnectionLost(err)
 	if x.ctx.Err() == nil && (!errors.Is(err, os.ErrDeadlineExceeded) || x.remaining() > minRemaining) {
 		a.outcome = placer.Failed
 	}
--- a/internal/request/isolator/fleet_test.go
+++ b/internal/request/isolator/fleet_test.go
@@ -131,7 +131,7 @@
 			f.leader.AdoptSuspects(e.Suspects(), f.now)
 		}
 		for i := range crashes {
-			f.leader.Add(&crashes[i])
+			f.leader.Add(&crashes[i], "e")
 		}
 		for _, a := range answers {
 			f.leader.Answer(a)
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -51,6 +51,7 @@
 	lastAt    time.Time // when the last of the calls broke off
 	exposures map[attributor.Key]attributor.Exposure
 	isCrash   bool // the endpoint can't be reached
+	lost      int  // connections that it closed together, if it can be reached and has ended
 }
 
 // New returns an isolator without evidence.
@@ -106,7 +107,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	b := i.breaks[endpoint]
-	if b == nil || b.isCrash {
+	if b == nil || b.isCrash || b.lost > 0 {
 		return false
 	}
 	if b.lastAt.After(checkedAt) {
@@ -125,6 +126,19 @@
 	}
 }
 
+// Lost records that an endpoint which can be reached has closed a number of connections together, and that none to it
+// lives: it may have ended and been started again. Other entries may know more of it.
+func (i *Isolator) Lost(endpoint string, connections int, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	b := i.breaks[endpoint]
+	if b == nil || now.Sub(b.at) > breakWindow {
+		b = &breakage{at: now, lastAt: now, exposures: make(map[attributor.Key]attributor.Exposure)}
+		i.breaks[endpoint] = b
+	}
+	b.lost = max(b.lost, connections)
+}
+
 // Answered records that a call was answered completely.
 func (i *Isolator) Answered(service string, call Call, now time.Time) {
 	keys := keysOf(service, call)
@@ -182,10 +196,13 @@
 			delete(i.breaks, endpoint)
 			continue
 		}
-		if !b.isCrash {
+		if !b.isCrash && b.lost == 0 {
 			continue
 		}
 		c := attributor.Crash{Endpoint: endpoint, At: b.at}
+		if !b.isCrash {
+			c.Lost = b.lost
+		}
 		for _, e := range b.exposures {
 			c.Exposures = append(c.Exposures, e)
 		}
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -1,6 +1,8 @@
 package isolator_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -234,7 +236,7 @@
 				for _, entry := range entries {
 					crashes, answers, _ := entry.Report(now)
 					for k := range crashes {
-						leader.Add(&crashes[k])
+						leader.Add(&crashes[k], "e")
 					}
 					for _, a := range answers {
 						leader.Answer(a)
@@ -247,3 +249,21 @@
 		})
 	}
 }
+
+// Connections that are lost together are reported with the calls that broke off on them, and by entries that had none.
+func TestLostConnectionsAreReported(t *testing.T) {
+	i := isolator.New()
+	require.True(t, i.Broken(endpoint, call(900, 1, 2, 90), start, start))
+	i.Lost(endpoint.ID, 2, start)
+	require.False(t, i.Reachable(endpoint.ID, start), "that it can be reached does not matter")
+	i.Lost("e2", 1, start)
+	crashes, _, _ := i.Report(start.Add(time.Second))
+	slices.SortFunc(crashes, func(a, b attributor.Crash) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	require.Len(t, crashes, 2)
+	require.Equal(t, []int{2, 1}, []int{crashes[0].Lost, crashes[1].Lost})
+	require.Len(t, crashes[0].Exposures, 3)
+	require.Empty(t, crashes[1].Exposures)
+	i.Unreachable(endpoint.ID, start)
+	crashes, _, _ = i.Report(start.Add(time.Second))
+	require.True(t, slices.ContainsFunc(crashes, func(c attributor.Crash) bool { return c.Endpoint == endpoint.ID && c.Lost == 0 }))
+}
