Draw Expect, long fields, lone returns and more empty lines before requests

Change: the property of heads draws them too, and checks that each request that was served has its answer, in order, with at most a refusal behind them. No product code is changed.

--- a/internal/connection/screener/head_test.go
+++ b/internal/connection/screener/head_test.go
@@ -192,12 +192,22 @@
 	if rapid.Bool().Draw(t, "folded") {
 		addFields("X-Long: a" + lineEnd() + " " + rapid.SampledFrom([]string{"", "b"}).Draw(t, "continuation"))
 	}
+	if rapid.Bool().Draw(t, "long") {
+		addFields("X-Longer: " + strings.Repeat("a", rapid.IntRange(0, 40<<10).Draw(t, "length of a field")))
+	}
 	if version == "1.0" {
 		addFields("Connection: keep-alive")
+	} else if body != "" && rapid.Bool().Draw(t, "expects") {
+		addFields(name("Expect") + ": 100-continue")
 	}
 	var out strings.Builder
-	for range rapid.IntRange(0, 2).Draw(t, "empty lines") {
-		out.WriteString(lineEnd())
+	if emptyLines := rapid.IntRange(0, 12).Draw(t, "empty lines"); emptyLines <= maxEmptyLines+1 {
+		for range emptyLines {
+			out.WriteString(lineEnd())
+		}
+	}
+	if rapid.IntRange(0, 20).Draw(t, "lone return") == 20 {
+		out.WriteString("\r")
 	}
 	out.WriteString(method + " " + target + " HTTP/" + version + lineEnd())
 	for _, f := range fields {
@@ -219,11 +229,39 @@
 			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
 			pieces, rest = append(pieces, rest[:n]), rest[n:]
 		}
-		served, _ := serveScript(t, pieces...)
+		served, answers := serveScript(t, pieces...)
 		require.Equal(t, expected(raw), served, "%q", pieces)
+		requireAnswers(t, served, answers)
 	})
 }
 
+// requireAnswers checks that each request that was served has its answer, in their order, and that at most a refusal follows.
+func requireAnswers(t require.TestingT, served []string, answers string) {
+	r := bufio.NewReader(strings.NewReader(answers))
+	for {
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			require.Empty(t, served, "%q", answers)
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		response.Body.Close()
+		switch {
+		case response.StatusCode == http.StatusContinue:
+		case len(served) > 0:
+			path := strings.Fields(served[0])[1]
+			// A body that breaks off is answered with 400 by the handler.
+			if response.StatusCode != http.StatusBadRequest {
+				require.Equal(t, "answer to "+path, string(body))
+			}
+			served = served[1:]
+		default:
+			require.Equal(t, http.StatusBadRequest, response.StatusCode)
+		}
+	}
+}
+
 // The forms of a request that hides another one in its body, behind each form of a request that was delimited otherwise.
 func TestHiddenRequestIsNeverServed(t *testing.T) {
 	inner := "POST /hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
