Reject answers with a blank in the name of a field

Callers saw: a 200 for such an answer, without the line, with a body that ends elsewhere than the endpoint meant ("Content-Length : 2") or with the lines of its chunks ("Transfer-Encoding : chunked"), on every kind of route and from both kinds of endpoints.

Cause: net/http rejects each byte that a name cannot have, except the blank. Such a field stays in the header under its raw name, and a field of framing is then not applied.

Change: package inspector checks the heads of answers for the clients of managed endpoints (pooler) and of the own interface (dialer). A malformed answer is no answer: the call may have run, a repeatable one goes to another endpoint, the connection is closed. It does not count as a connection that the endpoint lost, so it is no sign of a crash. Why this holds: the raw names are still in the header of each parsed answer, and no reader gets one that was not checked. Control bytes were rejected before; their cases stay.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"hyssoprudder/internal/connection/inspector"
 	"hyssoprudder/internal/process/reserver"
 )
 
@@ -91,7 +92,7 @@
 func New() *Dialer {
 	connect := &net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
 	return &Dialer{memory: reserver.New(maxAnswerMemory, freeAnswer), client: &http.Client{
-		Transport: &http.Transport{
+		Transport: inspector.NewTransport(&http.Transport{
 			DialContext:            dialTracked(connect),
 			MaxConnsPerHost:        maxConns,
 			MaxIdleConnsPerHost:    maxIdleConns,
@@ -99,7 +100,7 @@
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -167,10 +168,7 @@
 func (d *Dialer) send(req *http.Request) (*http.Response, usedConn, error) {
 	var used atomic.Pointer[usedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, ok := info.Conn.(*trackedConn)
-		if !ok {
-			conn = &trackedConn{Conn: info.Conn}
-		}
+		conn := info.Conn.(*inspector.Conn).Conn.(*trackedConn)
 		used.Store(&usedConn{conn: conn, isReused: info.Reused})
 	}}
 	resp, err := d.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
--- a/internal/connection/dialer/refusals.go
+++ b/internal/connection/dialer/refusals.go
@@ -21,7 +21,7 @@
 
 // trackedConn is a connection that knows the calls that were refused on it.
 type trackedConn struct {
-	net.Conn
+	*net.TCPConn
 
 	mu      sync.Mutex
 	refused []uint64 // hashes of their IDs, the last one last
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{TCPConn: conn.(*net.TCPConn)}, nil
 	}
 }
 
--- /dev/null
+++ b/internal/connection/inspector/inspector.go
@@ -0,0 +1,38 @@
+// Package inspector checks the heads and the ends of HTTP answers, for all clients that read
+// answers. An answer that does not pass must not be used, whatever its status.
+package inspector
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// MalformedError means that the head of an answer violates the protocol. The request may
+// have been carried out.
+type MalformedError struct {
+	reason string
+}
+
+// Error returns what is wrong with the head.
+func (e *MalformedError) Error() string { return "malformed answer: " + e.reason }
+
+// IsMalformed reports whether an answer was rejected for its head.
+func IsMalformed(err error) bool {
+	var malformed *MalformedError
+	return errors.As(err, &malformed)
+}
+
+// checkHead checks what net/http accepts and the protocol forbids, as far as the parsed
+// answer still shows it.
+func checkHead(response *http.Response) error {
+	for name := range response.Header {
+		// All other bytes that a name cannot have are rejected by net/http. A field of
+		// framing with a blank in its name is not applied.
+		if strings.Contains(name, " ") {
+			return &MalformedError{reason: fmt.Sprintf("field name %q", name)}
+		}
+	}
+	return nil
+}
--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"hyssoprudder/internal/connection/inspector"
 	"hyssoprudder/internal/process/clock"
 )
 
@@ -257,7 +258,8 @@
 func (f *Failure) IsSent() bool { return f.isSent }
 
 // Do sends a call and returns the answer, whose body the caller must read and close. The
-// error is a *Failure; the connection is then closed.
+// error is a *Failure; the connection is then closed. It wraps an *inspector.MalformedError if
+// the endpoint sent an answer that cannot be used.
 func (c *Conn) Do(request *http.Request) (*http.Response, error) {
 	before := c.conn.written.Load()
 	response, err := c.client.RoundTrip(request)
@@ -265,6 +267,11 @@
 		c.Close()
 		return nil, &Failure{isSent: c.conn.written.Load() != before, cause: err}
 	}
+	if err := c.conn.inspected.Check(response); err != nil {
+		c.Close()
+		response.Body.Close()
+		return nil, &Failure{isSent: true, cause: err}
+	}
 	if idle, ok := keepAlive(response.Header); ok {
 		c.idleTimeout = idle
 	}
@@ -329,10 +336,11 @@
 
 // countingConn counts the bytes written to a connection, and extends its read deadline.
 type countingConn struct {
-	net.Conn
-	clock    clock.Clock
-	written  atomic.Int64
-	deadline readDeadline
+	net.Conn  // the same as inspected
+	inspected *inspector.Conn
+	clock     clock.Clock
+	written   atomic.Int64
+	deadline  readDeadline
 }
 
 // Write writes b. Its bytes are counted before the write, because some of them may be sent
@@ -358,7 +366,8 @@
 	if !ok {
 		return inner, nil
 	}
-	w.Conn = inner
+	w.inspected = inspector.NewConn(inner)
+	w.Conn = w.inspected
 	return w, nil
 }
 
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"hyssoprudder/internal/connection/inspector"
 	"hyssoprudder/internal/connection/pooler"
 	"hyssoprudder/internal/process/registrar"
 	"hyssoprudder/internal/process/reserver"
@@ -241,7 +242,7 @@
 // isConnectionLost reports whether the endpoint closed or reset the connection, as it
 // does when it ends.
 func (a *attempt) isConnectionLost(err error) bool {
-	return a.x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return a.x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !inspector.IsMalformed(err)
 }
 
 // breakOff closes the connection after the answer broke off.
--- /dev/null
+++ b/internal/request/forwarder/broken_test.go
@@ -0,0 +1,82 @@
+package forwarder_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/request/forwarder"
+	"hyssoprudder/internal/standin/answerer"
+)
+
+var brokenPaths = []string{"/safe/1", "/once/1", "/stream/1", "/resumable/1"}
+
+// wholeBody returns a body that is an answer on the route.
+func wholeBody(path string) string {
+	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
+		return "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	}
+	return "an answer of an endpoint"
+}
+
+func soundFields(r *http.Request) http.Header {
+	return http.Header{headerID: {r.Header.Get(headerID)}, headerSeal: {"x"}}
+}
+
+// answerText returns a function that sends an answer and closes the connection in order.
+func answerText(answer answerer.Answer, body string) answerFunc {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = c.Write([]byte(answer.Text(soundFields(r), body)))
+		answerer.Linger(c.(*net.TCPConn))
+		return false
+	}
+}
+
+// testBroken checks that the answers are not delivered on any route, whatever the endpoints of a repeatable call answer,
+// and that another endpoint answers such a call.
+func testBroken(t *testing.T, answers map[string]answerer.Answer) {
+	for name, answer := range answers {
+		for _, path := range brokenPaths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				broken := answerText(answer, wholeBody(path))
+				e := newEndpoint(t, broken)
+				got := newFixture(t, e).call(t, path, "k1", "prompt")
+				require.NoError(t, got.err)
+				require.Equal(t, string(forwarder.Unknown), got.refusal, "%d %q", got.status, got.body)
+				require.Empty(t, got.body)
+				require.Len(t, e.requests(), 1, "sent again to the same endpoint")
+				once := answersOnce(broken, answerText(answerer.Sound()["length"], wholeBody(path)))
+				first, second := newEndpoint(t, once), newEndpoint(t, once)
+				got = newFixture(t, first, second).call(t, path, "k1", "prompt")
+				require.NoError(t, got.err)
+				if path == "/once/1" || path == "/stream/1" {
+					require.Equal(t, string(forwarder.Unknown), got.refusal, "%d %q", got.status, got.body)
+					require.Len(t, append(first.requests(), second.requests()...), 1)
+					return
+				}
+				require.Equal(t, wholeBody(path), got.body)
+			})
+		}
+	}
+}
+
+// Answers with a blank in the name of a field were delivered, without the line or with a body of another length.
+func TestAnswerWithMalformedNameIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misnamed()) }
+
+func TestSoundAnswerIsDelivered(t *testing.T) {
+	for name, answer := range answerer.Sound() {
+		for _, path := range brokenPaths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				got := newFixture(t, newEndpoint(t, answerText(answer, wholeBody(path)))).call(t, path, "k1", "prompt")
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, wholeBody(path), got.body)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/answerer/answerer.go
@@ -0,0 +1,95 @@
+// Package answerer is a stand-in that answers HTTP requests with given bytes, which may be no
+// sound answer, and has lists of such answers.
+package answerer
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Answer is the text of an answer. {fields} in it stands for the fields that the client expects,
+// each with its line end, {body} for the body, {length} for its length and {half} for half of that.
+type Answer string
+
+const (
+	name10       = "HTTP/1.0 200 OK\r\n{fields}"
+	name11       = "HTTP/1.1 200 OK\r\n{fields}"
+	withLength   = "Content-Length: {length}\r\n\r\n{body}"
+	withChunks   = "Transfer-Encoding: chunked\r\n\r\n{chunks}"
+	untilClosure = "\r\n{body}"
+)
+
+// Misnamed returns answers in whose heads the name of a field holds a byte that no name can have.
+func Misnamed() map[string]Answer {
+	return map[string]Answer{
+		"blank before the colon":      name11 + "X-A : v\r\n" + withLength,
+		"blank in a name":             name11 + "X-A B: v\r\n" + withLength,
+		"blank in the second name":    "HTTP/1.1 200 OK\r\nX-A: a\r\nB b: v\r\n{fields}" + withLength,
+		"blanks around a name":        name11 + "X-A: a\r\nB  : v\r\n" + withLength,
+		"blank in a last name":        name11 + "Content-Length: {length}\r\nX y\t: v\r\n\r\n{body}",
+		"blank after the length":      name11 + "Content-Length : {half}\r\n" + untilClosure,
+		"blank after a second length": name11 + "Content-Length : {half}\r\n" + withLength,
+		"blank in the length":         name11 + "Content- Length: {half}\r\n" + untilClosure,
+		"blank after the encoding":    name11 + "Transfer-Encoding : chunked\r\n" + untilClosure,
+		"encoding beside a length":    name11 + "Transfer-Encoding : chunked\r\n" + withLength,
+		"blank in version 1.0":        name10 + "X-A : v\r\n" + untilClosure,
+		"control byte in a name":      name11 + "X-\x01A: v\r\n" + withLength,
+		"NUL in a name":               name11 + "X-A\x00: v\r\n" + withLength,
+		"tab before the colon":        name11 + "X-A\t: v\r\n" + withLength,
+		"DEL in a name":               name11 + "X-\x7fA: v\r\n" + withLength,
+		"empty name":                  name11 + ": v\r\n" + withLength,
+		"no colon":                    name11 + "X-A\r\n" + withLength,
+	}
+}
+
+// Sound returns answers that must be accepted.
+func Sound() map[string]Answer {
+	return map[string]Answer{
+		"length":                     name11 + withLength,
+		"length in 1.0":              name10 + withLength,
+		"chunks":                     name11 + withChunks,
+		"chunks and a length":        name11 + "Content-Length: {length}\r\n" + withChunks,
+		"chunks with extension":      name11 + "Transfer-Encoding: chunked\r\n\r\n{extended}",
+		"trailer":                    name11 + "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n{trailed}",
+		"to the end":                 name11 + untilClosure,
+		"to the end, close":          name11 + "Connection: close\r\n" + untilClosure,
+		"to the end in 1.0":          name10 + untilClosure,
+		"encoding only in a value":   name10 + "X-A: Transfer-Encoding: chunked\r\n" + untilClosure,
+		"encoding only in a fold":    name10 + "X-A: a\r\n Transfer-Encoding: chunked\r\n" + untilClosure,
+		"encoding only in the body":  name10 + "X-Transfer-Encoding: chunked\r\n" + untilClosure,
+		"encoding of an interim one": "HTTP/1.0 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + name10 + untilClosure,
+		"folded value":               name11 + "X-A: a\r\n  b\r\n\tc\r\n" + withLength,
+		"empty value":                name11 + "X-A:\r\n" + withLength,
+		"high bytes in a value":      name11 + "X-A: caf\xc3\xa9 \xff\r\n" + withLength,
+		"any token":                  name11 + "!#$%&'*+-.^_`|~09azAZ: v\r\n" + withLength,
+		"bare newlines":              "HTTP/1.1 200 OK\n{fields}Content-Length: {length}\n\n{body}",
+		"bare newlines in 1.0":       "HTTP/1.0 200 OK\n{fields}\n{body}",
+		"interim answers":            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + name11 + withLength,
+		"interim answers in 1.0":     "HTTP/1.0 103 Hints\r\nLink: a\r\n\r\n" + name10 + untilClosure,
+		"no reason":                  "HTTP/1.1 200\r\n{fields}" + withLength,
+		"later minor version":        "HTTP/1.2 200 OK\r\n{fields}" + withLength,
+		"blanks around the value":    name11 + "X-A:  \t v \t \r\n" + withLength,
+	}
+}
+
+// Text returns the bytes of the answer.
+func (a Answer) Text(fields http.Header, body string) string {
+	var lines strings.Builder
+	_ = fields.Write(&lines) // does not fail
+	chunks := func(extension, trailer string) string {
+		half := len(body) / 2
+		text := ""
+		for _, part := range []string{body[:half], body[half:]} {
+			if part != "" {
+				text += fmt.Sprintf("%x%s\r\n%s\r\n", len(part), extension, part)
+			}
+		}
+		return text + "0\r\n" + trailer + "\r\n"
+	}
+	return strings.NewReplacer(
+		"{fields}", lines.String(), "{body}", body, "{length}", strconv.Itoa(len(body)), "{half}", strconv.Itoa(len(body)/2),
+		"{chunks}", chunks("", ""), "{extended}", chunks(";a=b", ""), "{trailed}", chunks("", "X-T: t\r\n"),
+	).Replace(string(a))
+}
