Reject answers whose status is above 599

Callers saw: an answer with a status from 600 to 999, passed on as it was. 000, 042 and 101 were handled.

Cause: the status was checked at two places, against its lower bound only.

Change: both checks move to package inspector, which accepts final statuses from 200 to 599. RFC 9110 (15) calls others invalid, so that such an answer says neither that a call was carried out nor that it was not.

--- a/internal/connection/dialer/broken_test.go
+++ b/internal/connection/dialer/broken_test.go
@@ -101,6 +101,11 @@
 	forEachAnswer(t, answerer.Misnamed(), requireRejected)
 }
 
+// Statuses above those of the protocol were accepted.
+func TestAnswerWithImpossibleStatusIsRejected(t *testing.T) {
+	forEachAnswer(t, answerer.Misstated(), requireRejected)
+}
+
 func TestSoundAnswerIsAccepted(t *testing.T) {
 	forEachAnswer(t, answerer.Sound(), func(t *testing.T, _ *answerer.Server, err error) {
 		t.Helper()
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -153,9 +153,6 @@
 	if err := used.checkAnswer(resp, req.ID, isRefusal); err != nil {
 		return Answer{}, err
 	}
-	if resp.StatusCode < http.StatusOK {
-		return Answer{}, &SendError{sent: true, err: fmt.Errorf("the answer has no final status: %d", resp.StatusCode)}
-	}
 	content, err := d.readAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, err
--- a/internal/connection/inspector/inspector.go
+++ b/internal/connection/inspector/inspector.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// maxStatus is the largest status that an answer can have (RFC 9110, 15).
+const maxStatus = 599
+
 // MalformedError means that the head of an answer violates the protocol. The request may
 // have been carried out.
 type MalformedError struct {
@@ -27,6 +30,9 @@
 // checkHead checks what net/http accepts and the protocol forbids, as far as the parsed
 // answer still shows it.
 func checkHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return &MalformedError{reason: "no final status: " + response.Status}
+	}
 	for name := range response.Header {
 		// All other bytes that a name cannot have are rejected by net/http. A field of
 		// framing with a blank in its name is not applied.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -266,9 +266,6 @@
 		return a.rejected()
 	}
 	x.mayRun = true
-	if a.response.StatusCode < http.StatusOK {
-		return a.unusableAnswer("the answer has no final status: " + strconv.Itoa(a.response.StatusCode))
-	}
 	if a.response.StatusCode/100 == 2 && !a.reply.IsSealed {
 		return a.unusableAnswer("the answer is not sealed")
 	}
--- a/internal/request/forwarder/broken_test.go
+++ b/internal/request/forwarder/broken_test.go
@@ -67,6 +67,9 @@
 // Answers with a blank in the name of a field were delivered, without the line or with a body of another length.
 func TestAnswerWithMalformedNameIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misnamed()) }
 
+// Statuses above those of the protocol were delivered.
+func TestAnswerWithImpossibleStatusIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misstated()) }
+
 func TestSoundAnswerIsDelivered(t *testing.T) {
 	for name, answer := range answerer.Sound() {
 		for _, path := range brokenPaths {
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// Misstated returns answers without a final status.
+func Misstated() map[string]Answer {
+	out := make(map[string]Answer)
+	for _, status := range []string{"000", "042", "099", "-01", "101", "600", "999"} {
+		out["status "+status] = Answer("HTTP/1.1 "+status+" OK\r\n{fields}") + withLength
+		out["status "+status+" to the end"] = Answer("HTTP/1.0 "+status+" OK\r\n{fields}") + untilClosure
+	}
+	return out
+}
+
 // Sound returns answers that must be accepted.
 func Sound() map[string]Answer {
 	return map[string]Answer{
