Reject answers of another major version than 1

Callers saw: a 200 for an answer whose first line says version 0.9, 2.0 or 9.9.

Change: the major version has to be 1. Later minor versions are accepted, as RFC 9110 (2.5) wants.

Version 1.2 is accepted before and after.

--- a/internal/connection/dialer/broken_test.go
+++ b/internal/connection/dialer/broken_test.go
@@ -106,6 +106,10 @@
 	forEachAnswer(t, answerer.Misstated(), requireRejected)
 }
 
+func TestAnswerOfUnknownVersionIsRejected(t *testing.T) {
+	forEachAnswer(t, answerer.Misversioned(), requireRejected)
+}
+
 func TestSoundAnswerIsAccepted(t *testing.T) {
 	forEachAnswer(t, answerer.Sound(), func(t *testing.T, _ *answerer.Server, err error) {
 		t.Helper()
--- a/internal/connection/inspector/inspector.go
+++ b/internal/connection/inspector/inspector.go
@@ -30,6 +30,9 @@
 // checkHead checks what net/http accepts and the protocol forbids, as far as the parsed
 // answer still shows it.
 func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return &MalformedError{reason: "unknown version " + response.Proto}
+	}
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return &MalformedError{reason: "no final status: " + response.Status}
 	}
--- a/internal/request/forwarder/broken_test.go
+++ b/internal/request/forwarder/broken_test.go
@@ -70,6 +70,8 @@
 // Statuses above those of the protocol were delivered.
 func TestAnswerWithImpossibleStatusIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misstated()) }
 
+func TestAnswerOfUnknownVersionIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misversioned()) }
+
 func TestSoundAnswerIsDelivered(t *testing.T) {
 	for name, answer := range answerer.Sound() {
 		for _, path := range brokenPaths {
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -54,6 +54,16 @@
 	return out
 }
 
+// Misversioned returns answers of versions that cannot answer a request of version 1.1.
+func Misversioned() map[string]Answer {
+	out := make(map[string]Answer)
+	for _, version := range []string{"0.9", "0.0", "2.0", "9.9"} {
+		out["version "+version] = Answer("HTTP/"+version+" 200 OK\r\n{fields}") + withLength
+		out["version "+version+" to the end"] = Answer("HTTP/"+version+" 200 OK\r\n{fields}") + untilClosure
+	}
+	return out
+}
+
 // Sound returns answers that must be accepted.
 func Sound() map[string]Answer {
 	return map[string]Answer{
