Reject answers of version 1.0 with a transfer encoding

Callers saw: a 200 with the lines of the chunks as its body, or with as many bytes of them as a length beside the encoding says.

Cause: net/http removes Transfer-Encoding from an answer of version 1.0 and ignores it, so that no later reader can tell that the sender meant another framing. RFC 9112 (6.1) calls the framing of such an answer faulty.

Change: inspector.Conn keeps what is read from the start of an answer, unless it begins as a final one of version 1.1, and looks for the field in the raw head. Interim answers may precede it. Why this holds: the bytes are those that net/http has read, whatever pieces they came in.

--- a/internal/connection/dialer/broken_test.go
+++ b/internal/connection/dialer/broken_test.go
@@ -110,6 +110,11 @@
 	forEachAnswer(t, answerer.Misversioned(), requireRejected)
 }
 
+// The lines of the chunks were taken for parts of the body.
+func TestChunksInOldVersionAreRejected(t *testing.T) {
+	forEachAnswer(t, answerer.Misframed(), requireRejected)
+}
+
 func TestSoundAnswerIsAccepted(t *testing.T) {
 	forEachAnswer(t, answerer.Sound(), func(t *testing.T, _ *answerer.Server, err error) {
 		t.Helper()
--- a/internal/connection/inspector/conn.go
+++ b/internal/connection/inspector/conn.go
@@ -1,17 +1,106 @@
 package inspector
 
 import (
+	"bytes"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// maxHead is the size in bytes up to which the head of an answer of version 1.0 is
+	// accepted, together with the interim answers before any answer.
+	maxHead = 64 << 10
+	// usualStart begins the head of the usual answer, up to the first digit of its status.
+	usualStart = "HTTP/1.1 "
 )
 
 // Conn is a client's connection, on which one request at a time is sent.
 type Conn struct {
 	net.Conn
+	isRecording atomic.Bool
+
+	mu   sync.Mutex
+	head []byte // what was read since Begin, unless the answer is a usual one
 }
 
 // NewConn returns a connection that checks what is read from inner.
 func NewConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
 
-// Check checks the head of the answer to the last request. The error is a *MalformedError.
-func (c *Conn) Check(response *http.Response) error { return checkHead(response) }
+// Begin must be called before a request is sent.
+func (c *Conn) Begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = nil
+	c.isRecording.Store(true)
+}
+
+// Read reads into b.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.isRecording.Load() {
+		c.record(b[:n])
+	}
+	return n, err
+}
+
+// record keeps the start of an answer, unless it begins as a final one of version 1.1.
+func (c *Conn) record(read []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.head) == 0 && isUsual(read) {
+		c.isRecording.Store(false)
+		return
+	}
+	c.head = append(c.head, read[:min(len(read), maxHead-len(c.head))]...)
+}
+
+// isUsual reports whether an answer begins as a final one of version 1.1.
+func isUsual(start []byte) bool {
+	return len(start) > len(usualStart) && bytes.HasPrefix(start, []byte(usualStart)) && start[len(usualStart)] != '1'
+}
+
+// Check checks the head of the answer to the request since Begin. The error is a *MalformedError.
+func (c *Conn) Check(response *http.Response) error {
+	c.mu.Lock()
+	head := c.head
+	c.head = nil
+	c.isRecording.Store(false)
+	c.mu.Unlock()
+	if err := checkHead(response); err != nil {
+		return err
+	}
+	// net/http ignores and removes the field before version 1.1.
+	if !response.ProtoAtLeast(1, 1) && mayHaveEncoding(head) {
+		return &MalformedError{reason: "transfer encoding in version 1.0"}
+	}
+	return nil
+}
+
+// mayHaveEncoding reports whether the head of the final answer has a Transfer-Encoding field,
+// or is not recorded completely. There may be interim answers before it.
+func mayHaveEncoding(head []byte) bool {
+	for len(head) > 0 {
+		status, rest, _ := bytes.Cut(head, []byte("\n"))
+		isInterim := len(status) > len(usualStart) && status[len(usualStart)] == '1'
+		hasEncoding := false
+		for {
+			line, after, isComplete := bytes.Cut(rest, []byte("\n"))
+			if !isComplete {
+				return true
+			}
+			rest = after
+			if line = bytes.TrimSuffix(line, []byte("\r")); len(line) == 0 {
+				break
+			}
+			name, _, _ := bytes.Cut(line, []byte(":"))
+			hasEncoding = hasEncoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		}
+		if !isInterim {
+			return hasEncoding
+		}
+		head = rest
+	}
+	return true
+}
--- a/internal/request/forwarder/broken_test.go
+++ b/internal/request/forwarder/broken_test.go
@@ -72,6 +72,9 @@
 
 func TestAnswerOfUnknownVersionIsNotDelivered(t *testing.T) { testBroken(t, answerer.Misversioned()) }
 
+// The lines of the chunks were delivered as parts of the body.
+func TestChunksInOldVersionAreNotDelivered(t *testing.T) { testBroken(t, answerer.Misframed()) }
+
 func TestSoundAnswerIsDelivered(t *testing.T) {
 	for name, answer := range answerer.Sound() {
 		for _, path := range brokenPaths {
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -64,6 +64,20 @@
 	return out
 }
 
+// Misframed returns answers of version 1.0 with an encoding, which clients take for parts of their bodies.
+func Misframed() map[string]Answer {
+	return map[string]Answer{
+		"chunks in 1.0":                      name10 + withChunks,
+		"chunks in 1.0 and a length":         name10 + "Content-Length: {length}\r\n" + withChunks,
+		"chunks in 1.0, in another spelling": name10 + "tRANSFER-eNCODING:chunked\r\n\r\n{chunks}",
+		"chunks in 1.0 that is kept":         name10 + "Connection: keep-alive\r\nContent-Length: {length}\r\n" + withChunks,
+		"chunks in 1.0 and bare newlines":    "HTTP/1.0 200 OK\n{fields}Transfer-Encoding: chunked\n\n{chunks}",
+		"chunks in 1.0 after interim ones":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 103 Hints\r\nLink: a\r\n\r\n" + name10 + withChunks,
+		"chunks in 1.0 in a long head":       name10 + Answer("X-Long: "+strings.Repeat("a", 12<<10)+"\r\n") + withChunks,
+		"unknown encoding in 1.0":            name10 + "Transfer-Encoding: gzip\r\n" + untilClosure,
+	}
+}
+
 // Sound returns answers that must be accepted.
 func Sound() map[string]Answer {
 	return map[string]Answer{
