Take no answer for whole after a reset

Callers saw: the part of an answer without a length that an endpoint had sent before it reset the connection, as a complete 200, 201 or 404, if it answered while a long upload was being written; up to 300 KB, on both paths, with "Connection: close", without, and with version 1.0.

Cause: the kernel tells of a reset once. If a blocked write takes the error, the next read returns the end of the stream, and an answer that ends with its connection looks whole.

Change: inspector.Conn asks the kernel for the state of the connection (TCP_INFO) when a read returns the end of the stream. After an orderly end this side can still send; after a reset the connection is closed, and Read returns ECONNRESET, so that all that follows is as for any other reset: the call may have run, a repeatable one goes to another endpoint, the loss counts for crashes. If net/http has closed the connection after the failed write, Read returns net.ErrClosed. Why this holds: the state stays, whichever call took the error, while the write's error and the read's end race. An answer with a length never reads the end of the stream, so it costs nothing there.

--- a/internal/connection/inspector/conn.go
+++ b/internal/connection/inspector/conn.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -16,7 +22,8 @@
 	usualStart = "HTTP/1.1 "
 )
 
-// Conn is a client's connection, on which one request at a time is sent.
+// Conn is a client's connection, on which one request at a time is sent. A body that ends with
+// the connection is whole only if Read returns io.EOF.
 type Conn struct {
 	net.Conn
 	isRecording atomic.Bool
@@ -36,15 +43,48 @@
 	c.isRecording.Store(true)
 }
 
-// Read reads into b.
+// Read reads into b. It returns io.EOF only if the peer ended the connection in order. The error is
+// syscall.ECONNRESET after a reset, and net.ErrClosed if this side has closed the connection meanwhile.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.isRecording.Load() {
 		c.record(b[:n])
 	}
+	if n == 0 && errors.Is(err, io.EOF) {
+		if broken := checkEnd(c.Conn); broken != nil {
+			return 0, fmt.Errorf("read %s: %w", c.RemoteAddr(), broken)
+		}
+	}
 	return n, err
 }
 
+// checkEnd returns an error if a connection whose stream has ended did not end in order. The kernel tells of a
+// reset once. If a blocked write is told, the next read returns the end of the stream. After an orderly end this side
+// can still send, while the kernel closes a connection that was reset.
+func checkEnd(conn net.Conn) error {
+	inner, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil // TLS, beneath which there is another Conn
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return err
+	}
+	isReset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isReset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	switch {
+	case err != nil:
+		// net/http has closed the connection after a write that failed.
+		return err
+	case isReset:
+		return syscall.ECONNRESET
+	}
+	return nil
+}
+
 // record keeps the start of an answer, unless it begins as a final one of version 1.1.
 func (c *Conn) record(read []byte) {
 	c.mu.Lock()
--- a/internal/request/forwarder/front_test.go
+++ b/internal/request/forwarder/front_test.go
@@ -86,7 +86,7 @@
 		},
 		Version:        f.chooseVersion,
 		AttemptStarted: func(route string, _ placer.Endpoint) { f.locked(func() { f.sent = append(f.sent, route) }) },
-		AttemptEnded:   func(result *forwarder.AttemptResult) { f.locked(func() { f.attempts = append(f.attempts, *result) }) },
+		AttemptEnded:   f.recordAttempt,
 		Quotas:         f.quotas, Rationer: rationer.New(), Placer: p, Pool: pool, Budget: f.budget,
 	})
 	f.forwarder.SetTable(registrar.NewTable(rules()))
@@ -100,6 +100,12 @@
 	return f
 }
 
+func (f *fixture) recordAttempt(result *forwarder.AttemptResult) {
+	kept := *result
+	kept.Fingerprint = nil // it holds the body of the call
+	f.locked(func() { f.attempts = append(f.attempts, kept) })
+}
+
 func (f *fixture) locked(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/standin/answerer/server.go
+++ b/internal/standin/answerer/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -160,6 +161,16 @@
 	_ = c.Close()
 }
 
-// Abandon closes the connection without reading what has arrived, as a process does that ends. The kernel then
-// resets it.
-func Abandon(c *net.TCPConn) { _ = c.Close() }
+// Abandon closes the connection once something has arrived that was not read, as a process does that ends. The
+// kernel then resets it.
+func Abandon(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	_ = c.Close()
+}
