Check the answers that nodes and operators ask for

Callers saw nothing of it, but nodes and operators did: an order to the provider (a start, a release, weights, a size, a report of usage) that was answered with a status of 000 counted as carried out. Lists, engines' reports and nodes' answers to operators were read from answers with a blank in a field's name, of an unknown version, or from the lines of chunks. A change whose answer was malformed was reported to the operator as refused, not as perhaps accepted.

Cause: each client read answers by itself, and no status is below 300 unless it is a success, or so it was assumed.

Change: all clients send through inspector.Transport. Over TLS the encrypted stream is checked for its end, and the decrypted one for its heads. Nothing else about the clients changes.

--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+
+	"hyssoprudder/internal/connection/inspector"
 )
 
 const maxAnswerBytes = 256 << 20 // bytes
@@ -25,11 +27,13 @@
 
 // NewClient returns a client. If roots is not nil, it uses TLS and trusts only those roots.
 func NewClient(address netip.AddrPort, token string, roots *x509.CertPool) *Client {
-	c := &Client{base: "http://" + address.String(), token: token, http: &http.Client{}}
+	c := &Client{base: "http://" + address.String(), token: token}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment}
 	if roots != nil {
 		c.base = "https://" + address.String()
-		c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+		transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
 	}
+	c.http = &http.Client{Transport: inspector.NewTransport(transport)}
 	return c
 }
 
--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"hyssoprudder/internal/connection/inspector"
 	"hyssoprudder/internal/connection/splitter"
 	"hyssoprudder/internal/process/lister"
 )
@@ -139,7 +140,7 @@
 func New(provider netip.AddrPort) *Client {
 	return &Client{
 		base: "http://" + provider.String(),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		http: &http.Client{Transport: inspector.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})},
 	}
 }
 
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,6 +79,24 @@
 	}
 }
 
+// Cut returns answers that break off behind their bodies, which may be all that a reader of one value looks at.
+func Cut() map[string]Answer {
+	return map[string]Answer{
+		"cut within its length":  name11 + "Content-Length: 1{length}\r\n\r\n{body}",
+		"cut before a chunk":     name11 + "Transfer-Encoding: chunked\r\n\r\n{unended}",
+		"cut before the trailer": name11 + "Transfer-Encoding: chunked\r\n\r\n{unended}0\r\n",
+	}
+}
+
+// Broken returns all answers that must not be accepted.
+func Broken() map[string]Answer {
+	out := make(map[string]Answer)
+	for _, answers := range []map[string]Answer{Misnamed(), Misstated(), Misversioned(), Misframed()} {
+		maps.Copy(out, answers)
+	}
+	return out
+}
+
 // Sound returns answers that must be accepted.
 func Sound() map[string]Answer {
 	return map[string]Answer{
@@ -112,7 +131,7 @@
 func (a Answer) Text(fields http.Header, body string) string {
 	var lines strings.Builder
 	_ = fields.Write(&lines) // does not fail
-	chunks := func(extension, trailer string) string {
+	chunks := func(extension, end string) string {
 		half := len(body) / 2
 		text := ""
 		for _, part := range []string{body[:half], body[half:]} {
@@ -120,10 +139,11 @@
 				text += fmt.Sprintf("%x%s\r\n%s\r\n", len(part), extension, part)
 			}
 		}
-		return text + "0\r\n" + trailer + "\r\n"
+		return text + end
 	}
 	return strings.NewReplacer(
 		"{fields}", lines.String(), "{body}", body, "{length}", strconv.Itoa(len(body)), "{half}", strconv.Itoa(len(body)/2),
-		"{chunks}", chunks("", ""), "{extended}", chunks(";a=b", ""), "{trailed}", chunks("", "X-T: t\r\n"),
+		"{chunks}", chunks("", "0\r\n\r\n"), "{extended}", chunks(";a=b", "0\r\n\r\n"), "{trailed}", chunks("", "0\r\nX-T: t\r\n\r\n"),
+		"{unended}", chunks("", ""),
 	).Replace(string(a))
 }
