Read the answers of the provider and of engines to their ends

Nodes took a start, a release or an order of weights as carried out, and an engine's report as read, although the answer broke off behind its JSON: within its length or before its last chunk.

Cause: the reader stopped after one value, or dropped the error of the rest.

Change: the rest is read, and its error is that of the request. Orders to the provider can be repeated.

--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -215,11 +215,13 @@
 // call sends a request and decodes the answer into answer, if that is not nil.
 func (c *Client) call(ctx context.Context, method, address string, body, answer any) error {
 	return c.exchange(ctx, method, address, body, func(r io.Reader) error {
-		if answer == nil {
-			_, _ = io.Copy(io.Discard, r)
-			return nil
+		if answer != nil {
+			if err := json.NewDecoder(r).Decode(answer); err != nil {
+				return err
+			}
 		}
-		return json.NewDecoder(r).Decode(answer)
+		_, err := io.Copy(io.Discard, r)
+		return err
 	})
 }
 
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -91,7 +91,7 @@
 // Broken returns all answers that must not be accepted.
 func Broken() map[string]Answer {
 	out := make(map[string]Answer)
-	for _, answers := range []map[string]Answer{Misnamed(), Misstated(), Misversioned(), Misframed()} {
+	for _, answers := range []map[string]Answer{Misnamed(), Misstated(), Misversioned(), Misframed(), Cut()} {
 		maps.Copy(out, answers)
 	}
 	return out
