Reset the connections of aborted answers that end with them

Callers saw: with version 1.0, the part of an answer that was aborted as a complete one: a long answer or a stream whose endpoint broke off after it had begun to be delivered.

Cause: net/http closes the connection of an aborted answer in order. An answer of version 1.0 without a length ends with the connection, so nothing tells the caller that it is a part. Chunks and lengths tell callers of version 1.1.

Change: the guard of the screener resets the connection if the handler of such a request has not returned. It does so beneath TLS, which would announce an orderly end first.

--- /dev/null
+++ b/internal/connection/screener/abort_test.go
@@ -0,0 +1,103 @@
+package screener_test
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssoprudder/internal/connection/screener"
+)
+
+// abortingHandler sends a part of an answer and aborts it.
+type abortingHandler struct {
+	size     int
+	isStream bool // the part is sent at once
+	length   string
+}
+
+func (h abortingHandler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if h.length != "" {
+		w.Header().Set("Content-Length", h.length)
+	}
+	_, _ = w.Write(make([]byte, h.size))
+	if h.isStream {
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// A caller of version 1.0 took the part of an aborted answer for the whole: without a length, its answer ends with the
+// connection.
+func TestAbortedAnswerNeverLooksWhole(t *testing.T) {
+	requests := map[string]string{
+		"1.0":      "GET /one HTTP/1.0\r\n\r\n",
+		"1.0 kept": "GET /one HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+		"1.0 body": "POST /one HTTP/1.0\r\nContent-Length: 4\r\n\r\nbody",
+		"1.1":      "GET /one HTTP/1.1\r\nHost: a\r\n\r\n",
+		"1.1 last": "GET /one HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	}
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	certified.Close()
+	for name, request := range requests {
+		for _, size := range []int{0, 10, 3000, 300 << 10} {
+			for _, isStream := range []bool{false, true} {
+				for _, length := range []string{"", "500000"} {
+					for _, isEncrypted := range []bool{false, true} {
+						t.Run(fmt.Sprintf("%s, %d bytes, stream %v, length %q, TLS %v", name, size, isStream, length, isEncrypted), func(t *testing.T) {
+							t.Parallel()
+							c := dialAborting(t, abortingHandler{size, isStream, length}, certified, isEncrypted)
+							_, err := io.WriteString(c, request)
+							require.NoError(t, err)
+							response, err := http.ReadResponse(bufio.NewReader(c), nil)
+							if err != nil {
+								return
+							}
+							defer response.Body.Close()
+							body, err := io.ReadAll(response.Body)
+							require.Error(t, err, "%d bytes", len(body))
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// dialAborting returns a connection to a server with the handler.
+func dialAborting(t *testing.T, handler http.Handler, certified *httptest.Server, isEncrypted bool) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	if isEncrypted {
+		l = tls.NewListener(l, &tls.Config{Certificates: certified.TLS.Certificates, MinVersion: tls.VersionTLS12})
+	}
+	s := screener.New(func() screener.Limits { return screener.Limits{} }, time.Now)
+	server, done := newServer(s, handler), make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(s.Wrap(l))
+	}()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	if isEncrypted {
+		config := certified.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+		config.ServerName = "example.com"
+		c = tls.Client(c, config)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		server.Close()
+		<-done
+	})
+	return c
+}
--- a/internal/connection/screener/bounds.go
+++ b/internal/connection/screener/bounds.go
@@ -119,11 +119,14 @@
 }
 
 // closeNow closes a connection without waiting for its peer, as the end of TLS would.
-func closeNow(c net.Conn) {
+func closeNow(c net.Conn) { _ = innermost(c).Close() }
+
+// innermost returns the connection beneath TLS.
+func innermost(c net.Conn) net.Conn {
 	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapped.NetConn()
+		return wrapped.NetConn()
 	}
-	_ = c.Close()
+	return c
 }
 
 // leastUseful returns the connection, of those that may be chosen, that can be closed best: one with an incomplete
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -180,13 +180,28 @@
 			http.Error(w, reason, http.StatusBadRequest)
 			return
 		}
+		c, isAborted := connOf(r), true
+		defer func() {
+			if isAborted && !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
+				c.reset()
+			}
+		}()
 		next.ServeHTTP(w, r)
-		if c := connOf(r); c != nil {
-			c.boundDrain()
-		}
+		isAborted = false
+		c.boundDrain()
 	})
 }
 
+// reset resets the connection. An answer of version 1.0 without a length ends with the connection, so that one that is
+// aborted would look whole after an orderly end.
+func (c *conn) reset() {
+	inner := innermost(c.Conn)
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = inner.Close()
+}
+
 // framingOf returns the framing of a request, and whether its connection is being drained.
 func framingOf(r *http.Request) (Framing, bool) {
 	c := connOf(r)
