Wait for a reset right behind the end of an answer

A process that ends (or is killed) with nothing left to read ends its connections so: in order, and with a reset as soon as more arrives.

Cause: the end and the reset are two events, and the state of the connection was asked between them.

Change: while the request is being sent, Read waits up to 300 ms for a reset behind the end, unless the endpoint takes more of the request after it: a process that is gone takes nothing. A whole answer that is ended so can't be told from a part, so neither is delivered: a repeatable call goes to another endpoint, another one may have run. If neither a reset nor progress follows, the answer is delivered, as before. Answers that do not end with their connection do not wait, nor do those whose request was taken.

--- a/internal/connection/dialer/reset_test.go
+++ b/internal/connection/dialer/reset_test.go
@@ -21,7 +21,9 @@
 		"200": "HTTP/1.1 200 OK\r\n\r\n", "200 close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "200 1.0": "HTTP/1.0 200 OK\r\n\r\n",
 		"201": "HTTP/1.1 201 Created\r\n\r\n", "404": "HTTP/1.1 404 Not Found\r\n\r\n",
 	}
-	ends := map[string]func(c *net.TCPConn){"reset": answerer.Reset, "abandoned": answerer.Abandon}
+	ends := map[string]func(c *net.TCPConn){
+		"reset": answerer.Reset, "abandoned": answerer.Abandon, "ended and reset": answerer.EndAndReset, "vanished": answerer.Vanish,
+	}
 	for name, head := range heads {
 		for _, size := range []int{100, 60 << 10, 300 << 10} {
 			for _, wait := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
--- a/internal/connection/inspector/conn.go
+++ b/internal/connection/inspector/conn.go
@@ -10,8 +10,11 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hyssoprudder/internal/process/clock"
 )
 
 const (
@@ -20,6 +23,10 @@
 	maxHead = 64 << 10
 	// usualStart begins the head of the usual answer, up to the first digit of its status.
 	usualStart = "HTTP/1.1 "
+	// resetWait is how long a reset may take to follow the end of a stream, and resetInterval the time between two
+	// checks. A process that can't take more is sent more by the kernel after 200 ms.
+	resetWait     = 300 * time.Millisecond
+	resetInterval = time.Millisecond
 )
 
 // Conn is a client's connection, on which one request at a time is sent. A body that ends with
@@ -27,6 +34,8 @@
 type Conn struct {
 	net.Conn
 	isRecording atomic.Bool
+	written     atomic.Int64 // number of bytes written since Begin
+	bodySize    atomic.Int64 // of the request, in bytes
 
 	mu   sync.Mutex
 	head []byte // what was read since Begin, unless the answer is a usual one
@@ -35,12 +44,21 @@
 // NewConn returns a connection that checks what is read from inner.
 func NewConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
 
-// Begin must be called before a request is sent.
-func (c *Conn) Begin() {
+// Begin must be called before a request is sent. bodySize is the size of its body in bytes.
+func (c *Conn) Begin(bodySize int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = nil
 	c.isRecording.Store(true)
+	c.written.Store(0)
+	c.bodySize.Store(bodySize)
+}
+
+// Write writes b.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // Read reads into b. It returns io.EOF only if the peer ended the connection in order. The error is
@@ -51,18 +69,21 @@
 		c.record(b[:n])
 	}
 	if n == 0 && errors.Is(err, io.EOF) {
-		if broken := checkEnd(c.Conn); broken != nil {
+		if broken := c.checkEnd(); broken != nil {
 			return 0, fmt.Errorf("read %s: %w", c.RemoteAddr(), broken)
 		}
 	}
 	return n, err
 }
 
-// checkEnd returns an error if a connection whose stream has ended did not end in order. The kernel tells of a
+// checkEnd returns an error if the connection, whose stream has ended, did not end in order. The kernel tells of a
 // reset once. If a blocked write is told, the next read returns the end of the stream. After an orderly end this side
 // can still send, while the kernel closes a connection that was reset.
-func checkEnd(conn net.Conn) error {
-	inner, ok := conn.(syscall.Conn)
+//
+// A process that ends with nothing left to read ends its connections in order, and resets them when more arrives. A reset
+// right behind the end is therefore waited for while the request is being sent, unless the peer takes more of it.
+func (c *Conn) checkEnd() error {
+	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil // TLS, beneath which there is another Conn
 	}
@@ -70,19 +91,43 @@
 	if err != nil {
 		return err
 	}
-	isReset := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isReset = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	switch {
-	case err != nil:
-		// net/http has closed the connection after a write that failed.
-		return err
-	case isReset:
-		return syscall.ECONNRESET
+	first, err := stateOf(raw)
+	until := clock.System{}.Now().Add(resetWait)
+	for state := first; ; state, err = stateOf(raw) {
+		isSent := !state.isSending && c.written.Load() >= c.bodySize.Load()
+		switch {
+		case err != nil:
+			// net/http has closed the connection after a write that failed.
+			return err
+		case state.isReset:
+			return syscall.ECONNRESET
+		case isSent, state.taken > first.taken, !clock.System{}.Now().Before(until):
+			return nil
+		}
+		clock.Sleep(clock.System{}, resetInterval, nil)
 	}
-	return nil
+}
+
+// connState is the state of a connection whose stream has ended.
+type connState struct {
+	isReset   bool
+	isSending bool   // the peer has not acknowledged all that was written
+	taken     uint64 // number of bytes that it has acknowledged
+}
+
+// stateOf asks the kernel for the state of a connection. The error tells that this side has closed it.
+func stateOf(raw syscall.RawConn) (connState, error) {
+	var state connState
+	err := raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = connState{
+				isReset:   info.State == unix.BPF_TCP_CLOSE,
+				isSending: info.Unacked > 0 || info.Notsent_bytes > 0,
+				taken:     info.Bytes_acked,
+			}
+		}
+	})
+	return state, err
 }
 
 // record keeps the start of an answer, unless it begins as a final one of version 1.1.
--- a/internal/connection/inspector/transport.go
+++ b/internal/connection/inspector/transport.go
@@ -63,7 +63,7 @@
 	var used *Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*Conn)
-		used.Begin()
+		used.Begin(request.ContentLength)
 	}}
 	response, err := t.inner.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -262,7 +262,7 @@
 // the endpoint sent an answer that cannot be used.
 func (c *Conn) Do(request *http.Request) (*http.Response, error) {
 	before := c.conn.written.Load()
-	c.conn.inspected.Begin()
+	c.conn.inspected.Begin(request.ContentLength)
 	response, err := c.client.RoundTrip(request)
 	if err != nil {
 		c.Close()
--- a/internal/request/forwarder/reset_test.go
+++ b/internal/request/forwarder/reset_test.go
@@ -54,7 +54,9 @@
 // An endpoint answered a long upload at once without a length and reset the connection while the upload was being written.
 // The write took the error of the connection, the next read found the end of the stream, and the part was delivered as whole.
 func TestPartOfAnswerIsNotDeliveredAfterReset(t *testing.T) {
-	ends := map[string]func(c *net.TCPConn){"reset": answerer.Reset, "abandoned": answerer.Abandon}
+	ends := map[string]func(c *net.TCPConn){
+		"reset": answerer.Reset, "abandoned": answerer.Abandon, "ended and reset": answerer.EndAndReset, "vanished": answerer.Vanish,
+	}
 	for name, head := range unframedHeads {
 		for i, size := range []int{100, 60 << 10, 300 << 10} {
 			for j, wait := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
@@ -77,24 +79,26 @@
 	}
 }
 
-// Whole answers that end in order are delivered, also while the upload is being written.
+// Whole answers that end in order are delivered, also while the upload is being written, and if no more of it is read.
 func TestAnswerIsDeliveredBesideUpload(t *testing.T) {
+	ends := map[string]func(c *net.TCPConn){"the upload is read": answerer.Linger, "the upload is not read": answerer.Stall}
 	for name, head := range unframedHeads {
 		for _, size := range []int{100, 60 << 10, 300 << 10} {
 			for _, path := range brokenPaths {
-				t.Run(fmt.Sprintf("%s, %d bytes%s", name, size, path), func(t *testing.T) {
-					t.Parallel()
-					text := unframedText(head, path, size)
-					f := newFixture(t, newEarlyEndpoint(t, answerer.Early(text, 5*time.Millisecond, answerer.Linger)))
-					f.maxWait = 10 * time.Second
-					got := f.call(t, path, "k1", strings.Repeat("u", uploadSize))
-					require.NoError(t, got.err)
-					require.Empty(t, got.refusal)
-					r := &http.Request{Header: http.Header{headerID: {"c1"}}}
-					_, body, _ := strings.Cut(text(r), "\r\n\r\n")
-					require.Equal(t, len(body), len(got.body))
-					require.Equal(t, name[:3], fmt.Sprint(got.status))
-				})
+				for end, do := range ends {
+					t.Run(fmt.Sprintf("%s, %d bytes, %s%s", name, size, end, path), func(t *testing.T) {
+						t.Parallel()
+						text := unframedText(head, path, size)
+						f := newFixture(t, newEarlyEndpoint(t, answerer.Early(text, 5*time.Millisecond, do)))
+						f.maxWait = 10 * time.Second
+						got := f.call(t, path, "k1", strings.Repeat("u", uploadSize))
+						require.NoError(t, got.err)
+						require.Empty(t, got.refusal)
+						_, body, _ := strings.Cut(text(&http.Request{Header: http.Header{headerID: {"c1"}}}), "\r\n\r\n")
+						require.Equal(t, len(body), len(got.body))
+						require.Equal(t, name[:3], fmt.Sprint(got.status))
+					})
+				}
 			}
 		}
 	}
--- a/internal/standin/answerer/server.go
+++ b/internal/standin/answerer/server.go
@@ -17,6 +17,10 @@
 const (
 	// receiveBuffer is so small that the sender of a long body has to wait, in bytes.
 	receiveBuffer = 4 << 10
+	// vanishAfter is how much of a request is read before the server vanishes, in bytes.
+	vanishAfter = 64 << 10
+	// stallTime is longer than a client waits for a reset.
+	stallTime = time.Second
 	// lingerTime bounds how long a server reads what the client still sends.
 	lingerTime = 10 * time.Second
 )
@@ -154,6 +158,12 @@
 	}
 }
 
+// Stall ends the connection in order, and reads nothing for a while.
+func Stall(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	time.Sleep(stallTime)
+}
+
 // Reset resets the connection.
 func Reset(c *net.TCPConn) {
 	// Both fail only if the connection is closed.
@@ -174,3 +184,18 @@
 	})
 	_ = c.Close()
 }
+
+// EndAndReset ends the connection in order and resets it at once.
+func EndAndReset(c *net.TCPConn) {
+	// All fail only if the connection is closed.
+	_ = c.SetLinger(0)
+	_ = c.CloseWrite()
+	_ = c.Close()
+}
+
+// Vanish closes the connection while it reads what arrives, as a process does that ends. The kernel ends it in order if
+// everything that has arrived was read, and resets it when more arrives.
+func Vanish(c *net.TCPConn) {
+	_, _ = io.CopyN(io.Discard, c, vanishAfter)
+	_ = c.Close()
+}
