Keep the stand-in's connections after answers that are delimited

Cause: the stand-in closed each connection after one answer without saying so. The node had taken the connection back to its pool and sent the next request on it before the end arrived; that request may have run, so it is rightly not repeated.

Change: after an answer with a length or chunks, the stand-in serves further requests on the connection, as endpoints do. No check is changed.

--- a/internal/connection/inspector/transport_test.go
+++ b/internal/connection/inspector/transport_test.go
@@ -88,10 +88,11 @@
 // A connection whose answer was rejected serves no other request, even if the answer has no body.
 func TestConnectionOfARejectedAnswerIsClosed(t *testing.T) {
 	closed := make(chan struct{})
-	s, err := answerer.Listen(func(c *net.TCPConn, _ *http.Request) {
+	s, err := answerer.Listen(func(c *net.TCPConn, _ *http.Request) bool {
 		defer close(closed)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A : v\r\nContent-Length: 0\r\n\r\n")
 		_, _ = io.Copy(io.Discard, c)
+		return false
 	})
 	require.NoError(t, err)
 	defer s.Close()
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// isDelimited reports whether a client knows where the answer ends before the connection does.
+func (a Answer) isDelimited() bool {
+	text := string(a)
+	isOld := strings.Contains(text, "HTTP/1.0 200")
+	return !isOld && (strings.Contains(text, "\nContent-Length: {length}") || strings.Contains(text, "{chunks}") ||
+		strings.Contains(text, "{extended}") || strings.Contains(text, "{trailed}"))
+}
+
 // Text returns the bytes of the answer.
 func (a Answer) Text(fields http.Header, body string) string {
 	var lines strings.Builder
--- a/internal/standin/answerer/server.go
+++ b/internal/standin/answerer/server.go
@@ -25,10 +25,11 @@
 	lingerTime = 10 * time.Second
 )
 
-// Handler answers a request, whose body it may read. The connection is closed when it returns.
-type Handler func(c *net.TCPConn, r *http.Request)
+// Handler answers a request, whose body it may read. It reports whether the connection serves another one; it is
+// closed otherwise.
+type Handler func(c *net.TCPConn, r *http.Request) bool
 
-// Server serves one request on each connection.
+// Server serves requests.
 type Server struct {
 	listener net.Listener
 	handle   Handler
@@ -114,36 +115,48 @@
 		delete(s.conns, c.conn)
 		s.mu.Unlock()
 	}()
-	r, err := http.ReadRequest(bufio.NewReaderSize(c.conn, receiveBuffer))
-	if err != nil {
-		return
+	reader := bufio.NewReaderSize(c.conn, receiveBuffer)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests++
+		s.mu.Unlock()
+		if !s.handle(c.conn, r) {
+			return
+		}
 	}
-	s.mu.Lock()
-	s.requests++
-	s.mu.Unlock()
-	s.handle(c.conn, r)
 }
 
-// Whole returns a handler that reads the request, sends the answer and closes in order.
+// Whole returns a handler that reads the request and sends the answer. It closes the connection in order unless the
+// answer is delimited, since a client may send another request on it then.
 func Whole(answer Answer, fields func(r *http.Request) http.Header, body string) Handler {
-	return func(c *net.TCPConn, r *http.Request) {
+	return func(c *net.TCPConn, r *http.Request) bool {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
+			return false
+		}
+		if _, err := io.WriteString(c, answer.Text(fields(r), body)); err != nil {
+			return false
+		}
+		if answer.isDelimited() {
+			return true
 		}
-		_, _ = io.WriteString(c, answer.Text(fields(r), body))
 		Linger(c)
+		return false
 	}
 }
 
 // Early returns a handler that sends a text before it has read the body of the request, waits, and ends the
 // connection.
 func Early(text func(r *http.Request) string, wait time.Duration, end func(c *net.TCPConn)) Handler {
-	return func(c *net.TCPConn, r *http.Request) {
-		if _, err := io.WriteString(c, text(r)); err != nil {
-			return
+	return func(c *net.TCPConn, r *http.Request) bool {
+		if _, err := io.WriteString(c, text(r)); err == nil {
+			time.Sleep(wait)
+			end(c)
 		}
-		time.Sleep(wait)
-		end(c)
+		return false
 	}
 }
 
