--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -88,11 +88,18 @@
 	}
 }
 
+// Malformed returns all answers with faulty heads.
+func Malformed() map[string]Answer {
+	return merged(Misnamed(), Misstated(), Misversioned(), Misframed())
+}
+
 // Broken returns all answers that must not be accepted.
-func Broken() map[string]Answer {
+func Broken() map[string]Answer { return merged(Malformed(), Cut()) }
+
+func merged(parts ...map[string]Answer) map[string]Answer {
 	out := make(map[string]Answer)
-	for _, answers := range []map[string]Answer{Misnamed(), Misstated(), Misversioned(), Misframed(), Cut()} {
-		maps.Copy(out, answers)
+	for _, part := range parts {
+		maps.Copy(out, part)
 	}
 	return out
 }
