Wait for a reset only at the end of an answer without a length

Cause: the wait for a reset also applied where the end of the connection could not be taken for the end of an answer, such as to an endpoint that ended before it had answered, whose call was given up up to 300 ms later.

Change: the wait depends on how the answer is delimited. The scan of raw heads is a function of its own.

--- a/internal/connection/inspector/conn.go
+++ b/internal/connection/inspector/conn.go
@@ -23,8 +23,8 @@
 	maxHead = 64 << 10
 	// usualStart begins the head of the usual answer, up to the first digit of its status.
 	usualStart = "HTTP/1.1 "
-	// resetWait is how long a reset may take to follow the end of a stream, and resetInterval the time between two
-	// checks. A process that can't take more is sent more by the kernel after 200 ms.
+	// resetWait is how long a reset may take to follow the end of an answer, and resetInterval the time between two
+	// checks. The kernel sends the next byte to a peer that took nothing lately after 200 ms.
 	resetWait     = 300 * time.Millisecond
 	resetInterval = time.Millisecond
 )
@@ -34,6 +34,7 @@
 type Conn struct {
 	net.Conn
 	isRecording atomic.Bool
+	isUnframed  atomic.Bool  // the answer ends with the connection
 	written     atomic.Int64 // number of bytes written since Begin
 	bodySize    atomic.Int64 // of the request, in bytes
 
@@ -50,6 +51,7 @@
 	defer c.mu.Unlock()
 	c.head = nil
 	c.isRecording.Store(true)
+	c.isUnframed.Store(false)
 	c.written.Store(0)
 	c.bodySize.Store(bodySize)
 }
@@ -81,7 +83,8 @@
 // can still send, while the kernel closes a connection that was reset.
 //
 // A process that ends with nothing left to read ends its connections in order, and resets them when more arrives. A reset
-// right behind the end is therefore waited for while the request is being sent, unless the peer takes more of it.
+// right behind the end of an answer without a length is therefore waited for while the request is being sent, unless the
+// peer takes more of it.
 func (c *Conn) checkEnd() error {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -94,20 +97,24 @@
 	first, err := stateOf(raw)
 	until := clock.System{}.Now().Add(resetWait)
 	for state := first; ; state, err = stateOf(raw) {
-		isSent := !state.isSending && c.written.Load() >= c.bodySize.Load()
 		switch {
 		case err != nil:
 			// net/http has closed the connection after a write that failed.
 			return err
 		case state.isReset:
 			return syscall.ECONNRESET
-		case isSent, state.taken > first.taken, !clock.System{}.Now().Before(until):
+		case !c.isUnframed.Load() || c.isSent(state) || state.taken > first.taken || !clock.System{}.Now().Before(until):
 			return nil
 		}
 		clock.Sleep(clock.System{}, resetInterval, nil)
 	}
 }
 
+// isSent reports whether the peer has the whole request.
+func (c *Conn) isSent(state connState) bool {
+	return !state.isSending && c.written.Load() >= c.bodySize.Load()
+}
+
 // connState is the state of a connection whose stream has ended.
 type connState struct {
 	isReset   bool
@@ -153,6 +160,7 @@
 	c.head = nil
 	c.isRecording.Store(false)
 	c.mu.Unlock()
+	c.isUnframed.Store(response.ContentLength < 0 && len(response.TransferEncoding) == 0)
 	if err := checkHead(response); err != nil {
 		return err
 	}
@@ -165,27 +173,26 @@
 
 // mayHaveEncoding reports whether the head of the final answer has a Transfer-Encoding field,
 // or is not recorded completely. There may be interim answers before it.
-func mayHaveEncoding(head []byte) bool {
-	for len(head) > 0 {
-		status, rest, _ := bytes.Cut(head, []byte("\n"))
-		isInterim := len(status) > len(usualStart) && status[len(usualStart)] == '1'
-		hasEncoding := false
-		for {
-			line, after, isComplete := bytes.Cut(rest, []byte("\n"))
-			if !isComplete {
-				return true
-			}
-			rest = after
-			if line = bytes.TrimSuffix(line, []byte("\r")); len(line) == 0 {
-				break
-			}
-			name, _, _ := bytes.Cut(line, []byte(":"))
-			hasEncoding = hasEncoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+func mayHaveEncoding(recorded []byte) bool {
+	for {
+		isInterim := len(recorded) > len(usualStart) && recorded[len(usualStart)] == '1'
+		hasEncoding, rest, isComplete := scanHead(recorded)
+		if !isComplete || !isInterim {
+			return hasEncoding || !isComplete
 		}
-		if !isInterim {
-			return hasEncoding
+		recorded = rest
+	}
+}
+
+// scanHead reports whether a head has a Transfer-Encoding field, and returns what follows the head.
+func scanHead(text []byte) (hasEncoding bool, rest []byte, isComplete bool) {
+	for {
+		line, rest, isComplete := bytes.Cut(text, []byte("\n"))
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) == 0 || !isComplete {
+			return hasEncoding, rest, isComplete
 		}
-		head = rest
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		hasEncoding = hasEncoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		text = rest
 	}
-	return true
 }
--- a/internal/connection/inspector/transport.go
+++ b/internal/connection/inspector/transport.go
@@ -16,16 +16,16 @@
 }
 
 // NewTransport returns a transport that sends requests through inner, which nothing else may use. inner must
-// speak HTTP/1 and send no encrypted request through a proxy, so that all its connections are a Conn.
+// speak HTTP/1 only and must not send encrypted requests through a proxy: all its connections have to be a Conn.
 func NewTransport(inner *http.Transport) *Transport {
 	t := &Transport{inner: inner, dial: inner.DialContext}
 	if t.dial == nil {
 		t.dial = (&net.Dialer{}).DialContext
 	}
-	inner.DialContext = t.dialPlain
-	if inner.TLSClientConfig != nil {
-		inner.DialTLSContext = t.dialTLS
+	if inner.TLSClientConfig == nil {
+		inner.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
+	inner.DialContext, inner.DialTLSContext = t.dialPlain, t.dialTLS
 	return t
 }
 
