Play malformed answers on kept connections

Change: a test sends each malformed answer as the second one on a connection, on all kinds of route. No product code is changed.

--- a/internal/request/forwarder/broken_test.go
+++ b/internal/request/forwarder/broken_test.go
@@ -75,6 +75,27 @@
 // The lines of the chunks were delivered as parts of the body.
 func TestChunksInOldVersionAreNotDelivered(t *testing.T) { testBroken(t, answerer.Misframed()) }
 
+// The same on a connection that has served a call before.
+func TestBrokenAnswerOnAKeptConnectionIsNotDelivered(t *testing.T) {
+	for name, answer := range answerer.Malformed() {
+		for _, path := range brokenPaths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				kept := func(c net.Conn, r *http.Request, _ string) bool {
+					_, err := c.Write([]byte(answerer.Sound()["length"].Text(soundFields(r), wholeBody(path))))
+					return err == nil
+				}
+				f := newFixture(t, newEndpoint(t, kept, answerText(answer, wholeBody(path))))
+				require.Equal(t, wholeBody(path), f.callAs(t, "c1", path, "k1", "prompt").body)
+				got := f.callAs(t, "c2", path, "k1", "prompt")
+				require.NoError(t, got.err)
+				require.Equal(t, string(forwarder.Unknown), got.refusal, "%d %q", got.status, got.body)
+				require.EqualValues(t, 1, f.pool.Opened())
+			})
+		}
+	}
+}
+
 func TestSoundAnswerIsDelivered(t *testing.T) {
 	for name, answer := range answerer.Sound() {
 		for _, path := range brokenPaths {
