--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -180,6 +180,7 @@
 			http.Error(w, reason, http.StatusBadRequest)
 			return
 		}
+		// There is one, since other requests are Unscreened.
 		c, isAborted := connOf(r), true
 		defer func() {
 			if isAborted && !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
