Reset answers of version 1.0 that an entry leaves behind

Callers saw: with version 1.0, the part of an answer as a complete one, if the entry was killed while it sent it, or closed its connections at the end of a stop.

Cause: the kernel ends the connections of a process in order, and an answer of version 1.0 without a length ends with the connection. The reset of aborted answers came too late for it, and missed a server that closes them.

Change: before a request of version 1.0 is handled, the screener sets the connection so that closing it resets it, and takes that back once the handler has returned. It replaces the reset on an abort. Such a connection is closed beneath TLS.

--- a/internal/connection/screener/abort_test.go
+++ b/internal/connection/screener/abort_test.go
@@ -54,7 +54,7 @@
 					for _, isEncrypted := range []bool{false, true} {
 						t.Run(fmt.Sprintf("%s, %d bytes, stream %v, length %q, TLS %v", name, size, isStream, length, isEncrypted), func(t *testing.T) {
 							t.Parallel()
-							c := dialAborting(t, abortingHandler{size, isStream, length}, certified, isEncrypted)
+							c, _ := dialAborting(t, abortingHandler{size, isStream, length}, certified, isEncrypted)
 							_, err := io.WriteString(c, request)
 							require.NoError(t, err)
 							response, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -72,8 +72,45 @@
 	}
 }
 
+// stoppedHandler sends a part of an answer and waits until the test is over.
+type stoppedHandler struct {
+	begun chan struct{}
+	ended chan struct{}
+}
+
+func (h stoppedHandler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write(make([]byte, 3000))
+	_ = http.NewResponseController(w).Flush()
+	close(h.begun)
+	<-h.ended
+}
+
+// The same for an answer that is being sent when its server is closed.
+func TestAnswerOfAClosedServerNeverLooksWhole(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	certified.Close()
+	for _, version := range []string{"1.0", "1.1"} {
+		for _, isEncrypted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, TLS %v", version, isEncrypted), func(t *testing.T) {
+				h := stoppedHandler{make(chan struct{}), make(chan struct{})}
+				c, server := dialAborting(t, h, certified, isEncrypted)
+				defer close(h.ended)
+				_, err := io.WriteString(c, "GET /one HTTP/"+version+"\r\nHost: a\r\n\r\n")
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				require.NoError(t, err)
+				defer response.Body.Close()
+				<-h.begun
+				server.Close()
+				body, err := io.ReadAll(response.Body)
+				require.Error(t, err, "%d bytes", len(body))
+			})
+		}
+	}
+}
+
 // dialAborting returns a connection to a server with the handler.
-func dialAborting(t *testing.T, handler http.Handler, certified *httptest.Server, isEncrypted bool) net.Conn {
+func dialAborting(t *testing.T, handler http.Handler, certified *httptest.Server, isEncrypted bool) (net.Conn, *http.Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -99,5 +136,5 @@
 		server.Close()
 		<-done
 	})
-	return c
+	return c, server
 }
--- a/internal/connection/screener/drain.go
+++ b/internal/connection/screener/drain.go
@@ -149,6 +149,9 @@
 func (c *conn) Close() error {
 	c.screener.remove(c)
 	c.account.Close()
+	if c.isPartial.Load() {
+		return innermost(c.Conn).Close() // TLS would tell of an orderly end
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/connection/screener/screener.go
+++ b/internal/connection/screener/screener.go
@@ -180,27 +180,35 @@
 			http.Error(w, reason, http.StatusBadRequest)
 			return
 		}
-		// There is one, since other requests are Unscreened.
-		c, isAborted := connOf(r), true
-		defer func() {
-			if isAborted && !r.ProtoAtLeast(1, 1) && w.Header().Get("Content-Length") == "" {
-				c.reset()
-			}
-		}()
-		next.ServeHTTP(w, r)
-		isAborted = false
+		c := connOf(r) // not nil, since the request would be Unscreened
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+		} else {
+			c.serveUnframed(next, w, r)
+		}
 		c.boundDrain()
 	})
 }
 
-// reset resets the connection. An answer of version 1.0 without a length ends with the connection, so that one that is
-// aborted would look whole after an orderly end.
-func (c *conn) reset() {
-	inner := innermost(c.Conn)
-	if tcp, ok := inner.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed
+// serveUnframed serves a request of version 1.0, whose answer ends with the connection if it has no length. Until the
+// answer is whole, whatever closes the connection resets it, so that a part never looks whole: an abort of the handler, a
+// stop of the server, or the end of the process.
+func (c *conn) serveUnframed(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	c.setPartial(true)
+	next.ServeHTTP(w, r)
+	c.setPartial(false)
+}
+
+// setPartial sets whether the answer that is being sent is not whole yet.
+func (c *conn) setPartial(isPartial bool) {
+	c.isPartial.Store(isPartial)
+	if tcp, ok := innermost(c.Conn).(*net.TCPConn); ok {
+		seconds := -1 // the kernel sends what was written
+		if isPartial {
+			seconds = 0
+		}
+		_ = tcp.SetLinger(seconds) // fails only if the connection is closed
 	}
-	_ = inner.Close()
 }
 
 // framingOf returns the framing of a request, and whether its connection is being drained.
@@ -235,6 +243,7 @@
 	headCharge  int64             // charged for the head that is being received
 	left        atomic.Int64      // number of bytes of the current body not yet delivered, or 1 if that is not known
 	isSendEnded atomic.Bool       // nothing more is written
+	isPartial   atomic.Bool       // closing resets the connection, since the answer is not whole
 	isDisplaced bool              // closed for a new connection; guarded by screener.mu
 
 	mu           sync.Mutex
