Keep the operators' client's time to connect

Cause: with a transport of its own, the client of the operators' interface lost the default's limit of 30 s on the time to connect, so that a command could wait longer for a node that is unreachable.

Change: the limit is stated, with TLS too. No run shows the longer wait; it follows from the settings of the two transports.

--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -8,15 +8,21 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"time"
 
 	"hyssoprudder/internal/connection/inspector"
 )
 
-const maxAnswerBytes = 256 << 20 // bytes
+const (
+	maxAnswerBytes = 256 << 20 // bytes
+	// dialTimeout bounds the time until the node accepts a connection.
+	dialTimeout = 30 * time.Second
+)
 
 // Client is an HTTP client of one node's operator API.
 type Client struct {
@@ -28,10 +34,11 @@
 // NewClient returns a client. If roots is not nil, it uses TLS and trusts only those roots.
 func NewClient(address netip.AddrPort, token string, roots *x509.CertPool) *Client {
 	c := &Client{base: "http://" + address.String(), token: token}
-	transport := &http.Transport{Proxy: http.ProxyFromEnvironment}
+	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: dialTimeout}).DialContext
+	transport := &http.Transport{DialContext: dial, Proxy: http.ProxyFromEnvironment}
 	if roots != nil {
 		c.base = "https://" + address.String()
-		transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+		transport = &http.Transport{DialContext: dial, TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
 	}
 	c.http = &http.Client{Transport: inspector.NewTransport(transport)}
 	return c
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -11,7 +11,9 @@
 )
 
 // Answer is the text of an answer. {fields} in it stands for the fields that the client expects,
-// each with its line end, {body} for the body, {length} for its length and {half} for half of that.
+// each with its line end, {body} for the body, {length} for its length and {half} for half of that. {chunks}
+// stands for the body in chunks, {extended} for the same with extensions, {trailed} with a trailer, and {unended}
+// without the last chunk.
 type Answer string
 
 const (
