Test early answers with a length, and what a broken answer counts as

Answers with a length that are sent before the upload is read are delivered, whatever ends the connection after them. A malformed answer counts as a failed call at its endpoint. Blanks in the names of interim answers and of trailers leave the answer sound, and are not passed on.

--- a/internal/connection/dialer/reset_test.go
+++ b/internal/connection/dialer/reset_test.go
@@ -62,3 +62,28 @@
 		s.Close()
 	}
 }
+
+// Answers with a length that are sent before the upload is read are accepted, however the connection ends after them.
+func TestEarlyAnswerWithLengthIsAccepted(t *testing.T) {
+	ends := map[string]func(c *net.TCPConn){
+		"reset": answerer.Reset, "abandoned": answerer.Abandon, "ended and reset": answerer.EndAndReset, "read": answerer.Linger, "not read": answerer.Stall,
+	}
+	for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 413 Too Large", "HTTP/1.0 404 Not Found"} {
+		for _, size := range []int{100, 60 << 10} {
+			for end, do := range ends {
+				t.Run(fmt.Sprintf("%s, %d bytes, %s", head, size, end), func(t *testing.T) {
+					t.Parallel()
+					text := fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", head, size, strings.Repeat("a", size))
+					s, err := answerer.Listen(answerer.Early(func(*http.Request) string { return text }, 50*time.Millisecond, do))
+					require.NoError(t, err)
+					defer s.Close()
+					d := dialer.New()
+					defer d.Close()
+					answer, err := d.Do(t.Context(), s.Address(), dialer.Request{ID: "c1", Method: http.MethodPost, Path: "/one", Body: make([]byte, 4<<20)})
+					require.NoError(t, err)
+					require.Len(t, answer.Body, size)
+				})
+			}
+		}
+	}
+}
--- a/internal/request/forwarder/broken_test.go
+++ b/internal/request/forwarder/broken_test.go
@@ -1,10 +1,14 @@
 package forwarder_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -109,3 +113,51 @@
 		}
 	}
 }
+
+// What is malformed beside a sound answer, in an interim answer or in a trailer, is not passed on.
+func TestMalformedPartsBesideAnAnswerAreNotPassedOn(t *testing.T) {
+	for _, name := range []string{"blank in a trailer's name", "blank in an interim name", "trailer"} {
+		for _, path := range brokenPaths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, newEndpoint(t, answerText(answerer.Sound()[name], wholeBody(path))))
+				c, err := net.Dial("tcp", f.server.Listener.Addr().String())
+				require.NoError(t, err)
+				defer c.Close()
+				_, err = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: a\r\nKey: k1\r\n"+headerID+": c1\r\nConnection: close\r\n\r\n")
+				require.NoError(t, err)
+				text, err := io.ReadAll(c)
+				require.NoError(t, err)
+				require.Contains(t, string(text), "200 OK")
+				require.NotContains(t, string(text), "103")
+				require.NotContains(t, string(text), "X-")
+			})
+		}
+	}
+}
+
+// A broken answer counts against its endpoint as a failed call. If its head was read, it is no sign that the endpoint has
+// ended.
+func TestBrokenAnswerCountsAsFailure(t *testing.T) {
+	for name, answer := range answerer.Malformed() {
+		for _, path := range brokenPaths {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, newEndpoint(t, answerText(answer, wholeBody(path))))
+				f.call(t, path, "k1", "prompt")
+				var ended []forwarder.AttemptResult
+				require.Eventually(t, func() bool {
+					f.locked(func() { ended = slices.Clone(f.attempts) })
+					return len(ended) == 1
+				}, time.Minute, time.Millisecond)
+				require.True(t, ended[0].IsFailed)
+				require.False(t, ended[0].IsAnswered)
+				require.False(t, ended[0].IsExcluded)
+				if response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer.Text(nil, "body"))), nil); err == nil {
+					response.Body.Close()
+					require.False(t, ended[0].IsBroken)
+				}
+			})
+		}
+	}
+}
--- a/internal/request/forwarder/reset_test.go
+++ b/internal/request/forwarder/reset_test.go
@@ -103,3 +103,36 @@
 		}
 	}
 }
+
+// Answers with a length that are sent before the upload is read are delivered, however the connection ends after them.
+func TestEarlyAnswerWithLengthIsDelivered(t *testing.T) {
+	heads := map[string]string{
+		"200": "HTTP/1.1 200 OK\r\n%s", "404": "HTTP/1.1 404 Not Found\r\n%s", "413": "HTTP/1.1 413 Too Large\r\n%sConnection: close\r\n",
+		"403 in 1.0": "HTTP/1.0 403 Forbidden\r\n%s",
+	}
+	ends := map[string]func(c *net.TCPConn){
+		"reset": answerer.Reset, "abandoned": answerer.Abandon, "ended and reset": answerer.EndAndReset, "read": answerer.Linger, "not read": answerer.Stall,
+	}
+	for name, head := range heads {
+		for _, size := range []int{100, 60 << 10} {
+			for end, do := range ends {
+				for _, path := range brokenPaths {
+					t.Run(fmt.Sprintf("%s, %d bytes, %s%s", name, size, end, path), func(t *testing.T) {
+						t.Parallel()
+						text := func(r *http.Request) string {
+							start, body, _ := strings.Cut(unframedText(head+"\r\n", path, size)(r), "\r\n\r\n")
+							return fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", start, len(body), body)
+						}
+						f := newFixture(t, newEarlyEndpoint(t, answerer.Early(text, 50*time.Millisecond, do)))
+						f.maxWait = 10 * time.Second
+						got := f.call(t, path, "k1", strings.Repeat("u", uploadSize))
+						require.NoError(t, got.err)
+						require.Equal(t, name[:3], fmt.Sprint(got.status), "refusal %q", got.refusal)
+						_, body, _ := strings.Cut(text(&http.Request{Header: http.Header{headerID: {"c1"}}}), "\r\n\r\n")
+						require.Equal(t, len(body), len(got.body))
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/standin/answerer/answerer.go
+++ b/internal/standin/answerer/answerer.go
@@ -12,8 +12,8 @@
 
 // Answer is the text of an answer. {fields} in it stands for the fields that the client expects,
 // each with its line end, {body} for the body, {length} for its length and {half} for half of that. {chunks}
-// stands for the body in chunks, {extended} for the same with extensions, {trailed} with a trailer, and {unended}
-// without the last chunk.
+// stands for the body in chunks, {extended} for the same with extensions, {trailed} with a trailer, {mistrailed} with a
+// trailer whose name holds a blank, and {unended} without the last chunk.
 type Answer string
 
 const (
@@ -122,6 +122,8 @@
 		"encoding only in a fold":    name10 + "X-A: a\r\n Transfer-Encoding: chunked\r\n" + untilClosure,
 		"encoding only in the body":  name10 + "X-Transfer-Encoding: chunked\r\n" + untilClosure,
 		"encoding of an interim one": "HTTP/1.0 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + name10 + untilClosure,
+		"blank in a trailer's name":  name11 + "Transfer-Encoding: chunked\r\n\r\n{mistrailed}",
+		"blank in an interim name":   "HTTP/1.1 103 Hints\r\nX-A : v\r\n\r\n" + name11 + withLength,
 		"folded value":               name11 + "X-A: a\r\n  b\r\n\tc\r\n" + withLength,
 		"empty value":                name11 + "X-A:\r\n" + withLength,
 		"high bytes in a value":      name11 + "X-A: caf\xc3\xa9 \xff\r\n" + withLength,
@@ -141,7 +143,7 @@
 	text := string(a)
 	isOld := strings.Contains(text, "HTTP/1.0 200")
 	return !isOld && (strings.Contains(text, "\nContent-Length: {length}") || strings.Contains(text, "{chunks}") ||
-		strings.Contains(text, "{extended}") || strings.Contains(text, "{trailed}"))
+		strings.Contains(text, "{extended}") || strings.Contains(text, "trailed}"))
 }
 
 // Text returns the bytes of the answer.
@@ -161,6 +163,6 @@
 	return strings.NewReplacer(
 		"{fields}", lines.String(), "{body}", body, "{length}", strconv.Itoa(len(body)), "{half}", strconv.Itoa(len(body)/2),
 		"{chunks}", chunks("", "0\r\n\r\n"), "{extended}", chunks(";a=b", "0\r\n\r\n"), "{trailed}", chunks("", "0\r\nX-T: t\r\n\r\n"),
-		"{unended}", chunks("", ""),
+		"{mistrailed}", chunks("", "0\r\nX-T : t\r\n\r\n"), "{unended}", chunks("", ""),
 	).Replace(string(a))
 }
