--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"hyssoprudder/internal/connection/inspector"
+	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/reserver"
 )
 
@@ -100,7 +101,7 @@
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-		}),
+		}, clock.System{}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/connection/inspector/conn.go
+++ b/internal/connection/inspector/conn.go
@@ -33,6 +33,7 @@
 // the connection is whole only if Read returns io.EOF.
 type Conn struct {
 	net.Conn
+	clock       clock.Clock
 	isRecording atomic.Bool
 	isUnframed  atomic.Bool  // the answer ends with the connection
 	written     atomic.Int64 // number of bytes written since Begin
@@ -43,7 +44,7 @@
 }
 
 // NewConn returns a connection that checks what is read from inner.
-func NewConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
+func NewConn(inner net.Conn, c clock.Clock) *Conn { return &Conn{Conn: inner, clock: c} }
 
 // Begin must be called before a request is sent. bodySize is the size of its body in bytes.
 func (c *Conn) Begin(bodySize int64) {
@@ -95,7 +96,7 @@
 		return err
 	}
 	first, err := stateOf(raw)
-	until := clock.System{}.Now().Add(resetWait)
+	until := c.clock.Now().Add(resetWait)
 	for state := first; ; state, err = stateOf(raw) {
 		switch {
 		case err != nil:
@@ -103,10 +104,10 @@
 			return err
 		case state.isReset:
 			return syscall.ECONNRESET
-		case !c.isUnframed.Load() || c.isSent(state) || state.taken > first.taken || !clock.System{}.Now().Before(until):
+		case !c.isUnframed.Load() || c.isSent(state) || state.taken > first.taken || !c.clock.Now().Before(until):
 			return nil
 		}
-		clock.Sleep(clock.System{}, resetInterval, nil)
+		clock.Sleep(c.clock, resetInterval, nil)
 	}
 }
 
--- a/internal/connection/inspector/head_test.go
+++ b/internal/connection/inspector/head_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"hyssoprudder/internal/connection/inspector"
+	"hyssoprudder/internal/process/clock"
 )
 
 func TestMain(m *testing.M) {
@@ -156,7 +157,7 @@
 		client := &http.Client{
 			Transport: inspector.NewTransport(&http.Transport{
 				DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil },
-			}),
+			}, clock.System{}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 		defer conn.Close()
--- a/internal/connection/inspector/transport.go
+++ b/internal/connection/inspector/transport.go
@@ -6,19 +6,22 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"hyssoprudder/internal/process/clock"
 )
 
 // Transport is an http.RoundTripper that returns only answers whose head is sound, and whose bodies
 // end with an error if the connection was reset.
 type Transport struct {
 	inner *http.Transport
+	clock clock.Clock
 	dial  func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewTransport returns a transport that sends requests through inner, which nothing else may use. inner must
 // speak HTTP/1 only and must not send encrypted requests through a proxy: all its connections have to be a Conn.
-func NewTransport(inner *http.Transport) *Transport {
-	t := &Transport{inner: inner, dial: inner.DialContext}
+func NewTransport(inner *http.Transport, c clock.Clock) *Transport {
+	t := &Transport{inner: inner, clock: c, dial: inner.DialContext}
 	if t.dial == nil {
 		t.dial = (&net.Dialer{}).DialContext
 	}
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(conn), nil
+	return NewConn(conn, t.clock), nil
 }
 
 // dialTLS checks the end of the encrypted stream, and the answers in the decrypted one.
@@ -55,7 +58,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return NewConn(encrypted), nil
+	return NewConn(encrypted, t.clock), nil
 }
 
 // RoundTrip sends a request. The error is a *MalformedError if the head of the answer is not sound.
--- a/internal/connection/inspector/transport_test.go
+++ b/internal/connection/inspector/transport_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hyssoprudder/internal/connection/inspector"
+	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/standin/answerer"
 )
 
@@ -30,7 +31,7 @@
 	server.StartTLS()
 	t.Cleanup(server.Close)
 	trusted := server.Client().Transport.(*http.Transport).TLSClientConfig
-	client := &http.Client{Transport: inspector.NewTransport(&http.Transport{TLSClientConfig: trusted})}
+	client := &http.Client{Transport: inspector.NewTransport(&http.Transport{TLSClientConfig: trusted}, clock.System{})}
 	t.Cleanup(client.CloseIdleConnections)
 	return server.URL, client
 }
@@ -96,7 +97,7 @@
 	})
 	require.NoError(t, err)
 	defer s.Close()
-	client := &http.Client{Transport: inspector.NewTransport(&http.Transport{})}
+	client := &http.Client{Transport: inspector.NewTransport(&http.Transport{}, clock.System{})}
 	_, err = get(client, "http://"+s.Address().String())
 	require.True(t, inspector.IsMalformed(err), "%v", err)
 	<-closed
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hyssoprudder/internal/connection/inspector"
+	"hyssoprudder/internal/process/clock"
 )
 
 const (
@@ -40,7 +41,7 @@
 		c.base = "https://" + address.String()
 		transport = &http.Transport{DialContext: dial, TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
 	}
-	c.http = &http.Client{Transport: inspector.NewTransport(transport)}
+	c.http = &http.Client{Transport: inspector.NewTransport(transport, clock.System{})}
 	return c
 }
 
--- a/internal/connection/pooler/pooler.go
+++ b/internal/connection/pooler/pooler.go
@@ -367,7 +367,7 @@
 	if !ok {
 		return inner, nil
 	}
-	w.inspected = inspector.NewConn(inner)
+	w.inspected = inspector.NewConn(inner, w.clock)
 	w.Conn = w.inspected
 	return w, nil
 }
--- a/internal/connection/provisioner/provisioner.go
+++ b/internal/connection/provisioner/provisioner.go
@@ -17,6 +17,7 @@
 
 	"hyssoprudder/internal/connection/inspector"
 	"hyssoprudder/internal/connection/splitter"
+	"hyssoprudder/internal/process/clock"
 	"hyssoprudder/internal/process/lister"
 )
 
@@ -140,7 +141,7 @@
 func New(provider netip.AddrPort) *Client {
 	return &Client{
 		base: "http://" + provider.String(),
-		http: &http.Client{Transport: inspector.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})},
+		http: &http.Client{Transport: inspector.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}, clock.System{})},
 	}
 }
 
--- a/internal/connection/screener/bounds.go
+++ b/internal/connection/screener/bounds.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
@@ -254,9 +253,3 @@
 		_ = c.Conn.SetReadDeadline(c.receiveUntil) // fails only if the connection is closed
 	}
 }
-
-// connOf returns the screened connection that a request came on, or nil.
-func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(contextKey{}).(*conn)
-	return c
-}
--- a/internal/standin/answerer/server.go
+++ b/internal/standin/answerer/server.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"hyssoprudder/internal/process/clock"
 )
 
 const (
@@ -153,7 +155,7 @@
 func Early(text func(r *http.Request) string, wait time.Duration, end func(c *net.TCPConn)) Handler {
 	return func(c *net.TCPConn, r *http.Request) bool {
 		if _, err := io.WriteString(c, text(r)); err == nil {
-			time.Sleep(wait)
+			clock.Sleep(clock.System{}, wait, nil)
 			end(c)
 		}
 		return false
@@ -166,7 +168,7 @@
 	if c.CloseWrite() != nil {
 		return
 	}
-	if c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+	if c.SetReadDeadline(clock.System{}.Now().Add(lingerTime)) == nil {
 		_, _ = io.Copy(io.Discard, c)
 	}
 }
@@ -174,7 +176,7 @@
 // Stall ends the connection in order, and reads nothing for a while.
 func Stall(c *net.TCPConn) {
 	_ = c.CloseWrite()
-	time.Sleep(stallTime)
+	clock.Sleep(clock.System{}, stallTime, nil)
 }
 
 // Reset resets the connection.
